--- /dev/null
+++ b/include/marigoldpitch/coordination/group-io.h
@@ -0,0 +1,221 @@
+#ifndef MARIGOLDPITCH_COORDINATION_GROUP_IO_H
+#define MARIGOLDPITCH_COORDINATION_GROUP_IO_H
+
+#include "marigoldpitch/coordination/upstream-call.h"
+#include "marigoldpitch/state/config.h"
+#include "marigoldpitch/state/connection-table.h"
+#include "marigoldpitch/state/log-event.h"
+#include "marigoldpitch/state/request.h"
+#include "marigoldpitch/state/upstream-status.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+/** The closed sets of events and actions of a group's owner. */
+namespace marigoldpitch {
+
+// Events.
+
+struct RequestArrived
+{
+  RequestHandle handle = 0;
+  Request request;
+};
+
+struct RequestCancelled
+{
+  RequestHandle handle = 0;
+};
+
+struct ConnectionOpened
+{
+  ConnectionId connection = 0;
+};
+
+struct ConnectionLost
+{
+  ConnectionId connection = 0;
+  SqlClass failure = SqlClass::None;
+  std::string reason;
+};
+
+struct BatchFinished
+{
+  ConnectionId connection = 0;
+  uint64_t sequence = 0;
+  BatchResult result;
+};
+
+struct StatusAnswered
+{
+  UpstreamIndex upstream = 0;
+  uint64_t ask = 0;
+  UpstreamStatus status;
+};
+
+struct StatusFailed
+{
+  UpstreamIndex upstream = 0;
+  uint64_t ask = 0;
+};
+
+struct TermAdopted
+{
+  UpstreamIndex upstream = 0;
+  Term term = 0;
+  LogPoint end; // of the upstream's log at that moment
+};
+
+struct TermRefused
+{
+  UpstreamIndex upstream = 0;
+  Term term = 0;
+  Term current = 0;
+};
+
+struct Promoted
+{
+  UpstreamIndex upstream = 0;
+  Term term = 0;
+  Position start = 0;
+};
+
+struct PromotionFailed
+{
+  UpstreamIndex upstream = 0;
+  Term term = 0;
+};
+
+/** Terms `first` to `last` belong to this owner alone. */
+struct TermsGranted
+{
+  Term first = 0;
+  Term last = 0;
+};
+
+struct UpstreamListedLeaving
+{
+  UpstreamIndex upstream = 0;
+  bool leaving = false;
+};
+
+struct DrainRequested
+{};
+
+struct Tick
+{};
+
+using GroupEvent = std::variant<RequestArrived,
+                                RequestCancelled,
+                                ConnectionOpened,
+                                ConnectionLost,
+                                BatchFinished,
+                                StatusAnswered,
+                                StatusFailed,
+                                TermAdopted,
+                                TermRefused,
+                                Promoted,
+                                PromotionFailed,
+                                TermsGranted,
+                                UpstreamListedLeaving,
+                                DrainRequested,
+                                Tick>;
+
+// Actions.
+
+struct OpenConnection
+{
+  ConnectionId connection = 0;
+  UpstreamIndex upstream = 0;
+};
+
+struct CloseConnection
+{
+  ConnectionId connection = 0;
+};
+
+struct RunBatch
+{
+  ConnectionId connection = 0;
+  uint64_t sequence = 0;
+  Batch batch;
+};
+
+struct SendAnswer
+{
+  RequestHandle handle = 0;
+  Answer answer;
+};
+
+/** `fresh` asks over a new connection: the old one may be silent. */
+struct AskStatus
+{
+  UpstreamIndex upstream = 0;
+  uint64_t ask = 0;
+  bool fresh = false;
+};
+
+struct AdoptTerm
+{
+  UpstreamIndex upstream = 0;
+  Term term = 0;
+};
+
+struct Promote
+{
+  UpstreamIndex upstream = 0;
+  Term term = 0;
+};
+
+struct Follow
+{
+  UpstreamIndex upstream = 0;
+  Term term = 0;
+  UpstreamIndex primary = 0;
+};
+
+/** Asks the platform's store for terms above `above`. */
+struct ReserveTerms
+{
+  Term above = 0;
+};
+
+struct Report
+{
+  LogEvent event = LogEvent::Started;
+  std::string text;
+};
+
+enum class Observation
+{
+  ReplicaRead,
+  PrimaryRead,
+  Retry,
+  Failover,
+};
+
+/** Something to count, with a span where one belongs to it. */
+struct Observe
+{
+  Observation observation = Observation::Retry;
+  Duration span;
+};
+
+using GroupAction = std::variant<OpenConnection,
+                                 CloseConnection,
+                                 RunBatch,
+                                 SendAnswer,
+                                 AskStatus,
+                                 AdoptTerm,
+                                 Promote,
+                                 Follow,
+                                 ReserveTerms,
+                                 Report,
+                                 Observe>;
+
+using GroupActions = std::vector<GroupAction>;
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/state/connection-table.h
@@ -0,0 +1,114 @@
+#ifndef MARIGOLDPITCH_STATE_CONNECTION_TABLE_H
+#define MARIGOLDPITCH_STATE_CONNECTION_TABLE_H
+
+#include "marigoldpitch/state/names.h"
+#include "marigoldpitch/state/request.h"
+#include "marigoldpitch/state/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/** Connections and slots of a group's upstreams. */
+namespace marigoldpitch {
+
+using ConnectionId = uint64_t;
+using UpstreamIndex = size_t;
+
+enum class ConnectionState
+{
+  Opening,
+  Idle,
+  Busy,   // a batch is running: the connection holds a slot
+  Pinned, // inside a transaction, between statements
+};
+
+constexpr NameTable<ConnectionState, 4> kConnectionStateNames{ {
+  { ConnectionState::Opening, "opening" },
+  { ConnectionState::Idle, "idle" },
+  { ConnectionState::Busy, "busy" },
+  { ConnectionState::Pinned, "pinned" },
+} };
+
+struct Connection
+{
+  ConnectionId id = 0;
+  UpstreamIndex upstream = 0;
+  ConnectionState state = ConnectionState::Opening;
+  uint64_t sequence = 0;   // of the batch that runs or ran last
+  std::string transaction; // set while pinned
+  Time since = kLongAgo;   // of the last change of state
+};
+
+struct UpstreamUse
+{
+  uint32_t open = 0; // opening, idle, busy and pinned
+  uint32_t opening = 0;
+  uint32_t busy = 0;
+  uint32_t pinned = 0;
+};
+
+/**
+ * Holds both limits: statements in flight never exceed the slots, connections
+ * never exceed the budget. A connection serves one transaction at a time.
+ */
+class ConnectionTable
+{
+public:
+  ConnectionTable(size_t aUpstreams, uint32_t aSlots, uint32_t aBudget)
+    : slots(aSlots)
+    , budget(aBudget)
+    , uses(aUpstreams)
+  {
+  }
+
+  bool MayOpen(UpstreamIndex aUpstream) const;
+  ConnectionId Open(UpstreamIndex aUpstream, Time aNow);
+  void Opened(ConnectionId aId, Time aNow);
+
+  bool HasFreeSlot(UpstreamIndex aUpstream) const;
+
+  /** An idle connection of the upstream, if a slot is free too. */
+  std::optional<ConnectionId> FindIdle(UpstreamIndex aUpstream) const;
+
+  /** Takes a slot; returns the number that the batch's answer must carry. */
+  uint64_t StartBatch(ConnectionId aId, Time aNow);
+
+  /** False when the answer is not for the batch that runs there. */
+  bool FinishBatch(ConnectionId aId, uint64_t aSequence, Time aNow);
+
+  void SetLimits(uint32_t aSlots, uint32_t aBudget)
+  {
+    this->slots = aSlots;
+    this->budget = aBudget;
+  }
+
+  /** Keeps the connection for one transaction until `Unpin` or `Remove`. */
+  void Pin(ConnectionId aId, const std::string& aTransaction);
+  void Unpin(ConnectionId aId);
+
+  void Remove(ConnectionId aId);
+  const Connection* Find(ConnectionId aId) const;
+  const UpstreamUse& Use(UpstreamIndex aUpstream) const
+  {
+    return this->uses[aUpstream];
+  }
+  std::vector<ConnectionId> AllOf(UpstreamIndex aUpstream) const;
+
+private:
+  void Move(Connection& aConnection, ConnectionState aState, Time aNow);
+  uint32_t* CounterOf(UpstreamUse& aUse, ConnectionState aState);
+
+  uint32_t slots;
+  uint32_t budget;
+  ConnectionId lastId = 0;
+  uint64_t lastSequence = 0;
+  std::map<ConnectionId, Connection> connections;
+  std::vector<UpstreamUse> uses;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/state/error.h
@@ -0,0 +1,93 @@
+#ifndef MARIGOLDPITCH_STATE_ERROR_H
+#define MARIGOLDPITCH_STATE_ERROR_H
+
+#include "marigoldpitch/state/names.h"
+
+#include <boost/outcome/result.hpp>
+#include <boost/outcome/try.hpp>
+
+#include <string>
+#include <vector>
+
+/** Typed errors, results, and findings that carry their place. */
+namespace marigoldpitch {
+
+enum class ErrorCode
+{
+  BadFrame,
+  BadMessage,
+  BadSettings,
+  BadConfiguration,
+  TooLarge,
+  UnknownMethod,
+  UnknownGroup,
+  Io,
+  Timeout,
+  Conflict,
+  Unavailable,
+  Refused,
+};
+
+constexpr NameTable<ErrorCode, 12> kErrorCodeNames{ {
+  { ErrorCode::BadFrame, "bad-frame" },
+  { ErrorCode::BadMessage, "bad-message" },
+  { ErrorCode::BadSettings, "bad-settings" },
+  { ErrorCode::BadConfiguration, "bad-configuration" },
+  { ErrorCode::TooLarge, "too-large" },
+  { ErrorCode::UnknownMethod, "unknown-method" },
+  { ErrorCode::UnknownGroup, "unknown-group" },
+  { ErrorCode::Io, "io" },
+  { ErrorCode::Timeout, "timeout" },
+  { ErrorCode::Conflict, "conflict" },
+  { ErrorCode::Unavailable, "unavailable" },
+  { ErrorCode::Refused, "refused" },
+} };
+
+/** What went wrong and where: a file with a JSON pointer, a frame, a host. */
+struct Error
+{
+  ErrorCode code = ErrorCode::Io;
+  std::string place;
+  std::string message;
+
+  /** `code: place: message` on one line. */
+  std::string ToString() const;
+};
+
+/** A value or an `Error`; the value of a failed result must not be read. */
+template<typename T>
+using Result = boost::outcome_v2::
+  basic_result<T, Error, boost::outcome_v2::policy::terminate>;
+
+/**
+ * Errors gathered from one input so that all are reported together.
+ *
+ * Example:
+ *
+ *     Findings findings{ ErrorCode::BadSettings };
+ *     findings.Add("/port", "must be 1 to 65535");
+ *     if (!findings.Empty()) { return findings.ToError("entry.json"); }
+ */
+class Findings
+{
+public:
+  explicit Findings(ErrorCode aCode)
+    : code(aCode)
+  {
+  }
+
+  void Add(std::string aPlace, std::string aMessage);
+  bool Empty() const { return this->errors.empty(); }
+  const std::vector<Error>& All() const { return this->errors; }
+
+  /** One error whose message lists each finding on a line of its own. */
+  Error ToError(const std::string& aSource) const;
+
+private:
+  ErrorCode code;
+  std::vector<Error> errors;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/state/freshness.h
@@ -0,0 +1,50 @@
+#ifndef MARIGOLDPITCH_STATE_FRESHNESS_H
+#define MARIGOLDPITCH_STATE_FRESHNESS_H
+
+#include "marigoldpitch/state/position.h"
+#include "marigoldpitch/state/time.h"
+
+#include <deque>
+#include <optional>
+
+/** Conservative age of a replica's data. */
+namespace marigoldpitch {
+
+/**
+ * Samples of (time, primary position). A copy that has replayed a sampled
+ * position holds all that was committed before the sample was asked for, so its
+ * age is at most the time since then. The age keeps growing while the primary
+ * cannot be sampled.
+ *
+ * Example:
+ *
+ *     tracker.Sample(now, { 3, 0, 120 });
+ *     tracker.AgeOf({ 3, 0, 120 }, now + Millis(40)); // 40 ms
+ */
+class FreshnessTracker
+{
+public:
+  /** `aAsked` is when the primary's position was asked for, not answered. */
+  void Sample(Time aAsked, const CopyPoint& aPrimary);
+
+  /** Unset when no sample is covered by the copy. */
+  std::optional<Duration> AgeOf(const CopyPoint& aCopy, Time aNow) const;
+
+  size_t Size() const { return this->samples.size(); }
+
+private:
+  struct Entry
+  {
+    Time asked;
+    Position position;
+  };
+
+  void StartTerm(const CopyPoint& aPrimary);
+
+  Term term = 0;
+  std::deque<Entry> samples; // both members rise along the queue
+};
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/state/log-event.h
@@ -0,0 +1,100 @@
+#ifndef MARIGOLDPITCH_STATE_LOG_EVENT_H
+#define MARIGOLDPITCH_STATE_LOG_EVENT_H
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+/** Numbered log events; docs/EVENTS.md is their catalogue. */
+namespace marigoldpitch {
+
+enum class Severity
+{
+  Info,
+  Warning,
+  Error,
+};
+
+enum class LogEvent
+{
+  Started,
+  Stopped,
+  DrainStarted,
+  DrainFinished,
+  ListenFailed,
+  ConfigurationInForce,
+  ConfigurationRefused,
+  HostListInForce,
+  StoreUnreachable,
+  StoreReachable,
+  PeerUp,
+  PeerDown,
+  FrameRefused,
+  PrimarySeen,
+  PrimarySuspected,
+  FailoverStarted,
+  FailoverFinished,
+  FailoverFailed,
+  TermsReserved,
+  UpstreamLeaving,
+  ConnectionOpened,
+  ConnectionLost,
+  TransactionExpired,
+  OwnerPaused,
+  RequestRefused,
+};
+
+struct LogEventRow
+{
+  LogEvent event;
+  int number;
+  Severity severity;
+  std::string_view name;
+};
+
+constexpr std::array<LogEventRow, 25> kLogEvents{ {
+  { LogEvent::Started, 100, Severity::Info, "started" },
+  { LogEvent::Stopped, 101, Severity::Info, "stopped" },
+  { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
+  { LogEvent::DrainFinished, 103, Severity::Info, "drain-finished" },
+  { LogEvent::ListenFailed, 104, Severity::Error, "listen-failed" },
+  { LogEvent::ConfigurationInForce,
+    200,
+    Severity::Info,
+    "configuration-in-force" },
+  { LogEvent::ConfigurationRefused,
+    201,
+    Severity::Error,
+    "configuration-refused" },
+  { LogEvent::HostListInForce, 202, Severity::Info, "host-list-in-force" },
+  { LogEvent::StoreUnreachable, 203, Severity::Warning, "store-unreachable" },
+  { LogEvent::StoreReachable, 204, Severity::Info, "store-reachable" },
+  { LogEvent::PeerUp, 300, Severity::Info, "peer-up" },
+  { LogEvent::PeerDown, 301, Severity::Warning, "peer-down" },
+  { LogEvent::FrameRefused, 302, Severity::Warning, "frame-refused" },
+  { LogEvent::PrimarySeen, 400, Severity::Info, "primary-seen" },
+  { LogEvent::PrimarySuspected, 401, Severity::Warning, "primary-suspected" },
+  { LogEvent::FailoverStarted, 402, Severity::Warning, "failover-started" },
+  { LogEvent::FailoverFinished, 403, Severity::Info, "failover-finished" },
+  { LogEvent::FailoverFailed, 404, Severity::Error, "failover-failed" },
+  { LogEvent::TermsReserved, 405, Severity::Info, "terms-reserved" },
+  { LogEvent::UpstreamLeaving, 406, Severity::Info, "upstream-leaving" },
+  { LogEvent::ConnectionOpened, 500, Severity::Info, "connection-opened" },
+  { LogEvent::ConnectionLost, 501, Severity::Warning, "connection-lost" },
+  { LogEvent::TransactionExpired,
+    502,
+    Severity::Warning,
+    "transaction-expired" },
+  { LogEvent::OwnerPaused, 503, Severity::Warning, "owner-paused" },
+  { LogEvent::RequestRefused, 504, Severity::Warning, "request-refused" },
+} };
+
+constexpr const LogEventRow&
+RowOf(LogEvent aEvent)
+{
+  return kLogEvents[static_cast<size_t>(aEvent)];
+}
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/state/metrics.h
@@ -0,0 +1,113 @@
+#ifndef MARIGOLDPITCH_STATE_METRICS_H
+#define MARIGOLDPITCH_STATE_METRICS_H
+
+#include "marigoldpitch/state/names.h"
+#include "marigoldpitch/state/outcome.h"
+#include "marigoldpitch/state/request.h"
+#include "marigoldpitch/state/time.h"
+
+#include <boost/histogram.hpp>
+
+#include <array>
+#include <cstdint>
+
+/** Counters and histograms of one daemon. */
+namespace marigoldpitch {
+
+enum class Counter
+{
+  ReplicaReads,
+  PrimaryReads,
+  Failovers,
+  ConnectionsOpened,
+  ConnectionsLost,
+  Retries,
+  StoreCalls,
+  FramesRefused,
+};
+
+constexpr NameTable<Counter, 8> kCounterNames{ {
+  { Counter::ReplicaReads, "replica_reads_total" },
+  { Counter::PrimaryReads, "primary_reads_total" },
+  { Counter::Failovers, "failovers_total" },
+  { Counter::ConnectionsOpened, "connections_opened_total" },
+  { Counter::ConnectionsLost, "connections_lost_total" },
+  { Counter::Retries, "retries_total" },
+  { Counter::StoreCalls, "store_calls_total" },
+  { Counter::FramesRefused, "frames_refused_total" },
+} };
+
+enum class Measure
+{
+  Latency,
+  ReadAge,
+  FailoverGap,
+};
+
+constexpr NameTable<Measure, 3> kMeasureNames{ {
+  { Measure::Latency, "request_latency_ms" },
+  { Measure::ReadAge, "read_age_ms" },
+  { Measure::FailoverGap, "failover_gap_ms" },
+} };
+
+/** Upper edge of the histograms, in milliseconds. */
+constexpr double kHistogramTopMs = 16384;
+constexpr int kHistogramBins = 14;
+
+using Histogram = decltype(boost::histogram::make_histogram(
+  boost::histogram::axis::regular<double,
+                                  boost::histogram::axis::transform::log>(
+    kHistogramBins,
+    1.0,
+    kHistogramTopMs)));
+
+/** One distribution in milliseconds, with the sum of its values. */
+struct Distribution
+{
+  Distribution();
+
+  void Add(Duration aValue);
+
+  Histogram histogram;
+  double sumMs = 0;
+  uint64_t count = 0;
+};
+
+class Metrics
+{
+public:
+  void Count(Counter aCounter) { ++this->counters[Index(aCounter)]; }
+  void CountOutcome(Outcome aOutcome) { ++this->outcomes[Index(aOutcome)]; }
+  void Add(Measure aMeasure, Duration aValue)
+  {
+    this->distributions[Index(aMeasure)].Add(aValue);
+  }
+
+  uint64_t Get(Counter aCounter) const
+  {
+    return this->counters[Index(aCounter)];
+  }
+  uint64_t Get(Outcome aOutcome) const
+  {
+    return this->outcomes[Index(aOutcome)];
+  }
+  const Distribution& Get(Measure aMeasure) const
+  {
+    return this->distributions[Index(aMeasure)];
+  }
+
+private:
+  template<typename E>
+  static size_t Index(E aValue)
+  {
+    return static_cast<size_t>(aValue);
+  }
+
+  std::array<uint64_t, kCounterNames.Size()> counters{};
+  std::array<uint64_t, kOutcomeNames.Size()> outcomes{};
+  std::array<Distribution, kMeasureNames.Size()> distributions;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/state/session-table.h
@@ -0,0 +1,50 @@
+#ifndef MARIGOLDPITCH_STATE_SESSION_TABLE_H
+#define MARIGOLDPITCH_STATE_SESSION_TABLE_H
+
+#include "marigoldpitch/state/position.h"
+
+#include <cstddef>
+#include <list>
+#include <string>
+#include <unordered_map>
+
+/** The newest log point of each session at one owner. */
+namespace marigoldpitch {
+
+/**
+ * Keeps the guarantee when an answer that carried a token was lost. The least
+ * recently used session goes first when the table is full; its token still
+ * carries the guarantee.
+ */
+class SessionTable
+{
+public:
+  explicit SessionTable(size_t aCapacity)
+    : capacity(aCapacity)
+  {
+  }
+
+  /** Raises the session's point; a lower point changes nothing. */
+  void Advance(const std::string& aSession, const LogPoint& aPoint);
+
+  /** The higher of the session's point and the token it sent. */
+  LogPoint Newest(const std::string& aSession, const LogPoint& aToken) const;
+
+  bool Knows(const std::string& aSession) const;
+  size_t Size() const { return this->points.size(); }
+
+private:
+  struct Entry
+  {
+    std::string session;
+    LogPoint point;
+  };
+
+  size_t capacity;
+  std::list<Entry> order; // most recently used first
+  std::unordered_map<std::string, std::list<Entry>::iterator> points;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/state/time.h
@@ -0,0 +1,93 @@
+#ifndef MARIGOLDPITCH_STATE_TIME_H
+#define MARIGOLDPITCH_STATE_TIME_H
+
+#include <cstdint>
+#include <limits>
+
+/** The project's clock types: whole milliseconds, never read here. */
+namespace marigoldpitch {
+
+/** A span of time in milliseconds. */
+struct Duration
+{
+  int64_t ms = 0;
+
+  constexpr Duration operator+(Duration aOther) const
+  {
+    return { this->ms + aOther.ms };
+  }
+  constexpr Duration operator-(Duration aOther) const
+  {
+    return { this->ms - aOther.ms };
+  }
+  constexpr Duration operator*(int64_t aFactor) const
+  {
+    return { this->ms * aFactor };
+  }
+  constexpr bool operator<(Duration aOther) const
+  {
+    return this->ms < aOther.ms;
+  }
+  constexpr bool operator<=(Duration aOther) const
+  {
+    return this->ms <= aOther.ms;
+  }
+  constexpr bool operator>(Duration aOther) const { return aOther < *this; }
+  constexpr bool operator>=(Duration aOther) const { return aOther <= *this; }
+  constexpr bool operator==(Duration aOther) const
+  {
+    return this->ms == aOther.ms;
+  }
+};
+
+/** `Millis(250)` reads as 250 milliseconds. */
+constexpr Duration
+Millis(int64_t aMs)
+{
+  return { aMs };
+}
+
+constexpr Duration
+Seconds(int64_t aSeconds)
+{
+  return { aSeconds * 1000 };
+}
+
+/**
+ * An instant on a monotonic clock, in milliseconds since an origin that is
+ * private to the process. Instants of two processes are never compared.
+ *
+ * Example: `Time deadline = now + Millis(200);`
+ */
+struct Time
+{
+  int64_t ms = 0;
+
+  constexpr Time operator+(Duration aSpan) const
+  {
+    return { this->ms + aSpan.ms };
+  }
+  constexpr Time operator-(Duration aSpan) const
+  {
+    return { this->ms - aSpan.ms };
+  }
+  constexpr Duration operator-(Time aOther) const
+  {
+    return { this->ms - aOther.ms };
+  }
+  constexpr bool operator<(Time aOther) const { return this->ms < aOther.ms; }
+  constexpr bool operator<=(Time aOther) const { return this->ms <= aOther.ms; }
+  constexpr bool operator>(Time aOther) const { return aOther < *this; }
+  constexpr bool operator>=(Time aOther) const { return aOther <= *this; }
+  constexpr bool operator==(Time aOther) const { return this->ms == aOther.ms; }
+};
+
+/** Later than any instant a process reaches. */
+constexpr Time kNever{ std::numeric_limits<int64_t>::max() / 4 };
+
+/** Earlier than any instant a process reads. */
+constexpr Time kLongAgo{ -kNever.ms };
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/state/upstream-status.h
@@ -0,0 +1,49 @@
+#ifndef MARIGOLDPITCH_STATE_UPSTREAM_STATUS_H
+#define MARIGOLDPITCH_STATE_UPSTREAM_STATUS_H
+
+#include "marigoldpitch/state/names.h"
+#include "marigoldpitch/state/position.h"
+#include "marigoldpitch/state/time.h"
+
+#include <string>
+
+/** What an upstream states about itself. */
+namespace marigoldpitch {
+
+enum class Role
+{
+  Primary,
+  Replica,
+  Detached, // adopted a term and follows nobody yet
+};
+
+constexpr NameTable<Role, 3> kRoleNames{ {
+  { Role::Primary, "primary" },
+  { Role::Replica, "replica" },
+  { Role::Detached, "detached" },
+} };
+
+struct UpstreamStatus
+{
+  Role role = Role::Detached;
+  Term term = 0;          // highest term adopted
+  Term lastTerm = 0;      // term of the last entry in its log
+  Position termStart = 0; // where the term it follows began
+  Position received = 0;  // held durably
+  Position replayed = 0;  // visible to reads
+  Duration heard;         // since it last heard from its primary
+  bool leaving = false;
+
+  /** The end of its log, by which a new primary is chosen. */
+  LogPoint End() const { return { this->lastTerm, this->received }; }
+
+  /** What its reads show. */
+  CopyPoint Visible() const
+  {
+    return { this->term, this->termStart, this->replayed };
+  }
+};
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/src/coordination/entry-engine.cc
@@ -0,0 +1,425 @@
+#include "marigoldpitch/coordination/entry-engine.h"
+
+#include "marigoldpitch/coordination/ownership.h"
+
+#include <algorithm>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+constexpr Duration kConnectLimit = Millis(150);
+constexpr Duration kDownFor = Millis(500);
+constexpr Duration kPingAfter = Millis(100);
+constexpr Duration kSilentAfter = Millis(300);
+// The owner's own verdict at the deadline is better than the entry's.
+constexpr Duration kAnswerGrace = Millis(50);
+constexpr char kIncarnationMark = '~';
+
+bool
+IsTransactional(const Request& aRequest)
+{
+  return !aRequest.transaction.empty();
+}
+
+/** `host~incarnation/number` names the owner that holds a transaction. */
+std::string
+HostOfTransaction(const std::string& aTransaction)
+{
+  return aTransaction.substr(0, aTransaction.find(kIncarnationMark));
+}
+
+bool
+MayRunTwice(const Request& aRequest)
+{
+  return aRequest.operation == Operation::Read ||
+         aRequest.operation == Operation::Begin;
+}
+
+} // namespace detail
+
+EntryActions
+EntryEngine::Handle(Time aNow, const EntryEvent& aEvent)
+{
+  this->now = aNow;
+  this->actions.clear();
+  std::visit([this](const auto& aKind) { this->On(aKind); }, aEvent);
+  return std::move(this->actions);
+}
+
+const std::map<std::string, OwnerState>
+EntryEngine::OwnerStates() const
+{
+  std::map<std::string, OwnerState> states;
+  for (const auto& [host, owner] : this->owners) {
+    states[host] = owner.state;
+  }
+  return states;
+}
+
+bool
+EntryEngine::ApplyDefaults(Request& aRequest, Answer& aRefusal) const
+{
+  const GroupConfig* group = this->config.FindGroup(aRequest.group);
+  if (group == nullptr) {
+    aRefusal = MakeAnswer(
+      this->config.revision == 0 ? Outcome::NotRun : Outcome::Invalid,
+      "group: '" + aRequest.group + "' is not configured here");
+    return false;
+  }
+  if (aRequest.service.empty()) {
+    return true;
+  }
+  const ServiceConfig* service = group->FindService(aRequest.service);
+  if (service == nullptr) {
+    aRefusal =
+      MakeAnswer(Outcome::Invalid,
+                 "service: '" + aRequest.service + "' is not configured");
+    return false;
+  }
+  aRequest.priority = service->priority;
+  if (aRequest.timeout.ms <= 0) {
+    aRequest.timeout = service->timeout;
+  }
+  // A caller may ask for fresher data than the service allows, never older.
+  if (service->maxAge && aRequest.operation == Operation::Read) {
+    aRequest.maxAge = aRequest.maxAge
+                        ? std::min(*aRequest.maxAge, *service->maxAge)
+                        : *service->maxAge;
+  } else {
+    aRequest.maxAge.reset();
+  }
+  return true;
+}
+
+void
+EntryEngine::On(const CallerAsked& aEvent)
+{
+  Request request = aEvent.request;
+  Answer refusal;
+  if (!this->ApplyDefaults(request, refusal)) {
+    this->actions.emplace_back(AnswerCaller{ aEvent.handle, refusal, {} });
+    return;
+  }
+  if (request.timeout.ms <= 0) {
+    request.timeout = Request{}.timeout;
+  }
+  if (request.maxAge && request.priority == Priority::Normal) {
+    request.priority = Priority::Tolerant;
+  }
+  uint64_t number = ++this->lastNumber;
+  Pending& pending = this->pending[number];
+  pending.handle = aEvent.handle;
+  pending.arrived = this->now;
+  pending.deadline = this->now + request.timeout;
+  pending.request = std::move(request);
+  this->byHandle[aEvent.handle] = number;
+  this->Place(number);
+}
+
+void
+EntryEngine::On(const CallerLeft& aEvent)
+{
+  auto found = this->byHandle.find(aEvent.handle);
+  if (found == this->byHandle.end()) {
+    return;
+  }
+  uint64_t number = found->second;
+  Pending& pending = this->pending[number];
+  if (pending.isSent) {
+    this->actions.emplace_back(ForwardCancel{ pending.host, number });
+    this->owners[pending.host].sent.erase(number);
+  }
+  this->pending.erase(number);
+  this->byHandle.erase(found);
+}
+
+bool
+EntryEngine::IsUsable(const std::string& aHost) const
+{
+  auto found = this->owners.find(aHost);
+  if (found == this->owners.end()) {
+    return true;
+  }
+  const Owner& owner = found->second;
+  bool isDown = owner.state == OwnerState::Down && owner.downUntil > this->now;
+  return !isDown && !owner.draining;
+}
+
+std::string
+EntryEngine::ChooseHost(const Pending& aPending) const
+{
+  if (detail::IsTransactional(aPending.request)) {
+    return detail::HostOfTransaction(aPending.request.transaction);
+  }
+  for (const std::string& host :
+       RankOwners(aPending.request.group, this->hosts.hosts)) {
+    if (this->IsUsable(host) && aPending.tried.count(host) == 0) {
+      return host;
+    }
+  }
+  return {};
+}
+
+void
+EntryEngine::Place(uint64_t aNumber)
+{
+  Pending& pending = this->pending[aNumber];
+  pending.isSent = false;
+  pending.host = this->ChooseHost(pending);
+  if (pending.host.empty()) {
+    return; // looked at again on each tick until its deadline
+  }
+  Owner& owner = this->owners[pending.host];
+  if (owner.state == OwnerState::Up) {
+    this->Send(aNumber);
+    return;
+  }
+  bool isDown = owner.state == OwnerState::Down && owner.downUntil > this->now;
+  if (isDown && detail::IsTransactional(pending.request)) {
+    this->LoseTransaction(aNumber);
+    return;
+  }
+  if (owner.state != OwnerState::Connecting) {
+    this->Connect(pending.host);
+  }
+}
+
+void
+EntryEngine::Connect(const std::string& aHost)
+{
+  Owner& owner = this->owners[aHost];
+  owner.state = OwnerState::Connecting;
+  owner.connectLimit = this->now + detail::kConnectLimit;
+  this->actions.emplace_back(ConnectOwner{ aHost });
+}
+
+void
+EntryEngine::Send(uint64_t aNumber)
+{
+  Pending& pending = this->pending[aNumber];
+  Request request = pending.request;
+  request.timeout = std::max(pending.deadline - this->now, Millis(1));
+  // What went out before may run there: only the record can deny it now.
+  request.firstAttempt = request.firstAttempt && !pending.wasSent;
+  pending.isSent = true;
+  pending.wasSent = true;
+  Owner& owner = this->owners[pending.host];
+  owner.sent.insert(aNumber);
+  owner.lastSent = this->now;
+  this->actions.emplace_back(
+    ForwardRequest{ pending.host, aNumber, std::move(request) });
+}
+
+void
+EntryEngine::On(const OwnerAnswered& aEvent)
+{
+  auto found = this->pending.find(aEvent.number);
+  // Late answers of an owner that was left behind are still good answers, but
+  // only for the request that they carry the number of.
+  if (found == this->pending.end()) {
+    return;
+  }
+  Pending& pending = found->second;
+  bool isFromHere = pending.host == aEvent.host;
+  this->owners[aEvent.host].sent.erase(aEvent.number);
+  if (aEvent.answer.tryNext) {
+    if (isFromHere) {
+      pending.tried.insert(aEvent.host);
+      this->Place(aEvent.number);
+    }
+    return;
+  }
+  // Only the owner that has the request now can say that it did not run.
+  if (!isFromHere && aEvent.answer.outcome != Outcome::Ok) {
+    return;
+  }
+  this->Finish(aEvent.number, aEvent.answer);
+}
+
+void
+EntryEngine::On(const OwnerConnected& aEvent)
+{
+  Owner& owner = this->owners[aEvent.host];
+  owner.state = OwnerState::Up;
+  owner.lastHeard = this->now;
+  owner.pinged = kNever;
+  owner.draining = false;
+  this->actions.emplace_back(EntryReport{ LogEvent::PeerUp, aEvent.host });
+  for (auto& [number, pending] : this->pending) {
+    if (pending.host == aEvent.host && !pending.isSent) {
+      this->Send(number);
+    }
+  }
+}
+
+void
+EntryEngine::On(const OwnerLost& aEvent)
+{
+  this->LeaveOwner(aEvent.host);
+}
+
+void
+EntryEngine::LeaveOwner(const std::string& aHost)
+{
+  Owner& owner = this->owners[aHost];
+  bool wasUp = owner.state == OwnerState::Up;
+  if (wasUp) {
+    this->actions.emplace_back(EntryReport{ LogEvent::PeerDown, aHost });
+  }
+  owner.sent.clear();
+  owner.pinged = kNever;
+  for (auto& [number, pending] : this->pending) {
+    if (pending.host == aHost) {
+      pending.isSent = false;
+    }
+  }
+  // A connection can go silent while new ones work: try the same host first.
+  if (wasUp) {
+    this->Connect(aHost);
+    return;
+  }
+  owner.state = OwnerState::Down;
+  owner.downUntil = this->now + detail::kDownFor;
+  this->PlaceAgain(aHost);
+}
+
+void
+EntryEngine::PlaceAgain(const std::string& aHost)
+{
+  std::vector<uint64_t> numbers;
+  for (const auto& [number, pending] : this->pending) {
+    if (pending.host == aHost && !pending.isSent) {
+      numbers.push_back(number);
+    }
+  }
+  for (uint64_t number : numbers) {
+    this->Place(number);
+  }
+}
+
+void
+EntryEngine::LoseTransaction(uint64_t aNumber)
+{
+  Pending& pending = this->pending[aNumber];
+  if (pending.request.operation == Operation::Commit) {
+    // Its record, on the next owner, tells whether the commit took effect.
+    pending.request.operation = Operation::Resolve;
+    pending.request.transaction.clear();
+    pending.wasSent = true;
+    this->Place(aNumber);
+    return;
+  }
+  bool isRollBack = pending.request.operation == Operation::RollBack;
+  this->Finish(aNumber,
+               MakeAnswer(isRollBack ? Outcome::Ok : Outcome::Conflict,
+                          "the transaction's owner is gone: it rolls back"));
+}
+
+void
+EntryEngine::On(const OwnerHeard& aEvent)
+{
+  Owner& owner = this->owners[aEvent.host];
+  owner.lastHeard = this->now;
+  owner.pinged = kNever;
+}
+
+void
+EntryEngine::On(const OwnerDraining& aEvent)
+{
+  this->owners[aEvent.host].draining = true;
+}
+
+void
+EntryEngine::On(const HostsChanged& aEvent)
+{
+  this->hosts = aEvent.hosts;
+}
+
+void
+EntryEngine::On(const ConfigurationChanged& aEvent)
+{
+  this->config = aEvent.config;
+}
+
+void
+EntryEngine::On(const EntryTick&)
+{
+  for (auto& [host, owner] : this->owners) {
+    this->CheckOwner(host, owner);
+  }
+  std::vector<uint64_t> homeless;
+  for (const auto& [number, pending] : this->pending) {
+    if (pending.host.empty()) {
+      homeless.push_back(number);
+    }
+  }
+  for (uint64_t number : homeless) {
+    this->Place(number);
+  }
+  this->Expire();
+}
+
+void
+EntryEngine::CheckOwner(const std::string& aHost, Owner& aOwner)
+{
+  if (aOwner.state == OwnerState::Connecting) {
+    if (aOwner.connectLimit <= this->now) {
+      this->actions.emplace_back(DropOwner{ aHost });
+      this->LeaveOwner(aHost);
+    }
+    return;
+  }
+  if (aOwner.state != OwnerState::Up || aOwner.sent.empty()) {
+    return;
+  }
+  // Idle connections cost nothing: only one that owes answers is asked.
+  Time quietSince = std::max(aOwner.lastHeard, aOwner.lastSent);
+  bool isOpen = !(aOwner.pinged == kNever);
+  if (!isOpen && this->now - quietSince >= detail::kPingAfter) {
+    aOwner.pinged = this->now;
+    this->actions.emplace_back(PingOwner{ aHost });
+  } else if (isOpen && this->now - aOwner.pinged >= detail::kSilentAfter) {
+    this->actions.emplace_back(DropOwner{ aHost });
+    this->LeaveOwner(aHost);
+  }
+}
+
+void
+EntryEngine::Expire()
+{
+  std::vector<uint64_t> expired;
+  for (const auto& [number, pending] : this->pending) {
+    if (pending.deadline + detail::kAnswerGrace <= this->now) {
+      expired.push_back(number);
+    }
+  }
+  for (uint64_t number : expired) {
+    const Pending& pending = this->pending[number];
+    bool isProved = detail::MayRunTwice(pending.request) ||
+                    (!pending.wasSent && pending.request.firstAttempt);
+    Outcome outcome = isProved ? Outcome::NotRun : Outcome::Unknown;
+    if (pending.request.operation == Operation::Read &&
+        pending.request.maxAge) {
+      outcome = Outcome::Stale;
+    }
+    if (pending.isSent) {
+      this->actions.emplace_back(ForwardCancel{ pending.host, number });
+      this->owners[pending.host].sent.erase(number);
+    }
+    this->Finish(number, MakeAnswer(outcome, "no owner answered in time"));
+  }
+}
+
+void
+EntryEngine::Finish(uint64_t aNumber, Answer aAnswer)
+{
+  auto found = this->pending.find(aNumber);
+  Pending& pending = found->second;
+  this->actions.emplace_back(AnswerCaller{
+    pending.handle, std::move(aAnswer), this->now - pending.arrived });
+  this->byHandle.erase(pending.handle);
+  this->pending.erase(found);
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/failover.cc
@@ -0,0 +1,106 @@
+#include "marigoldpitch/coordination/failover.h"
+
+#include <algorithm>
+
+namespace marigoldpitch {
+
+namespace detail {
+constexpr Duration kAttemptLimit = Millis(400);
+constexpr Duration kBetweenAttempts = Millis(100);
+constexpr Term kLowReserve = 4;
+} // namespace detail
+
+void
+TermReserve::Grant(Term aFirst, Term aLast)
+{
+  this->next = aFirst;
+  this->last = aLast;
+}
+
+std::optional<Term>
+TermReserve::Take(Term aAbove)
+{
+  this->next = std::max(this->next, aAbove + 1);
+  if (this->next > this->last) {
+    return std::nullopt;
+  }
+  return this->next++;
+}
+
+bool
+TermReserve::IsLow(Term aAbove) const
+{
+  return std::max(this->next, aAbove + 1) + detail::kLowReserve > this->last;
+}
+
+void
+Failover::Start(Term aTerm,
+                std::optional<UpstreamIndex> aReplaced,
+                size_t aUpstreams,
+                size_t aMajority,
+                Time aNow,
+                GroupActions& aActions)
+{
+  this->phase = FailoverPhase::Adopting;
+  this->term = aTerm;
+  this->replaced = aReplaced;
+  this->upstreams = aUpstreams;
+  this->majority = aMajority;
+  this->limit = aNow + detail::kAttemptLimit;
+  this->adopted.clear();
+  for (UpstreamIndex i = 0; i < aUpstreams; ++i) {
+    if (i != aReplaced) {
+      aActions.emplace_back(AdoptTerm{ i, aTerm });
+    }
+  }
+}
+
+void
+Failover::Adopted(const TermAdopted& aEvent, GroupActions& aActions)
+{
+  if (this->phase != FailoverPhase::Adopting || aEvent.term != this->term) {
+    return;
+  }
+  this->adopted[aEvent.upstream] = aEvent.end;
+  if (this->adopted.size() < this->majority) {
+    return;
+  }
+  auto isBehind = [](const auto& aLeft, const auto& aRight) {
+    return aLeft.second.IsBehind(aRight.second);
+  };
+  auto best =
+    std::max_element(this->adopted.begin(), this->adopted.end(), isBehind);
+  this->phase = FailoverPhase::Promoting;
+  aActions.emplace_back(Promote{ best->first, this->term });
+}
+
+std::optional<Promoted>
+Failover::Finished(const Promoted& aEvent, GroupActions& aActions)
+{
+  if (this->phase != FailoverPhase::Promoting || aEvent.term != this->term) {
+    return std::nullopt;
+  }
+  this->phase = FailoverPhase::Idle;
+  for (UpstreamIndex i = 0; i < this->upstreams; ++i) {
+    if (i != aEvent.upstream) {
+      aActions.emplace_back(Follow{ i, this->term, aEvent.upstream });
+    }
+  }
+  return aEvent;
+}
+
+bool
+Failover::GivesUp(Term aHighestSeen, Time aNow) const
+{
+  return this->IsRunning() &&
+         (aHighestSeen > this->term || aNow >= this->limit);
+}
+
+void
+Failover::Stop(Time aNow)
+{
+  this->phase = FailoverPhase::Idle;
+  this->nextAttempt = aNow + detail::kBetweenAttempts;
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/group-transactions.cc
@@ -0,0 +1,143 @@
+#include "marigoldpitch/coordination/group-engine.h"
+
+// Transactions: each keeps one connection until it ends.
+
+namespace marigoldpitch {
+
+void
+GroupEngine::StartInTransaction(Work& aWork)
+{
+  const Request& request = aWork.request;
+  auto found = this->transactions.find(request.transaction);
+  if (found == this->transactions.end()) {
+    if (request.operation == Operation::Commit) {
+      // An earlier commit may have been sent: its record settles it.
+      aWork.mustResolve = true;
+      this->StartOnPrimary(aWork);
+    } else if (request.operation == Operation::RollBack) {
+      this->Finish(aWork, Outcome::Ok, "");
+    } else {
+      this->Finish(
+        aWork, Outcome::NotRun, "the transaction is gone: it was rolled back");
+    }
+    return;
+  }
+  Transaction& transaction = found->second;
+  if (transaction.session != request.session) {
+    this->Finish(
+      aWork, Outcome::Invalid, "transaction: it belongs to another session");
+    return;
+  }
+  const Connection* connection = this->connections.Find(transaction.connection);
+  bool isFree = connection->state == ConnectionState::Pinned &&
+                this->connections.HasFreeSlot(connection->upstream);
+  if (!isFree) {
+    return;
+  }
+  transaction.lastUsed = this->now;
+  if (request.operation == Operation::Commit) {
+    Step claim;
+    claim.kind = StepKind::ClaimRecord;
+    claim.requestId = request.requestId;
+    Step store;
+    store.kind = StepKind::StoreResult;
+    store.requestId = request.requestId;
+    Step commit;
+    commit.kind = StepKind::Commit;
+    Step status;
+    this->Run(aWork,
+              connection->id,
+              WorkPhase::Committing,
+              { claim, store, commit, status });
+    return;
+  }
+  Step step;
+  step.kind = request.operation == Operation::Statement ? StepKind::User
+                                                        : StepKind::RollBack;
+  step.statement = request.statement;
+  this->Run(aWork, connection->id, WorkPhase::Running, { step });
+}
+
+void
+GroupEngine::BeginDone(Work& aWork, const BatchResult& aResult)
+{
+  if (aResult.Failure() != nullptr) {
+    this->CloseAndLose(aWork.connection);
+    return;
+  }
+  std::string id =
+    this->options.owner + "/" + std::to_string(++this->lastTransaction);
+  // Nobody waits for it any more, so nobody could end it.
+  if (aWork.handles.empty()) {
+    this->CloseAndLose(aWork.connection);
+    return;
+  }
+  this->connections.Pin(aWork.connection, id);
+  this->transactions[id] = { aWork.connection,
+                             aWork.request.session,
+                             this->now };
+  Answer answer;
+  answer.transaction = id;
+  answer.source = Source::Primary;
+  this->Finish(aWork, std::move(answer));
+}
+
+void
+GroupEngine::StatementDone(Work& aWork, const BatchResult& aResult)
+{
+  if (aWork.request.operation == Operation::RollBack) {
+    this->EndTransaction(aWork.request.transaction);
+    this->Finish(aWork, Outcome::Ok, "");
+    return;
+  }
+  auto found = this->transactions.find(aWork.request.transaction);
+  if (found != this->transactions.end()) {
+    found->second.lastUsed = this->now;
+  }
+  Answer answer;
+  answer.source = Source::Primary;
+  if (const StepResult* failure = aResult.Failure()) {
+    bool isConflict = failure->failure == SqlClass::Contention ||
+                      failure->failure == SqlClass::Duplicate ||
+                      failure->failure == SqlClass::Aborted;
+    answer = MakeAnswer(isConflict ? Outcome::Conflict : Outcome::Invalid,
+                        failure->message);
+    answer.sqlState = failure->sqlState;
+  } else {
+    answer.rows = aResult.steps[0].rows;
+  }
+  this->Finish(aWork, std::move(answer));
+}
+
+void
+GroupEngine::EndTransaction(const std::string& aTransaction)
+{
+  auto found = this->transactions.find(aTransaction);
+  if (found == this->transactions.end()) {
+    return;
+  }
+  this->connections.Unpin(found->second.connection);
+  this->transactions.erase(found);
+}
+
+void
+GroupEngine::ExpireTransactions()
+{
+  std::vector<ConnectionId> expired;
+  for (const auto& [id, transaction] : this->transactions) {
+    const Connection* connection =
+      this->connections.Find(transaction.connection);
+    bool isIdle =
+      connection->state == ConnectionState::Pinned &&
+      this->now - transaction.lastUsed > this->config.transactionIdle;
+    if (isIdle) {
+      this->Emit(Report{ LogEvent::TransactionExpired, id });
+      expired.push_back(transaction.connection);
+    }
+  }
+  for (ConnectionId connection : expired) {
+    this->CloseAndLose(connection);
+  }
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/group-view.cc
@@ -0,0 +1,95 @@
+#include "marigoldpitch/coordination/group-view.h"
+
+#include <algorithm>
+
+namespace marigoldpitch {
+
+GroupView::GroupView(const GroupConfig& aConfig)
+  : majority(aConfig.Majority())
+  , upstreams(aConfig.upstreams.size())
+{
+  for (size_t i = 0; i < aConfig.upstreams.size(); ++i) {
+    this->upstreams[i].leavingByConfig = aConfig.upstreams[i].leaving;
+  }
+}
+
+bool
+GroupView::Learn(UpstreamIndex aUpstream,
+                 const UpstreamStatus& aStatus,
+                 Time aAsked,
+                 Time aNow)
+{
+  UpstreamView& upstream = this->upstreams[aUpstream];
+  // An answer that was overtaken by a newer one must not turn time back.
+  if (aAsked < upstream.lastAsked) {
+    return false;
+  }
+  upstream.lastAsked = aAsked;
+  upstream.lastAnswer = aNow;
+  upstream.failures = 0;
+  upstream.status = aStatus;
+  upstream.leavingByItself = aStatus.leaving;
+  this->highestTerm = std::max(this->highestTerm, aStatus.term);
+
+  auto before = this->primary;
+  Term termBefore = this->term;
+  bool isPrimary = aStatus.role == Role::Primary;
+  if (isPrimary && aStatus.term >= this->term) {
+    this->primary = aUpstream;
+    this->term = aStatus.term;
+    this->freshness.Sample(
+      aAsked, { aStatus.term, aStatus.termStart, aStatus.received });
+  } else if (this->primary == aUpstream && !isPrimary) {
+    this->primary.reset();
+  }
+  if (this->primary && this->IsReplaced()) {
+    this->primary.reset();
+  }
+  return before != this->primary || termBefore != this->term;
+}
+
+bool
+GroupView::IsReplaced() const
+{
+  auto states = [&](const UpstreamView& aView) {
+    return aView.status && aView.status->term > this->term;
+  };
+  auto newer =
+    std::count_if(this->upstreams.begin(), this->upstreams.end(), states);
+  return static_cast<size_t>(newer) >= this->majority;
+}
+
+void
+GroupView::SetPrimary(UpstreamIndex aUpstream, Term aTerm)
+{
+  this->primary = aUpstream;
+  this->term = aTerm;
+  this->highestTerm = std::max(this->highestTerm, aTerm);
+}
+
+void
+GroupView::NoteTerm(Term aTerm)
+{
+  this->highestTerm = std::max(this->highestTerm, aTerm);
+}
+
+bool
+GroupView::IsServingReplica(UpstreamIndex aUpstream) const
+{
+  const UpstreamView& upstream = this->upstreams[aUpstream];
+  return upstream.status && !upstream.Leaving() &&
+         upstream.status->role == Role::Replica &&
+         upstream.status->term == this->term && upstream.failures == 0;
+}
+
+std::optional<Duration>
+GroupView::AgeOf(UpstreamIndex aUpstream, Time aNow) const
+{
+  const UpstreamView& upstream = this->upstreams[aUpstream];
+  if (!upstream.status) {
+    return std::nullopt;
+  }
+  return this->freshness.AgeOf(upstream.status->Visible(), aNow);
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/group-writes.cc
@@ -0,0 +1,279 @@
+#include "marigoldpitch/coordination/group-engine.h"
+
+#include <algorithm>
+
+// Writes: the record of each request lives and dies with its transaction.
+
+namespace marigoldpitch {
+
+namespace detail {
+
+Step
+MakeStep(StepKind aKind, const std::string& aRequestId = {})
+{
+  Step step;
+  step.kind = aKind;
+  step.requestId = aRequestId;
+  return step;
+}
+
+Outcome
+OutcomeOf(SqlClass aFailure)
+{
+  bool isConflict = aFailure == SqlClass::Contention ||
+                    aFailure == SqlClass::Duplicate ||
+                    aFailure == SqlClass::Aborted;
+  return isConflict ? Outcome::Conflict : Outcome::Invalid;
+}
+
+Answer
+FailureAnswer(const StepResult& aFailure)
+{
+  Answer answer = MakeAnswer(OutcomeOf(aFailure.failure), aFailure.message);
+  answer.sqlState = aFailure.sqlState;
+  return answer;
+}
+
+/** Whether the upstream, and not the statement, is at fault. */
+bool
+IsUpstreamFault(SqlClass aFailure)
+{
+  return aFailure == SqlClass::ReadOnly || aFailure == SqlClass::Leaving ||
+         aFailure == SqlClass::Full;
+}
+
+StepKind
+FailedKind(const Work& aWork, const BatchResult& aResult)
+{
+  const StepResult* failure = aResult.Failure();
+  auto index = static_cast<size_t>(failure - aResult.steps.data());
+  return index < aWork.steps.size() ? aWork.steps[index] : StepKind::Status;
+}
+
+bool
+Has(const Work& aWork, StepKind aKind)
+{
+  return std::find(aWork.steps.begin(), aWork.steps.end(), aKind) !=
+         aWork.steps.end();
+}
+
+} // namespace detail
+
+void
+GroupEngine::StartOnPrimary(Work& aWork)
+{
+  auto primary = this->view.Primary();
+  if (!primary || this->view.At(*primary).Leaving()) {
+    return;
+  }
+  bool isResolve =
+    aWork.mustResolve || aWork.request.operation == Operation::Resolve;
+  bool isBegin = !isResolve && aWork.request.operation == Operation::Begin;
+  // Idle transactions may never hold the connections that other work needs.
+  uint32_t pinnable = this->config.connections > this->config.slots
+                        ? this->config.connections - this->config.slots
+                        : 0;
+  if (isBegin && this->transactions.size() >= pinnable) {
+    return;
+  }
+  auto connection = this->Acquire(*primary);
+  if (!connection) {
+    return;
+  }
+  if (isResolve) {
+    this->StartResolve(aWork, *connection);
+    return;
+  }
+  if (isBegin) {
+    this->Run(aWork,
+              *connection,
+              WorkPhase::Running,
+              { detail::MakeStep(StepKind::Begin) });
+    return;
+  }
+  Step user = detail::MakeStep(StepKind::User);
+  user.statement = aWork.request.statement;
+  this->Run(aWork,
+            *connection,
+            WorkPhase::Claiming,
+            { detail::MakeStep(StepKind::Begin),
+              detail::MakeStep(StepKind::ClaimRecord, aWork.request.requestId),
+              user });
+}
+
+void
+GroupEngine::ClaimDone(Work& aWork, const BatchResult& aResult)
+{
+  const StepResult* failure = aResult.Failure();
+  if (failure != nullptr) {
+    StepKind kind = detail::FailedKind(aWork, aResult);
+    if (kind == StepKind::Begin || detail::IsUpstreamFault(failure->failure)) {
+      this->CloseAndLose(aWork.connection);
+    } else if (kind == StepKind::User) {
+      this->Undo(aWork, detail::FailureAnswer(*failure));
+    } else if (failure->failure == SqlClass::Duplicate) {
+      this->ReadRecordAfterUndo(aWork);
+    } else if (failure->failure == SqlClass::Contention) {
+      this->UndoAndRetry(aWork);
+    } else {
+      this->Undo(aWork, detail::FailureAnswer(*failure));
+    }
+    return;
+  }
+  if (aWork.deadline <= this->now) {
+    bool isProved = aWork.request.firstAttempt;
+    this->Undo(aWork,
+               MakeAnswer(isProved ? Outcome::NotRun : Outcome::Unknown,
+                          "not done in time, and rolled back"));
+    return;
+  }
+  aWork.rows = aResult.steps.back().rows;
+  Step store = detail::MakeStep(StepKind::StoreResult, aWork.request.requestId);
+  store.result = aWork.rows;
+  this->Run(aWork,
+            aWork.connection,
+            WorkPhase::Committing,
+            { store,
+              detail::MakeStep(StepKind::Commit),
+              detail::MakeStep(StepKind::Status) });
+}
+
+void
+GroupEngine::CommitDone(Work& aWork, const BatchResult& aResult)
+{
+  bool isTransaction = aWork.request.operation == Operation::Commit;
+  if (isTransaction) {
+    this->EndTransaction(aWork.request.transaction);
+  }
+  const StepResult* failure = aResult.Failure();
+  if (failure != nullptr) {
+    StepKind kind = detail::FailedKind(aWork, aResult);
+    bool isBeforeCommit =
+      kind == StepKind::ClaimRecord || kind == StepKind::StoreResult;
+    if (!isBeforeCommit || detail::IsUpstreamFault(failure->failure)) {
+      this->CloseAndLose(aWork.connection);
+    } else if (failure->failure == SqlClass::Duplicate) {
+      this->ReadRecordAfterUndo(aWork);
+    } else {
+      this->Undo(aWork, detail::FailureAnswer(*failure));
+    }
+    return;
+  }
+  const UpstreamStatus* status = aResult.Status();
+  bool isCurrent = status != nullptr && status->role == Role::Primary &&
+                   status->term == this->view.CurrentTerm();
+  if (!isCurrent) {
+    this->RequeueToResolve(aWork);
+    return;
+  }
+  Answer answer;
+  answer.rows = aWork.rows;
+  answer.source = Source::Primary;
+  this->Hold(aWork, std::move(answer), *status);
+}
+
+void
+GroupEngine::StartResolve(Work& aWork, ConnectionId aConnection)
+{
+  const std::string& id = aWork.request.requestId;
+  this->Run(aWork,
+            aConnection,
+            WorkPhase::Resolving,
+            { detail::MakeStep(StepKind::Begin),
+              detail::MakeStep(StepKind::Tombstone, id),
+              detail::MakeStep(StepKind::Commit),
+              detail::MakeStep(StepKind::Status) });
+}
+
+void
+GroupEngine::ReadRecordAfterUndo(Work& aWork)
+{
+  this->Run(aWork,
+            aWork.connection,
+            WorkPhase::Resolving,
+            { detail::MakeStep(StepKind::RollBack),
+              detail::MakeStep(StepKind::ReadRecord, aWork.request.requestId),
+              detail::MakeStep(StepKind::Status) });
+}
+
+void
+GroupEngine::ResolveDone(Work& aWork, const BatchResult& aResult)
+{
+  const StepResult* failure = aResult.Failure();
+  if (failure != nullptr) {
+    bool isRecord = detail::FailedKind(aWork, aResult) == StepKind::Tombstone;
+    if (isRecord && failure->failure == SqlClass::Duplicate) {
+      this->ReadRecordAfterUndo(aWork);
+    } else if (isRecord && failure->failure == SqlClass::Contention) {
+      this->UndoAndRetry(aWork);
+    } else {
+      this->CloseAndLose(aWork.connection);
+    }
+    return;
+  }
+  const UpstreamStatus* status = aResult.Status();
+  bool isCurrent = status != nullptr && status->role == Role::Primary &&
+                   status->term == this->view.CurrentTerm();
+  if (!isCurrent) {
+    this->RequeueToResolve(aWork);
+    return;
+  }
+  if (detail::Has(aWork, StepKind::Tombstone)) {
+    this->Hold(
+      aWork, MakeAnswer(Outcome::NotRun, "proved: it can never run"), *status);
+    return;
+  }
+  const std::optional<Record>& record = aResult.steps[1].record;
+  if (!record) {
+    // The other transaction rolled back between the two looks.
+    aWork.notBefore = this->now + this->options.timing.contentionDelay;
+    this->queue.Requeue(aWork);
+    return;
+  }
+  Answer answer;
+  if (record->ran) {
+    answer.rows = record->result;
+    answer.source = Source::Primary;
+    answer.replayed = true;
+  } else {
+    answer = MakeAnswer(Outcome::NotRun, "proved: it can never run");
+  }
+  this->Hold(aWork, std::move(answer), *status);
+}
+
+void
+GroupEngine::Undo(Work& aWork, Answer aAnswer)
+{
+  aWork.answer = std::move(aAnswer);
+  aWork.retryAfterUndo = false;
+  this->Run(aWork,
+            aWork.connection,
+            WorkPhase::Undoing,
+            { detail::MakeStep(StepKind::RollBack) });
+}
+
+void
+GroupEngine::UndoAndRetry(Work& aWork)
+{
+  aWork.retryAfterUndo = true;
+  this->Run(aWork,
+            aWork.connection,
+            WorkPhase::Undoing,
+            { detail::MakeStep(StepKind::RollBack) });
+}
+
+void
+GroupEngine::UndoDone(Work& aWork, const BatchResult& aResult)
+{
+  if (aResult.Failure() != nullptr) {
+    this->CloseAndLose(aWork.connection);
+    return;
+  }
+  if (aWork.retryAfterUndo) {
+    this->Retry(aWork, this->options.timing.contentionDelay);
+    return;
+  }
+  this->Finish(aWork, aWork.answer);
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/ownership.cc
@@ -0,0 +1,64 @@
+#include "marigoldpitch/coordination/ownership.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace marigoldpitch {
+
+uint64_t
+Weight(const std::string& aKey, const std::string& aName)
+{
+  std::string text = aKey + '\n' + aName;
+  return XXH64(text.data(), text.size(), 0);
+}
+
+std::vector<std::string>
+RankOwners(const std::string& aGroup, const std::vector<HostEntry>& aHosts)
+{
+  struct Candidate
+  {
+    const HostEntry* host;
+    uint64_t weight;
+  };
+  std::vector<Candidate> candidates;
+  candidates.reserve(aHosts.size());
+  for (const HostEntry& host : aHosts) {
+    candidates.push_back({ &host, Weight(aGroup, host.name) });
+  }
+  auto goesFirst = [](const Candidate& aLeft, const Candidate& aRight) {
+    if (aLeft.host->state != aRight.host->state) {
+      return aLeft.host->state == HostState::Live;
+    }
+    return aLeft.weight > aRight.weight;
+  };
+  std::sort(candidates.begin(), candidates.end(), goesFirst);
+  if (candidates.size() > 2) {
+    const Candidate first = candidates.front();
+    auto elsewhere = std::find_if(
+      candidates.begin() + 1, candidates.end(), [&](const Candidate& aOther) {
+        return aOther.host->zone != first.host->zone &&
+               aOther.host->state == HostState::Live;
+      });
+    if (elsewhere != candidates.end()) {
+      std::rotate(candidates.begin() + 1, elsewhere, elsewhere + 1);
+    }
+  }
+  std::vector<std::string> names;
+  names.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    names.push_back(candidate.host->name);
+  }
+  return names;
+}
+
+size_t
+RankOf(const std::string& aHost,
+       const std::string& aGroup,
+       const std::vector<HostEntry>& aHosts)
+{
+  std::vector<std::string> names = RankOwners(aGroup, aHosts);
+  auto found = std::find(names.begin(), names.end(), aHost);
+  return static_cast<size_t>(found - names.begin());
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/policies.cc
@@ -0,0 +1,144 @@
+#include "marigoldpitch/coordination/policies.h"
+
+#include <algorithm>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+class ReplicaConfirmation : public ConfirmationPolicy
+{
+public:
+  bool Counts(const LogPoint& aPoint,
+              const UpstreamStatus& aStatus) const override
+  {
+    return aStatus.role == Role::Replica && aStatus.term == aPoint.term &&
+           aStatus.received >= aPoint.position;
+  }
+
+  size_t Needed(size_t aMajority) const override { return aMajority - 1; }
+};
+
+class TermConfirmation : public ConfirmationPolicy
+{
+public:
+  bool Counts(const LogPoint& aPoint,
+              const UpstreamStatus& aStatus) const override
+  {
+    return aStatus.role == Role::Replica && aStatus.term == aPoint.term;
+  }
+
+  size_t Needed(size_t aMajority) const override { return aMajority - 1; }
+};
+
+// Longer than two missed heartbeats of 100 ms between upstreams.
+constexpr Duration kSilence = Millis(300);
+// A replica's word counts while its last answer is this young.
+constexpr Duration kRecent = Millis(400);
+
+class AgreedSuspicion : public SuspicionPolicy
+{
+public:
+  bool IsDown(const GroupConfig& aConfig,
+              const GroupView& aView,
+              Time aNow) const override
+  {
+    auto primary = aView.Primary();
+    if (primary && !this->IsSilent(aView.At(*primary), aNow)) {
+      return false;
+    }
+    size_t agreeing = 0;
+    for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+      if (primary && i == *primary) {
+        continue;
+      }
+      const UpstreamView& upstream = aView.At(i);
+      if (!this->IsRecent(upstream, aNow)) {
+        continue;
+      }
+      if (upstream.status->heard < kSilence) {
+        return false;
+      }
+      ++agreeing;
+    }
+    return agreeing >= aConfig.Majority();
+  }
+
+private:
+  // Two failed questions: the second one went over a fresh connection.
+  static bool IsSilent(const UpstreamView& aView, Time aNow)
+  {
+    return aView.failures >= 2 && aNow - aView.lastAnswer >= kSilence;
+  }
+
+  static bool IsRecent(const UpstreamView& aView, Time aNow)
+  {
+    return aView.status && aView.failures == 0 &&
+           aNow - aView.lastAnswer <= kRecent;
+  }
+};
+
+class DeadlineAdmission : public AdmissionPolicy
+{
+public:
+  bool Admits(const QueueLoad& aLoad, Duration aTimeLeft) const override
+  {
+    if (aLoad.slots == 0) {
+      return true; // no primary for the moment: waiting may still help
+    }
+    auto slots = static_cast<int64_t>(aLoad.slots);
+    auto rounds = static_cast<int64_t>(aLoad.ahead) / slots + 1;
+    return aLoad.service * rounds <= aTimeLeft;
+  }
+
+  bool OrdersByPriority() const override { return true; }
+};
+
+class FifoAdmission : public AdmissionPolicy
+{
+public:
+  bool Admits(const QueueLoad&, Duration) const override { return true; }
+  bool OrdersByPriority() const override { return false; }
+};
+
+} // namespace detail
+
+std::unique_ptr<ConfirmationPolicy>
+MakeConfirmation(Acknowledge aAcknowledge)
+{
+  if (aAcknowledge == Acknowledge::AfterPrimary) {
+    return std::make_unique<detail::TermConfirmation>();
+  }
+  return std::make_unique<detail::ReplicaConfirmation>();
+}
+
+std::unique_ptr<SuspicionPolicy>
+MakeAgreedSuspicion()
+{
+  return std::make_unique<detail::AgreedSuspicion>();
+}
+
+std::unique_ptr<AdmissionPolicy>
+MakeDeadlineAdmission()
+{
+  return std::make_unique<detail::DeadlineAdmission>();
+}
+
+std::unique_ptr<AdmissionPolicy>
+MakeFifoAdmission()
+{
+  return std::make_unique<detail::FifoAdmission>();
+}
+
+Policies
+MakeDefaultPolicies(const GroupConfig& aConfig)
+{
+  Policies policies;
+  policies.routing = MakeFreshReplicaRouting();
+  policies.confirmation = MakeConfirmation(aConfig.acknowledge);
+  policies.suspicion = MakeAgreedSuspicion();
+  policies.admission = MakeDeadlineAdmission();
+  return policies;
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/sql-class.cc
@@ -0,0 +1,32 @@
+#include "marigoldpitch/coordination/sql-class.h"
+
+namespace marigoldpitch {
+
+namespace detail {
+
+// Codes of PostgreSQL's published error table.
+constexpr NameTable<SqlClass, 13> kSqlStates{ {
+  { SqlClass::None, "00000" },
+  { SqlClass::Duplicate, "23505" },
+  { SqlClass::Contention, "40001" },
+  { SqlClass::Contention, "40P01" },
+  { SqlClass::Contention, "55P03" },
+  { SqlClass::ReadOnly, "25006" },
+  { SqlClass::Leaving, "57P01" },
+  { SqlClass::Leaving, "57P02" },
+  { SqlClass::Leaving, "57P03" },
+  { SqlClass::Full, "53300" },
+  { SqlClass::Aborted, "25P02" },
+  { SqlClass::Contention, "57014" },
+  { SqlClass::Other, "42601" },
+} };
+
+} // namespace detail
+
+SqlClass
+ClassOf(std::string_view aSqlState)
+{
+  return detail::kSqlStates.ValueOf(aSqlState).value_or(SqlClass::Other);
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/term-reserver.cc
@@ -0,0 +1,61 @@
+#include "marigoldpitch/coordination/term-reserver.h"
+
+#include <algorithm>
+
+namespace marigoldpitch {
+
+namespace detail {
+constexpr Term kTermsPerReservation = 8;
+constexpr uint32_t kMaxRounds = 5;
+} // namespace detail
+
+ReserverAction
+TermReserver::Start(Term aAbove)
+{
+  this->running = true;
+  this->above = aAbove;
+  this->rounds = 0;
+  this->swapped.reset();
+  return ReadTermRecord{};
+}
+
+ReserverAction
+TermReserver::On(const TermRecordRead& aRead)
+{
+  bool isOver = !aRead.reached || ++this->rounds > detail::kMaxRounds;
+  bool tookEffect =
+    aRead.reached && this->swapped && aRead.record.by == this->swapped->by;
+  if (tookEffect) {
+    return this->Granted();
+  }
+  if (isOver) {
+    this->running = false;
+    return GiveUpReserving{};
+  }
+  // A swap whose answer was lost and that is not in the record may still take
+  // effect later; its terms are never used, so that does no harm.
+  this->first = std::max(this->above, aRead.record.last) + 1;
+  TermRecord next;
+  next.last = this->first + detail::kTermsPerReservation - 1;
+  next.by = this->owner + "#" + std::to_string(++this->attempts);
+  this->swapped = next;
+  return SwapTermRecord{ aRead.revision, next };
+}
+
+ReserverAction
+TermReserver::On(SwapOutcome aOutcome)
+{
+  if (aOutcome == SwapOutcome::Done) {
+    return this->Granted();
+  }
+  return ReadTermRecord{};
+}
+
+GrantTerms
+TermReserver::Granted()
+{
+  this->running = false;
+  return { this->first, this->swapped->last };
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/upstream-call.cc
@@ -0,0 +1,34 @@
+#include "marigoldpitch/coordination/upstream-call.h"
+
+namespace marigoldpitch {
+
+const StepResult*
+BatchResult::Failure() const
+{
+  for (const StepResult& step : this->steps) {
+    if (step.outcome == StepOutcome::Failed) {
+      return &step;
+    }
+  }
+  return nullptr;
+}
+
+const UpstreamStatus*
+BatchResult::Status() const
+{
+  for (auto it = this->steps.rbegin(); it != this->steps.rend(); ++it) {
+    if (it->status) {
+      return &*it->status;
+    }
+  }
+  return nullptr;
+}
+
+bool
+BatchResult::Done(size_t aStep) const
+{
+  return aStep < this->steps.size() &&
+         this->steps[aStep].outcome == StepOutcome::Done;
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/work-queue.cc
@@ -0,0 +1,140 @@
+#include "marigoldpitch/coordination/work-queue.h"
+
+namespace marigoldpitch {
+
+Work&
+WorkQueue::Add(RequestHandle aHandle, const Request& aRequest, Time aNow)
+{
+  WorkId id = ++this->lastId;
+  Work& work = this->works[id];
+  work.id = id;
+  work.handles.push_back(aHandle);
+  work.request = aRequest;
+  work.arrived = aNow;
+  work.deadline = aNow + aRequest.timeout;
+  this->order.insert(this->KeyOf(work));
+  ++this->queuedBy[static_cast<size_t>(aRequest.priority)];
+  if (!aRequest.requestId.empty()) {
+    this->byRequestId[aRequest.requestId] = id;
+  }
+  return work;
+}
+
+Work*
+WorkQueue::Find(WorkId aId)
+{
+  auto found = this->works.find(aId);
+  return found == this->works.end() ? nullptr : &found->second;
+}
+
+Work*
+WorkQueue::FindByRequestId(const std::string& aRequestId)
+{
+  auto found = this->byRequestId.find(aRequestId);
+  return found == this->byRequestId.end() ? nullptr : this->Find(found->second);
+}
+
+Work*
+WorkQueue::FindByConnection(ConnectionId aConnection)
+{
+  auto found = this->byConnection.find(aConnection);
+  return found == this->byConnection.end() ? nullptr
+                                           : this->Find(found->second);
+}
+
+void
+WorkQueue::Start(Work& aWork, ConnectionId aConnection)
+{
+  if (this->order.erase(this->KeyOf(aWork)) != 0) {
+    --this->queuedBy[static_cast<size_t>(aWork.request.priority)];
+  }
+  aWork.connection = aConnection;
+  this->byConnection[aConnection] = aWork.id;
+}
+
+void
+WorkQueue::Requeue(Work& aWork)
+{
+  this->Release(aWork);
+  aWork.phase = WorkPhase::Queued;
+  if (this->order.insert(this->KeyOf(aWork)).second) {
+    ++this->queuedBy[static_cast<size_t>(aWork.request.priority)];
+  }
+}
+
+void
+WorkQueue::Release(Work& aWork)
+{
+  if (aWork.connection != 0) {
+    this->byConnection.erase(aWork.connection);
+    aWork.connection = 0;
+  }
+}
+
+void
+WorkQueue::Remove(WorkId aId)
+{
+  Work* work = this->Find(aId);
+  if (work == nullptr) {
+    return;
+  }
+  this->Release(*work);
+  if (this->order.erase(this->KeyOf(*work)) != 0) {
+    --this->queuedBy[static_cast<size_t>(work->request.priority)];
+  }
+  auto named = this->byRequestId.find(work->request.requestId);
+  if (named != this->byRequestId.end() && named->second == aId) {
+    this->byRequestId.erase(named);
+  }
+  this->works.erase(aId);
+}
+
+std::vector<WorkId>
+WorkQueue::Head(size_t aMost) const
+{
+  std::vector<WorkId> head;
+  for (const Key& key : this->order) {
+    if (head.size() == aMost) {
+      break;
+    }
+    head.push_back(std::get<2>(key));
+  }
+  return head;
+}
+
+std::vector<WorkId>
+WorkQueue::All() const
+{
+  std::vector<WorkId> all;
+  all.reserve(this->works.size());
+  for (const auto& [id, work] : this->works) {
+    all.push_back(id);
+  }
+  return all;
+}
+
+size_t
+WorkQueue::Ahead(Priority aPriority) const
+{
+  if (!this->byPriority) {
+    return this->order.size();
+  }
+  size_t ahead = 0;
+  for (size_t i = 0; i <= static_cast<size_t>(aPriority); ++i) {
+    ahead += this->queuedBy[i];
+  }
+  return ahead;
+}
+
+WorkQueue::Key
+WorkQueue::KeyOf(const Work& aWork) const
+{
+  if (!this->byPriority) {
+    return { 0, 0, aWork.id };
+  }
+  return { static_cast<int>(aWork.request.priority),
+           aWork.deadline.ms,
+           aWork.id };
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/state/connection-table.cc
@@ -0,0 +1,171 @@
+#include "marigoldpitch/state/connection-table.h"
+
+namespace marigoldpitch {
+
+bool
+ConnectionTable::MayOpen(UpstreamIndex aUpstream) const
+{
+  return this->uses[aUpstream].open < this->budget;
+}
+
+ConnectionId
+ConnectionTable::Open(UpstreamIndex aUpstream, Time aNow)
+{
+  Connection connection;
+  connection.id = ++this->lastId;
+  connection.upstream = aUpstream;
+  connection.since = aNow;
+  this->connections[connection.id] = connection;
+  ++this->uses[aUpstream].open;
+  ++this->uses[aUpstream].opening;
+  return connection.id;
+}
+
+void
+ConnectionTable::Opened(ConnectionId aId, Time aNow)
+{
+  auto found = this->connections.find(aId);
+  if (found != this->connections.end()) {
+    this->Move(found->second, ConnectionState::Idle, aNow);
+  }
+}
+
+bool
+ConnectionTable::HasFreeSlot(UpstreamIndex aUpstream) const
+{
+  return this->uses[aUpstream].busy < this->slots;
+}
+
+std::optional<ConnectionId>
+ConnectionTable::FindIdle(UpstreamIndex aUpstream) const
+{
+  if (!this->HasFreeSlot(aUpstream)) {
+    return std::nullopt;
+  }
+  for (const auto& [id, connection] : this->connections) {
+    if (connection.upstream == aUpstream &&
+        connection.state == ConnectionState::Idle) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+uint64_t
+ConnectionTable::StartBatch(ConnectionId aId, Time aNow)
+{
+  Connection& connection = this->connections.at(aId);
+  this->Move(connection, ConnectionState::Busy, aNow);
+  connection.sequence = ++this->lastSequence;
+  return connection.sequence;
+}
+
+bool
+ConnectionTable::FinishBatch(ConnectionId aId, uint64_t aSequence, Time aNow)
+{
+  auto found = this->connections.find(aId);
+  if (found == this->connections.end()) {
+    return false;
+  }
+  Connection& connection = found->second;
+  if (connection.state != ConnectionState::Busy ||
+      connection.sequence != aSequence) {
+    return false;
+  }
+  bool pinned = !connection.transaction.empty();
+  this->Move(
+    connection, pinned ? ConnectionState::Pinned : ConnectionState::Idle, aNow);
+  return true;
+}
+
+void
+ConnectionTable::Pin(ConnectionId aId, const std::string& aTransaction)
+{
+  Connection& connection = this->connections.at(aId);
+  connection.transaction = aTransaction;
+  if (connection.state == ConnectionState::Idle) {
+    this->Move(connection, ConnectionState::Pinned, connection.since);
+  }
+}
+
+void
+ConnectionTable::Unpin(ConnectionId aId)
+{
+  auto found = this->connections.find(aId);
+  if (found == this->connections.end()) {
+    return;
+  }
+  Connection& connection = found->second;
+  connection.transaction.clear();
+  if (connection.state == ConnectionState::Pinned) {
+    this->Move(connection, ConnectionState::Idle, connection.since);
+  }
+}
+
+void
+ConnectionTable::Remove(ConnectionId aId)
+{
+  auto found = this->connections.find(aId);
+  if (found == this->connections.end()) {
+    return;
+  }
+  UpstreamUse& use = this->uses[found->second.upstream];
+  --use.open;
+  if (uint32_t* counter = this->CounterOf(use, found->second.state)) {
+    --*counter;
+  }
+  this->connections.erase(found);
+}
+
+const Connection*
+ConnectionTable::Find(ConnectionId aId) const
+{
+  auto found = this->connections.find(aId);
+  return found == this->connections.end() ? nullptr : &found->second;
+}
+
+std::vector<ConnectionId>
+ConnectionTable::AllOf(UpstreamIndex aUpstream) const
+{
+  std::vector<ConnectionId> all;
+  for (const auto& [id, connection] : this->connections) {
+    if (connection.upstream == aUpstream) {
+      all.push_back(id);
+    }
+  }
+  return all;
+}
+
+void
+ConnectionTable::Move(Connection& aConnection,
+                      ConnectionState aState,
+                      Time aNow)
+{
+  UpstreamUse& use = this->uses[aConnection.upstream];
+  if (uint32_t* counter = this->CounterOf(use, aConnection.state)) {
+    --*counter;
+  }
+  if (uint32_t* counter = this->CounterOf(use, aState)) {
+    ++*counter;
+  }
+  aConnection.state = aState;
+  aConnection.since = aNow;
+}
+
+uint32_t*
+ConnectionTable::CounterOf(UpstreamUse& aUse, ConnectionState aState)
+{
+  switch (aState) {
+    case ConnectionState::Opening:
+      return &aUse.opening;
+    case ConnectionState::Busy:
+      return &aUse.busy;
+    case ConnectionState::Pinned:
+      return &aUse.pinned;
+    case ConnectionState::Idle:
+      return nullptr;
+  }
+  return nullptr;
+}
+
+} // namespace marigoldpitch
