Add the protocol layer: frames, calls, documents, SQL and metrics

Cause: the decisions need encodings towards peers, callers, the store and upstreams, and those must not leak into them. Change: FlatBuffers frames, protobuf and JSON calls, documents checked against shipped schemas with all findings at once, steps to SQL and back. Conclusion: each decoder returns a typed error that names its place.

--- /dev/null
+++ b/include/marigoldpitch/protocol/frame-splitter.h
@@ -0,0 +1,42 @@
+#ifndef MARIGOLDPITCH_PROTOCOL_FRAME_SPLITTER_H
+#define MARIGOLDPITCH_PROTOCOL_FRAME_SPLITTER_H
+
+#include "marigoldpitch/state/error.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/** Cutting a byte stream into size-prefixed frames. */
+namespace marigoldpitch {
+
+/** Bytes of the little-endian size before each frame. */
+constexpr size_t kFramePrefixBytes = 4;
+
+class FrameSplitter
+{
+public:
+  explicit FrameSplitter(size_t aMaxFrameBytes)
+    : maxFrameBytes(aMaxFrameBytes)
+  {
+  }
+
+  void Append(std::string_view aBytes) { this->buffer.append(aBytes); }
+
+  /** The next whole frame without its prefix; unset when more bytes are due. */
+  Result<std::optional<std::string>> Next();
+
+private:
+  size_t maxFrameBytes;
+  std::string buffer;
+  size_t consumed = 0;
+};
+
+/** Puts the size before a frame. */
+std::string
+WithPrefix(std::string_view aFrame);
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/protocol/rpc.h
@@ -0,0 +1,103 @@
+#ifndef MARIGOLDPITCH_PROTOCOL_RPC_H
+#define MARIGOLDPITCH_PROTOCOL_RPC_H
+
+#include "marigoldpitch/state/error.h"
+#include "marigoldpitch/state/names.h"
+#include "marigoldpitch/state/request.h"
+
+#include <google/protobuf/message.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+/** Callers' remote procedure calls, as protobuf or JSON bodies. */
+namespace marigoldpitch {
+
+enum class BodyFormat
+{
+  Json,
+  Proto,
+};
+
+constexpr NameTable<BodyFormat, 2> kBodyFormatNames{ {
+  { BodyFormat::Json, "application/json" },
+  { BodyFormat::Proto, "application/proto" },
+} };
+
+enum class RpcMethod
+{
+  OpenSession,
+  Execute,
+  Read,
+  Begin,
+  Statement,
+  Commit,
+  RollBack,
+  Resolve,
+  Status,
+  GetConfiguration,
+  Drain,
+  Metrics,
+};
+
+constexpr NameTable<RpcMethod, 12> kRpcMethodNames{ {
+  { RpcMethod::OpenSession, "/marigoldpitch.v1.Caller/OpenSession" },
+  { RpcMethod::Execute, "/marigoldpitch.v1.Caller/Execute" },
+  { RpcMethod::Read, "/marigoldpitch.v1.Caller/Read" },
+  { RpcMethod::Begin, "/marigoldpitch.v1.Caller/Begin" },
+  { RpcMethod::Statement, "/marigoldpitch.v1.Caller/Statement" },
+  { RpcMethod::Commit, "/marigoldpitch.v1.Caller/Commit" },
+  { RpcMethod::RollBack, "/marigoldpitch.v1.Caller/RollBack" },
+  { RpcMethod::Resolve, "/marigoldpitch.v1.Caller/Resolve" },
+  { RpcMethod::Status, "/marigoldpitch.v1.Operator/Status" },
+  { RpcMethod::GetConfiguration,
+    "/marigoldpitch.v1.Operator/GetConfiguration" },
+  { RpcMethod::Drain, "/marigoldpitch.v1.Operator/Drain" },
+  { RpcMethod::Metrics, "/marigoldpitch.v1.Operator/Metrics" },
+} };
+
+/** A body and the HTTP status that goes with it. */
+struct RpcReply
+{
+  int status = 200;
+  BodyFormat format = BodyFormat::Json;
+  std::string body;
+};
+
+/** Unset when the content type is neither of the two. */
+std::optional<BodyFormat>
+FormatOf(std::string_view aContentType);
+
+/** Reads a body into `aMessage`; the error names what is wrong. */
+Result<void>
+DecodeBody(BodyFormat aFormat,
+           const std::string& aBody,
+           google::protobuf::Message& aMessage);
+
+std::string
+EncodeBody(BodyFormat aFormat, const google::protobuf::Message& aMessage);
+
+/** A caller's request, for every method of Caller but OpenSession. */
+Result<Request>
+DecodeRequest(RpcMethod aMethod, BodyFormat aFormat, const std::string& aBody);
+
+RpcReply
+EncodeAnswer(BodyFormat aFormat,
+             const Answer& aAnswer,
+             const std::string& aRequestId);
+
+/** The reply to what could not even be taken as a request. */
+RpcReply
+EncodeError(BodyFormat aFormat, const Error& aError);
+
+/** `3:120` for term 3, position 120; empty for nothing. */
+std::string
+FormatToken(const LogPoint& aPoint);
+
+Result<LogPoint>
+ParseToken(const std::string& aText);
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/protocol/settings.h
@@ -0,0 +1,67 @@
+#ifndef MARIGOLDPITCH_PROTOCOL_SETTINGS_H
+#define MARIGOLDPITCH_PROTOCOL_SETTINGS_H
+
+#include "marigoldpitch/state/config.h"
+#include "marigoldpitch/state/error.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+/** A daemon's settings file. */
+namespace marigoldpitch {
+
+struct SeedPeer
+{
+  std::string peer; // `host/owner` or `host/entry`
+  Endpoint endpoint;
+};
+
+struct Limits
+{
+  size_t bodyBytes = 1024 * 1024;
+  size_t frameBytes = 4 * 1024 * 1024;
+  size_t connections = 20000;
+  size_t requests = 50000; // unfinished ones of one daemon
+  size_t sessions = 100000;
+  size_t queue = 10000;
+  Duration drain = Seconds(20);
+};
+
+struct Settings
+{
+  std::string host;
+  std::string zone;
+  std::optional<Endpoint> callers; // entries only
+  Endpoint peers;
+  Endpoint operators;
+  Endpoint store;
+  std::string groupSet = "default";
+  std::vector<SeedPeer> seeds;
+  Limits limits;
+};
+
+enum class DaemonRole
+{
+  Entry,
+  Owner,
+};
+
+constexpr NameTable<DaemonRole, 2> kDaemonRoleNames{ {
+  { DaemonRole::Entry, "entry" },
+  { DaemonRole::Owner, "owner" },
+} };
+
+/** All findings of the text are in the one error that is returned. */
+Result<Settings>
+ParseSettings(const std::string& aText,
+              DaemonRole aRole,
+              const std::string& aSource);
+
+/** Whether the text is an IP number. */
+bool
+IsIpNumber(const std::string& aText);
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/protocol/store-messages.h
@@ -0,0 +1,51 @@
+#ifndef MARIGOLDPITCH_PROTOCOL_STORE_MESSAGES_H
+#define MARIGOLDPITCH_PROTOCOL_STORE_MESSAGES_H
+
+#include "marigoldpitch/state/error.h"
+#include "marigoldpitch/state/time.h"
+
+#include <cstdint>
+#include <string>
+
+/** Calls to the platform's key-value service, JSON over HTTP. */
+namespace marigoldpitch {
+
+struct StoreValue
+{
+  uint64_t revision = 0; // 0: the key has no value
+  std::string text;
+};
+
+enum class StoreCall
+{
+  Get,
+  Swap,
+  Watch,
+};
+
+constexpr NameTable<StoreCall, 3> kStoreCallPaths{ {
+  { StoreCall::Get, "/v1/get" },
+  { StoreCall::Swap, "/v1/swap" },
+  { StoreCall::Watch, "/v1/watch" },
+} };
+
+std::string
+EncodeStoreGet(const std::string& aKey);
+
+/** Writes `aText` if the key is still at `aRevision`. */
+std::string
+EncodeStoreSwap(const std::string& aKey,
+                uint64_t aRevision,
+                const std::string& aText);
+
+/** Answers once the key is past `aAfter`, or with what it has after `aWait`. */
+std::string
+EncodeStoreWatch(const std::string& aKey, uint64_t aAfter, Duration aWait);
+
+/** A swap that lost answers with HTTP 409 and the value that stands. */
+Result<StoreValue>
+DecodeStoreValue(const std::string& aBody);
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/protocol/wire.h
@@ -0,0 +1,75 @@
+#ifndef MARIGOLDPITCH_PROTOCOL_WIRE_H
+#define MARIGOLDPITCH_PROTOCOL_WIRE_H
+
+#include "marigoldpitch/coordination/spread.h"
+#include "marigoldpitch/state/error.h"
+#include "marigoldpitch/state/request.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+/** Frames between the system's own processes, in FlatBuffers. */
+namespace marigoldpitch {
+
+struct RequestFrame
+{
+  uint64_t number = 0;
+  Request request;
+};
+
+struct AnswerFrame
+{
+  uint64_t number = 0;
+  Answer answer;
+};
+
+struct CancelFrame
+{
+  uint64_t number = 0;
+};
+
+/** The first frame of each connection: `host/owner` or `host/entry`. */
+struct HelloFrame
+{
+  std::string peer;
+};
+
+struct DigestFrame
+{
+  Digest digest;
+  bool draining = false;
+};
+
+struct DocumentFrame
+{
+  Document document;
+};
+
+struct PingFrame
+{};
+
+struct PongFrame
+{};
+
+using Frame = std::variant<RequestFrame,
+                           AnswerFrame,
+                           CancelFrame,
+                           HelloFrame,
+                           DigestFrame,
+                           DocumentFrame,
+                           PingFrame,
+                           PongFrame>;
+
+/** The frame's bytes without the size prefix. */
+std::string
+EncodeFrame(const Frame& aFrame);
+
+/** Fails with `BadFrame` on anything that is not a whole, known frame. */
+Result<Frame>
+DecodeFrame(std::string_view aBytes);
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/src/protocol/metrics-text.cc
@@ -0,0 +1,106 @@
+#include "marigoldpitch/protocol/metrics-text.h"
+
+#include <cstdlib>
+#include <sstream>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+constexpr char kPrefix[] = "marigoldpitch_";
+
+void
+PutLine(std::ostream& aOut,
+        std::string_view aName,
+        const std::string& aLabels,
+        double aValue)
+{
+  aOut << kPrefix << aName << '{' << aLabels << "} " << aValue << '\n';
+}
+
+void
+PutDistribution(std::ostream& aOut,
+                std::string_view aName,
+                const std::string& aLabels,
+                const Distribution& aDistribution)
+{
+  aOut << "# TYPE " << kPrefix << aName << " histogram\n";
+  const auto& histogram = aDistribution.histogram;
+  // Values under the first edge, 0 ms among them, are in the underflow bin.
+  double cumulated = histogram.at(-1);
+  for (int i = 0; i < kHistogramBins; ++i) {
+    cumulated += histogram.at(i);
+    std::ostringstream edge;
+    edge << histogram.axis().bin(i).upper();
+    PutLine(aOut,
+            std::string(aName) + "_bucket",
+            aLabels + ",le=\"" + edge.str() + "\"",
+            cumulated);
+  }
+  auto count = static_cast<double>(aDistribution.count);
+  PutLine(
+    aOut, std::string(aName) + "_bucket", aLabels + ",le=\"+Inf\"", count);
+  PutLine(aOut, std::string(aName) + "_sum", aLabels, aDistribution.sumMs);
+  PutLine(aOut, std::string(aName) + "_count", aLabels, count);
+}
+
+/** Drops the `peer` label, so that lines of several daemons add up. */
+std::string
+WithoutPeer(const std::string& aSample)
+{
+  size_t start = aSample.find("peer=\"");
+  if (start == std::string::npos) {
+    return aSample;
+  }
+  size_t end = aSample.find('"', start + 6);
+  std::string rest = aSample.substr(end + 1);
+  if (!rest.empty() && rest[0] == ',') {
+    rest.erase(0, 1);
+  }
+  return aSample.substr(0, start) + rest;
+}
+
+} // namespace detail
+
+std::string
+FormatMetrics(const Metrics& aMetrics, const std::string& aLabels)
+{
+  std::ostringstream out;
+  out.precision(15);
+  for (const auto& row : kCounterNames.rows) {
+    out << "# TYPE " << detail::kPrefix << row.name << " counter\n";
+    detail::PutLine(
+      out, row.name, aLabels, static_cast<double>(aMetrics.Get(row.value)));
+  }
+  out << "# TYPE " << detail::kPrefix << "requests_total counter\n";
+  for (const auto& row : kOutcomeNames.rows) {
+    std::string labels = aLabels + ",outcome=\"" + std::string(row.name) + "\"";
+    detail::PutLine(out,
+                    "requests_total",
+                    labels,
+                    static_cast<double>(aMetrics.Get(row.value)));
+  }
+  for (const auto& row : kMeasureNames.rows) {
+    detail::PutDistribution(out, row.name, aLabels, aMetrics.Get(row.value));
+  }
+  return out.str();
+}
+
+std::map<std::string, double>
+ParseMetrics(const std::string& aText)
+{
+  std::map<std::string, double> samples;
+  std::istringstream in(aText);
+  std::string line;
+  while (std::getline(in, line)) {
+    size_t space = line.rfind(' ');
+    if (line.empty() || line[0] == '#' || space == std::string::npos) {
+      continue;
+    }
+    std::string name = detail::WithoutPeer(line.substr(0, space));
+    samples[name] += std::strtod(line.c_str() + space, nullptr);
+  }
+  return samples;
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/protocol/settings.cc
@@ -0,0 +1,93 @@
+#include "marigoldpitch/protocol/settings.h"
+
+#include "marigoldpitch/protocol/json-check.h"
+#include "schemas.h"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+using nlohmann::json;
+
+Endpoint
+TakeEndpoint(const json& aValue, const std::string& aPlace, Findings& aFindings)
+{
+  Endpoint endpoint;
+  endpoint.address = aValue.at("address").get<std::string>();
+  endpoint.port = aValue.at("port").get<uint16_t>();
+  if (!IsIpNumber(endpoint.address)) {
+    aFindings.Add(aPlace + "/address",
+                  "'" + endpoint.address + "' is not an IP number");
+  }
+  return endpoint;
+}
+
+Limits
+TakeLimits(const json& aValue)
+{
+  Limits limits;
+  limits.bodyBytes = aValue.value("body_bytes", limits.bodyBytes);
+  limits.frameBytes = aValue.value("frame_bytes", limits.frameBytes);
+  limits.connections = aValue.value("connections", limits.connections);
+  limits.requests = aValue.value("requests", limits.requests);
+  limits.sessions = aValue.value("sessions", limits.sessions);
+  limits.queue = aValue.value("queue", limits.queue);
+  limits.drain = Millis(aValue.value("drain_ms", limits.drain.ms));
+  return limits;
+}
+
+} // namespace detail
+
+bool
+IsIpNumber(const std::string& aText)
+{
+  boost::system::error_code error;
+  boost::asio::ip::make_address(aText, error);
+  return !error;
+}
+
+Result<Settings>
+ParseSettings(const std::string& aText,
+              DaemonRole aRole,
+              const std::string& aSource)
+{
+  Findings findings(ErrorCode::BadSettings);
+  auto value = ParseChecked(aText, generated::kSettingsSchema, findings);
+  if (!findings.Empty()) {
+    return findings.ToError(aSource);
+  }
+  Settings settings;
+  settings.host = value.at("host").get<std::string>();
+  settings.zone = value.at("zone").get<std::string>();
+  settings.peers = detail::TakeEndpoint(value.at("peers"), "/peers", findings);
+  settings.operators =
+    detail::TakeEndpoint(value.at("operators"), "/operators", findings);
+  settings.store = detail::TakeEndpoint(value.at("store"), "/store", findings);
+  settings.groupSet = value.value("group_set", settings.groupSet);
+  if (value.contains("callers")) {
+    settings.callers =
+      detail::TakeEndpoint(value.at("callers"), "/callers", findings);
+  }
+  if (aRole == DaemonRole::Entry && !settings.callers) {
+    findings.Add("/callers", "missing: an entry needs it");
+  }
+  if (aRole == DaemonRole::Owner && settings.callers) {
+    findings.Add("/callers", "an owner serves no callers");
+  }
+  size_t index = 0;
+  for (const auto& seed : value.value("seeds", nlohmann::json::array())) {
+    std::string place = "/seeds/" + std::to_string(index++);
+    settings.seeds.push_back({ seed.at("peer").get<std::string>(),
+                               detail::TakeEndpoint(seed, place, findings) });
+  }
+  settings.limits =
+    detail::TakeLimits(value.value("limits", nlohmann::json::object()));
+  if (!findings.Empty()) {
+    return findings.ToError(aSource);
+  }
+  return settings;
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/protocol/upstream-sql.cc
@@ -0,0 +1,279 @@
+#include "marigoldpitch/protocol/upstream-sql.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+using nlohmann::json;
+
+constexpr char kInsertRecord[] =
+  "INSERT INTO marigoldpitch_record (key, value) VALUES ($1, $2)";
+constexpr char kUpdateRecord[] =
+  "UPDATE marigoldpitch_record SET value = $2 WHERE key = $1";
+constexpr char kReadRecord[] =
+  "SELECT value FROM marigoldpitch_record WHERE key = $1";
+
+std::optional<std::string>
+Cell(const Rows& aRows, const char* aColumn)
+{
+  for (size_t i = 0; i < aRows.columns.size(); ++i) {
+    if (aRows.columns[i] == aColumn && !aRows.rows.empty() &&
+        i < aRows.rows[0].size()) {
+      return aRows.rows[0][i];
+    }
+  }
+  return std::nullopt;
+}
+
+/** Reads one row of numbers and collects what is missing. */
+class NumberRow
+{
+public:
+  explicit NumberRow(const Rows& aRows)
+    : rows(aRows)
+  {
+  }
+
+  uint64_t Take(const char* aColumn)
+  {
+    uint64_t value = 0;
+    auto text = Cell(this->rows, aColumn);
+    const char* end = text ? text->data() + text->size() : nullptr;
+    bool isNumber =
+      text && std::from_chars(text->data(), end, value).ptr == end;
+    if (!isNumber || text->empty()) {
+      this->findings.Add(aColumn, "no number");
+    }
+    return value;
+  }
+
+  Findings findings{ ErrorCode::BadMessage };
+
+private:
+  const Rows& rows;
+};
+
+Statement
+Call(const char* aSql, std::vector<std::optional<std::string>> aParameters)
+{
+  return { aSql, std::move(aParameters) };
+}
+
+json
+RowsToJson(const Rows& aRows)
+{
+  json rows = json::array();
+  for (const auto& row : aRows.rows) {
+    json line = json::array();
+    for (const auto& cell : row) {
+      line.push_back(cell ? json(*cell) : json(nullptr));
+    }
+    rows.push_back(std::move(line));
+  }
+  return { { "columns", aRows.columns },
+           { "rows", std::move(rows) },
+           { "affected", aRows.affected } };
+}
+
+Rows
+RowsFromJson(const json& aValue)
+{
+  Rows rows;
+  rows.columns = aValue.at("columns").get<std::vector<std::string>>();
+  rows.affected = aValue.at("affected").get<uint64_t>();
+  for (const json& line : aValue.at("rows")) {
+    std::vector<std::optional<std::string>> row;
+    for (const json& cell : line) {
+      row.push_back(cell.is_null()
+                      ? std::nullopt
+                      : std::optional<std::string>(cell.get<std::string>()));
+    }
+    rows.rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+} // namespace detail
+
+Statement
+ToSql(const Step& aStep)
+{
+  switch (aStep.kind) {
+    case StepKind::Begin:
+      return detail::Call("BEGIN", {});
+    case StepKind::BeginReadOnly:
+      return detail::Call("BEGIN READ ONLY", {});
+    case StepKind::User:
+      return aStep.statement;
+    case StepKind::ClaimRecord:
+      return detail::Call(detail::kInsertRecord,
+                          { aStep.requestId, EncodeRecord({ true, {} }) });
+    case StepKind::Tombstone:
+      return detail::Call(detail::kInsertRecord,
+                          { aStep.requestId, EncodeRecord({ false, {} }) });
+    case StepKind::ReadRecord:
+      return detail::Call(detail::kReadRecord, { aStep.requestId });
+    case StepKind::StoreResult:
+      return detail::Call(
+        detail::kUpdateRecord,
+        { aStep.requestId, EncodeRecord({ true, aStep.result }) });
+    case StepKind::Commit:
+      return detail::Call("COMMIT", {});
+    case StepKind::RollBack:
+      return detail::Call("ROLLBACK", {});
+    case StepKind::Status:
+      return StatusSql();
+  }
+  return {};
+}
+
+StepResult
+FromSql(const Step& aStep, const SqlResult& aResult)
+{
+  StepResult result;
+  if (!aResult.done) {
+    result.outcome =
+      aResult.skipped ? StepOutcome::Skipped : StepOutcome::Failed;
+    result.failure = ClassOf(aResult.sqlState);
+    result.sqlState = aResult.sqlState;
+    result.message = aResult.message;
+    return result;
+  }
+  result.outcome = StepOutcome::Done;
+  result.rows = aResult.rows;
+  if (aStep.kind == StepKind::Status) {
+    auto status = ParseStatus(aResult.rows);
+    if (status) {
+      result.status = status.value();
+    }
+  }
+  if (aStep.kind == StepKind::ReadRecord && !aResult.rows.rows.empty()) {
+    auto record =
+      DecodeRecord(detail::Cell(aResult.rows, "value").value_or(""));
+    if (record) {
+      result.record = record.value();
+    }
+  }
+  return result;
+}
+
+BatchResult
+FromSql(const Batch& aBatch, const std::vector<SqlResult>& aResults)
+{
+  BatchResult result;
+  for (size_t i = 0; i < aBatch.size(); ++i) {
+    SqlResult missing;
+    missing.skipped = true;
+    result.steps.push_back(
+      FromSql(aBatch[i], i < aResults.size() ? aResults[i] : missing));
+  }
+  return result;
+}
+
+Statement
+StatusSql()
+{
+  return detail::Call("SELECT * FROM marigoldpitch_status()", {});
+}
+
+Statement
+AdoptTermSql(Term aTerm)
+{
+  return detail::Call("SELECT * FROM marigoldpitch_adopt_term($1)",
+                      { std::to_string(aTerm) });
+}
+
+Statement
+PromoteSql(Term aTerm)
+{
+  return detail::Call("SELECT * FROM marigoldpitch_promote($1)",
+                      { std::to_string(aTerm) });
+}
+
+Statement
+FollowSql(Term aTerm, const Endpoint& aPrimary)
+{
+  return detail::Call(
+    "SELECT * FROM marigoldpitch_follow($1, $2, $3)",
+    { std::to_string(aTerm), aPrimary.address, std::to_string(aPrimary.port) });
+}
+
+Result<UpstreamStatus>
+ParseStatus(const Rows& aRows)
+{
+  detail::NumberRow numbers(aRows);
+  UpstreamStatus status;
+  auto role = kRoleNames.ValueOf(detail::Cell(aRows, "role").value_or(""));
+  if (!role) {
+    numbers.findings.Add("role", "unknown");
+  }
+  status.role = role.value_or(Role::Detached);
+  status.term = numbers.Take("term");
+  status.lastTerm = numbers.Take("last_term");
+  status.termStart = numbers.Take("term_start");
+  status.received = numbers.Take("received");
+  status.replayed = numbers.Take("replayed");
+  status.heard = Millis(static_cast<int64_t>(numbers.Take("heard_ms")));
+  status.leaving = numbers.Take("leaving") != 0;
+  if (!numbers.findings.Empty()) {
+    return numbers.findings.ToError("status");
+  }
+  return status;
+}
+
+Result<LogPoint>
+ParseAdopted(const Rows& aRows)
+{
+  detail::NumberRow numbers(aRows);
+  LogPoint end;
+  end.term = numbers.Take("last_term");
+  end.position = numbers.Take("received");
+  if (!numbers.findings.Empty()) {
+    return numbers.findings.ToError("adopt_term");
+  }
+  return end;
+}
+
+Result<Position>
+ParsePromoted(const Rows& aRows)
+{
+  detail::NumberRow numbers(aRows);
+  Position start = numbers.Take("term_start");
+  if (!numbers.findings.Empty()) {
+    return numbers.findings.ToError("promote");
+  }
+  return start;
+}
+
+std::string
+EncodeRecord(const Record& aRecord)
+{
+  detail::json value{ { "ran", aRecord.ran },
+                      { "result", detail::RowsToJson(aRecord.result) } };
+  return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+Result<Record>
+DecodeRecord(const std::string& aText)
+{
+  Error bad{ ErrorCode::BadMessage, "record", "not a record of ours" };
+  auto value = detail::json::parse(aText, nullptr, false);
+  if (value.is_discarded()) {
+    return bad;
+  }
+  try {
+    Record record;
+    record.ran = value.at("ran").get<bool>();
+    record.result = detail::RowsFromJson(value.at("result"));
+    return record;
+  } catch (const nlohmann::json::exception& error) {
+    bad.message = error.what();
+    return bad;
+  }
+}
+
+} // namespace marigoldpitch
