--- /dev/null
+++ b/include/marigoldpitch/transport/clock.h
@@ -0,0 +1,23 @@
+#ifndef MARIGOLDPITCH_TRANSPORT_CLOCK_H
+#define MARIGOLDPITCH_TRANSPORT_CLOCK_H
+
+#include "marigoldpitch/state/time.h"
+
+/** The one place that reads a clock. */
+namespace marigoldpitch {
+
+/** The machine's monotonic clock, in milliseconds. */
+Time
+ReadClock();
+
+/** The same clock in microseconds, for measurements. */
+int64_t
+ReadClockMicros();
+
+/** Processor time that this process has used, in microseconds. */
+int64_t
+ReadProcessMicros();
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/transport/command-line.h
@@ -0,0 +1,69 @@
+#ifndef MARIGOLDPITCH_TRANSPORT_COMMAND_LINE_H
+#define MARIGOLDPITCH_TRANSPORT_COMMAND_LINE_H
+
+#include "marigoldpitch/state/error.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+/** Command lines of the binaries. */
+namespace marigoldpitch {
+
+/** Exit codes that all binaries share. */
+enum class ExitCode
+{
+  Ok = 0,
+  Failed = 1,
+  Usage = 2,
+  BadInput = 3,
+  Conflict = 4,
+  Incomplete = 5,
+};
+
+constexpr NameTable<ExitCode, 6> kExitCodeNames{ {
+  { ExitCode::Ok, "ok" },
+  { ExitCode::Failed, "failed" },
+  { ExitCode::Usage, "usage" },
+  { ExitCode::BadInput, "bad-input" },
+  { ExitCode::Conflict, "conflict" },
+  { ExitCode::Incomplete, "incomplete" },
+} };
+
+struct CommandOption
+{
+  std::string name;     // without the dashes
+  std::string argument; // what it takes; empty for a switch
+  std::string help;
+};
+
+struct CommandLine
+{
+  std::map<std::string, std::string> options;
+  std::vector<std::string> words;
+  bool isDone = false; // help or version was printed
+
+  bool Has(const std::string& aName) const
+  {
+    return this->options.count(aName) != 0;
+  }
+  std::string Get(const std::string& aName,
+                  const std::string& aDefault = {}) const;
+};
+
+/** `--help` and `--version` are added and handled here. */
+Result<CommandLine>
+ParseCommandLine(int aCount,
+                 const char** aArguments,
+                 const std::string& aUsage,
+                 const std::vector<CommandOption>& aOptions);
+
+/** A whole file; the error names it. */
+Result<std::string>
+ReadFile(const std::string& aPath);
+
+constexpr char kVersion[] = "0.1.0";
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/transport/entry-daemon.h
@@ -0,0 +1,86 @@
+#ifndef MARIGOLDPITCH_TRANSPORT_ENTRY_DAEMON_H
+#define MARIGOLDPITCH_TRANSPORT_ENTRY_DAEMON_H
+
+#include "marigoldpitch/coordination/entry-engine.h"
+#include "marigoldpitch/transport/daemon-core.h"
+
+#include <unordered_map>
+
+/** The entry: callers in front, owners behind. */
+namespace marigoldpitch {
+
+class EntryDaemon : public DaemonCore
+{
+public:
+  EntryDaemon(Loop& aLoop, Settings aSettings);
+
+protected:
+  Result<void> OnStart() override;
+  void OnConfiguration(const Config& aConfig) override;
+  void OnHosts(const HostList& aHosts) override;
+  void OnLinkUp(LinkId aLink,
+                const std::string& aPeer,
+                bool aOutbound) override;
+  void OnLinkFrame(LinkId aLink,
+                   const std::string& aPeer,
+                   const Frame& aFrame) override;
+  void OnLinkDown(LinkId aLink,
+                  const std::string& aPeer,
+                  bool aOutbound) override;
+  void FillStatus(v1::StatusResponse& aStatus) const override;
+  void OnDrain() override;
+  size_t Unfinished() const override;
+  bool IsReady() const override;
+
+private:
+  /** The callers' port; the operators' port is the core's. */
+  class CallerService : public HttpService
+  {
+  public:
+    explicit CallerService(EntryDaemon& aDaemon)
+      : daemon(aDaemon)
+    {
+    }
+    void OnHttp(ExchangeId aExchange, const HttpRequest& aRequest) override
+    {
+      this->daemon.OnCaller(aExchange, aRequest);
+    }
+    void OnHttpGone(ExchangeId aExchange) override
+    {
+      this->daemon.Step(CallerLeft{ aExchange });
+      this->daemon.waiting.erase(aExchange);
+    }
+
+  private:
+    EntryDaemon& daemon;
+  };
+
+  struct Waiting
+  {
+    BodyFormat format = BodyFormat::Json;
+    std::string requestId;
+    bool isWrite = false;
+  };
+
+  void OnCaller(ExchangeId aExchange, const HttpRequest& aRequest);
+  void OpenSession(ExchangeId aExchange, BodyFormat aFormat);
+  void Reply(ExchangeId aExchange, const RpcReply& aReply);
+  void Step(const EntryEvent& aEvent);
+  void Perform(const ForwardRequest& aAction);
+  void Perform(const ForwardCancel& aAction);
+  void Perform(const ConnectOwner& aAction);
+  void Perform(const DropOwner& aAction);
+  void Perform(const PingOwner& aAction);
+  void Perform(const AnswerCaller& aAction);
+  void Perform(const EntryReport& aAction);
+  void Tick();
+
+  EntryEngine engine;
+  CallerService callerService;
+  std::unique_ptr<HttpServer> callers;
+  std::unordered_map<ExchangeId, Waiting> waiting;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/transport/h2o.h
@@ -0,0 +1,16 @@
+#ifndef MARIGOLDPITCH_TRANSPORT_H2O_H
+#define MARIGOLDPITCH_TRANSPORT_H2O_H
+
+/** The C library's headers, with its own event loop. */
+
+#define H2O_USE_LIBUV 0
+
+extern "C"
+{
+#include <h2o.h>
+#include <h2o/http1.h>
+#include <h2o/http1client.h>
+#include <h2o/socketpool.h>
+}
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/transport/http-server.h
@@ -0,0 +1,91 @@
+#ifndef MARIGOLDPITCH_TRANSPORT_HTTP_SERVER_H
+#define MARIGOLDPITCH_TRANSPORT_HTTP_SERVER_H
+
+#include "marigoldpitch/state/config.h"
+#include "marigoldpitch/transport/loop.h"
+#include "marigoldpitch/transport/tcp-listener.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+/** HTTP/1.1 and HTTP/2 for callers and operators. */
+namespace marigoldpitch {
+
+using ExchangeId = uint64_t;
+
+struct HttpRequest
+{
+  std::string method;
+  std::string path;
+  std::string contentType;
+  std::string body;
+};
+
+struct HttpResponse
+{
+  int status = 200;
+  std::string contentType;
+  std::string body;
+};
+
+class HttpService
+{
+public:
+  virtual ~HttpService() = default;
+
+  /** The answer may come at any later time, through `Respond`. */
+  virtual void OnHttp(ExchangeId aExchange, const HttpRequest& aRequest) = 0;
+
+  /** The client left before its answer. */
+  virtual void OnHttpGone(ExchangeId aExchange) = 0;
+};
+
+struct HttpLimits
+{
+  size_t bodyBytes = 1024 * 1024;
+  size_t connections = 20000;
+};
+
+class HttpServer : public AcceptHandler
+{
+public:
+  static Result<std::unique_ptr<HttpServer>> Create(Loop& aLoop,
+                                                    const Endpoint& aEndpoint,
+                                                    const HttpLimits& aLimits,
+                                                    HttpService& aService);
+  ~HttpServer() override;
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  void Respond(ExchangeId aExchange, const HttpResponse& aResponse);
+
+  /** Ends connections as their exchanges end, and tells HTTP/2 clients. */
+  void Drain();
+  size_t OpenExchanges() const { return this->exchanges.size(); }
+
+  void OnAccept(h2o_socket_t* aSocket) override;
+
+private:
+  HttpServer(Loop& aLoop, const HttpLimits& aLimits, HttpService& aService);
+
+  static int OnRequest(h2o_handler_t* aHandler, h2o_req_t* aRequest);
+  static void OnRequestDisposed(void* aMark);
+  static void OnSocketClosed(void* aServer);
+
+  Loop& loop;
+  HttpLimits limits;
+  HttpService& service;
+  h2o_globalconf_t config{};
+  h2o_context_t context{};
+  h2o_accept_ctx_t acceptContext{};
+  std::unique_ptr<TcpListener> listener;
+  std::unordered_map<ExchangeId, h2o_req_t*> exchanges;
+  ExchangeId lastExchange = 0;
+  size_t connections = 0;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/transport/owner-daemon.h
@@ -0,0 +1,119 @@
+#ifndef MARIGOLDPITCH_TRANSPORT_OWNER_DAEMON_H
+#define MARIGOLDPITCH_TRANSPORT_OWNER_DAEMON_H
+
+#include "marigoldpitch/coordination/group-engine.h"
+#include "marigoldpitch/coordination/term-reserver.h"
+#include "marigoldpitch/transport/daemon-core.h"
+#include "marigoldpitch/transport/upstream-pool.h"
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+/** The owner: decisions about its groups, and their upstreams. */
+namespace marigoldpitch {
+
+class OwnerDaemon;
+
+/** One group with its decisions and its connections. */
+class OwnedGroup : public GroupEventSink
+{
+public:
+  static Result<std::unique_ptr<OwnedGroup>> Create(OwnerDaemon& aDaemon,
+                                                    const GroupConfig& aConfig,
+                                                    GroupOptions aOptions);
+  ~OwnedGroup() override;
+  OwnedGroup(const OwnedGroup&) = delete;
+  OwnedGroup& operator=(const OwnedGroup&) = delete;
+
+  void OnGroupEvent(const GroupEvent& aEvent) override;
+  GroupEngine& Engine() { return *this->engine; }
+  const GroupEngine& Engine() const { return *this->engine; }
+  bool isStandby = false;
+
+private:
+  OwnedGroup(OwnerDaemon& aDaemon,
+             const GroupConfig& aConfig,
+             std::unique_ptr<GroupEngine> aEngine);
+
+  void Tick();
+  void ArmTimer();
+  void Perform(const SendAnswer& aAction);
+  void Perform(const ReserveTerms& aAction);
+  void Perform(const Report& aAction);
+  void Perform(const Observe& aAction);
+  template<typename A>
+  void Perform(const A& aAction)
+  {
+    this->pool.Perform(aAction);
+  }
+  void Step(const ReserverAction& aAction);
+  void OnTermValue(const Result<StoreValue>& aValue);
+
+  OwnerDaemon& daemon;
+  std::unique_ptr<GroupEngine> engine;
+  UpstreamPool pool;
+  TermReserver reserver;
+  TimerId timer = 0;
+  Time tickDue = kNever;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+class OwnerDaemon : public DaemonCore
+{
+public:
+  OwnerDaemon(Loop& aLoop, Settings aSettings);
+
+  void Answered(RequestHandle aHandle, const Answer& aAnswer);
+  Loop& GetLoop() { return this->loop; }
+  Metrics& GetMetrics() { return this->metrics; }
+  StoreClient& GetStore() { return *this->store; }
+  const std::string& Incarnation() const { return this->incarnation; }
+
+protected:
+  Result<void> OnStart() override;
+  void OnConfiguration(const Config& aConfig) override;
+  void OnHosts(const HostList& aHosts) override;
+  void OnLinkUp(LinkId aLink,
+                const std::string& aPeer,
+                bool aOutbound) override;
+  void OnLinkFrame(LinkId aLink,
+                   const std::string& aPeer,
+                   const Frame& aFrame) override;
+  void OnLinkDown(LinkId aLink,
+                  const std::string& aPeer,
+                  bool aOutbound) override;
+  void FillStatus(v1::StatusResponse& aStatus) const override;
+  void OnDrain() override;
+  size_t Unfinished() const override;
+  bool IsReady() const override;
+
+private:
+  struct Asked
+  {
+    LinkId link = 0;
+    uint64_t number = 0;
+    std::string group;
+    Time arrived;
+  };
+
+  void OnRequest(LinkId aLink, const RequestFrame& aFrame);
+  void OnCancel(LinkId aLink, uint64_t aNumber);
+  OwnedGroup* GroupFor(const std::string& aName);
+  void Adjust();
+  void Apply(const GroupConfig& aConfig);
+  void MarkLeaving(OwnedGroup& aGroup);
+  GroupOptions OptionsFor(const GroupConfig& aConfig) const;
+  size_t RankIn(const std::string& aGroup) const;
+
+  std::string incarnation; // `host~random`: names its transactions and terms
+  std::map<std::string, std::unique_ptr<OwnedGroup>> groups;
+  std::vector<std::unique_ptr<OwnedGroup>> retiring;
+  std::unordered_map<RequestHandle, Asked> asked;
+  std::map<std::pair<LinkId, uint64_t>, RequestHandle> byNumber;
+  RequestHandle lastHandle = 0;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/transport/peer-network.h
@@ -0,0 +1,99 @@
+#ifndef MARIGOLDPITCH_TRANSPORT_PEER_NETWORK_H
+#define MARIGOLDPITCH_TRANSPORT_PEER_NETWORK_H
+
+#include "marigoldpitch/protocol/wire.h"
+#include "marigoldpitch/state/config.h"
+#include "marigoldpitch/transport/frame-link.h"
+#include "marigoldpitch/transport/tcp-listener.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+/** Connections among the system's own processes, by name. */
+namespace marigoldpitch {
+
+using LinkId = uint64_t;
+
+class PeerListener
+{
+public:
+  virtual ~PeerListener() = default;
+
+  /** The link's peer is known: we connected, or its first frame named it. */
+  virtual void OnPeerUp(LinkId aLink,
+                        const std::string& aPeer,
+                        bool aOutbound) = 0;
+  virtual void OnPeerFrame(LinkId aLink,
+                           const std::string& aPeer,
+                           const Frame& aFrame) = 0;
+  virtual void OnPeerDown(LinkId aLink,
+                          const std::string& aPeer,
+                          bool aOutbound) = 0;
+  virtual void OnBadFrame(const std::string& aPeer, const Error& aError) = 0;
+};
+
+class PeerNetwork
+  : public AcceptHandler
+  , public FrameLinkListener
+{
+public:
+  static Result<std::unique_ptr<PeerNetwork>> Create(Loop& aLoop,
+                                                     std::string aSelf,
+                                                     const Endpoint& aListen,
+                                                     size_t aMaxFrameBytes,
+                                                     size_t aMaxLinks,
+                                                     PeerListener& aListener);
+
+  /** One outbound link a peer; a second call changes nothing. */
+  void Connect(const std::string& aPeer, const Endpoint& aEndpoint);
+  bool HasLinkTo(const std::string& aPeer) const;
+
+  /** Closes the outbound link without a call to the listener. */
+  void Drop(const std::string& aPeer);
+
+  /** Over the outbound link, or one that the peer opened. */
+  void SendTo(const std::string& aPeer, const Frame& aFrame);
+  void Send(LinkId aLink, const Frame& aFrame);
+  void Broadcast(const Frame& aFrame);
+
+  void OnAccept(h2o_socket_t* aSocket) override;
+  void OnLinkUp(FrameLink& aLink) override;
+  void OnFrameBytes(FrameLink& aLink, const std::string& aFrame) override;
+  void OnLinkDown(FrameLink& aLink, const Error& aReason) override;
+
+private:
+  struct Peer
+  {
+    LinkId id = 0;
+    std::shared_ptr<FrameLink> link;
+    std::string name; // empty until its first frame
+    bool outbound = false;
+    bool up = false;
+  };
+
+  PeerNetwork(Loop& aLoop,
+              std::string aSelf,
+              size_t aMaxFrameBytes,
+              size_t aMaxLinks,
+              PeerListener& aListener);
+
+  Peer* Find(const FrameLink& aLink);
+  Peer* FindOutbound(const std::string& aPeer);
+  void Add(std::shared_ptr<FrameLink> aLink, std::string aName, bool aOutbound);
+  void Remove(LinkId aId);
+
+  Loop& loop;
+  std::string self;
+  size_t maxFrameBytes;
+  size_t maxLinks;
+  PeerListener& listener;
+  std::unique_ptr<TcpListener> tcp;
+  std::map<LinkId, Peer> peers;
+  std::map<const FrameLink*, LinkId> byLink;
+  LinkId lastId = 0;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/transport/socket-address.h
@@ -0,0 +1,28 @@
+#ifndef MARIGOLDPITCH_TRANSPORT_SOCKET_ADDRESS_H
+#define MARIGOLDPITCH_TRANSPORT_SOCKET_ADDRESS_H
+
+#include "marigoldpitch/state/config.h"
+#include "marigoldpitch/state/error.h"
+
+#include <sys/socket.h>
+
+/** Endpoints as the system's socket addresses. */
+namespace marigoldpitch {
+
+struct SocketAddress
+{
+  sockaddr_storage storage{};
+  socklen_t length = 0;
+
+  static Result<SocketAddress> Create(const Endpoint& aEndpoint);
+
+  sockaddr* Raw() { return reinterpret_cast<sockaddr*>(&this->storage); }
+};
+
+/** `127.0.0.1:80`. */
+std::string
+FormatEndpoint(const Endpoint& aEndpoint);
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/transport/tcp-listener.h
@@ -0,0 +1,39 @@
+#ifndef MARIGOLDPITCH_TRANSPORT_TCP_LISTENER_H
+#define MARIGOLDPITCH_TRANSPORT_TCP_LISTENER_H
+
+#include "marigoldpitch/state/config.h"
+#include "marigoldpitch/transport/loop.h"
+
+/** Accepting connections. */
+namespace marigoldpitch {
+
+class AcceptHandler
+{
+public:
+  virtual ~AcceptHandler() = default;
+
+  /** The handler owns the socket from now on. */
+  virtual void OnAccept(h2o_socket_t* aSocket) = 0;
+};
+
+class TcpListener
+{
+public:
+  static Result<std::unique_ptr<TcpListener>> Create(Loop& aLoop,
+                                                     const Endpoint& aEndpoint,
+                                                     AcceptHandler& aHandler);
+  ~TcpListener();
+  TcpListener(const TcpListener&) = delete;
+  TcpListener& operator=(const TcpListener&) = delete;
+
+private:
+  TcpListener(h2o_socket_t* aSocket, AcceptHandler& aHandler);
+  static void OnReadable(h2o_socket_t* aSocket, const char* aError);
+
+  h2o_socket_t* socket;
+  AcceptHandler& handler;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/transport/upstream-pool.h
@@ -0,0 +1,112 @@
+#ifndef MARIGOLDPITCH_TRANSPORT_UPSTREAM_POOL_H
+#define MARIGOLDPITCH_TRANSPORT_UPSTREAM_POOL_H
+
+#include "marigoldpitch/coordination/group-io.h"
+#include "marigoldpitch/state/config.h"
+#include "marigoldpitch/transport/pg-connection.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+/** Carries out the actions of a group's owner that concern upstreams. */
+namespace marigoldpitch {
+
+/** Takes the events that the upstreams cause. */
+class GroupEventSink
+{
+public:
+  virtual ~GroupEventSink() = default;
+  virtual void OnGroupEvent(const GroupEvent& aEvent) = 0;
+};
+
+/** The administrative calls of one upstream, one after another. */
+class AdminChannel : public PgListener
+{
+public:
+  using Done = std::function<void(const SqlResult*)>; // null: no answer
+
+  AdminChannel(Loop& aLoop, PgTarget aTarget)
+    : loop(aLoop)
+    , target(std::move(aTarget))
+  {
+  }
+
+  void Call(Statement aStatement, Done aDone);
+
+  /** Drops the connection and all calls on it: it may have gone silent. */
+  void Reset();
+
+  void OnPgOpen(PgConnection& aConnection) override;
+  void OnPgResults(PgConnection& aConnection,
+                   std::vector<SqlResult> aResults) override;
+  void OnPgClosed(PgConnection& aConnection,
+                  const std::string& aSqlState,
+                  const std::string& aReason) override;
+
+private:
+  struct Pending
+  {
+    Statement statement;
+    Done done;
+  };
+
+  void RunNext();
+  void FailAll();
+
+  Loop& loop;
+  PgTarget target;
+  std::shared_ptr<PgConnection> connection;
+  bool running = false;
+  std::deque<Pending> calls;
+};
+
+class UpstreamPool : public PgListener
+{
+public:
+  UpstreamPool(Loop& aLoop, const GroupConfig& aConfig, GroupEventSink& aSink);
+  ~UpstreamPool() override;
+  UpstreamPool(const UpstreamPool&) = delete;
+  UpstreamPool& operator=(const UpstreamPool&) = delete;
+
+  void Perform(const OpenConnection& aAction);
+  void Perform(const CloseConnection& aAction);
+  void Perform(const RunBatch& aAction);
+  void Perform(const AskStatus& aAction);
+  void Perform(const AdoptTerm& aAction);
+  void Perform(const Promote& aAction);
+  void Perform(const Follow& aAction);
+
+  void OnPgOpen(PgConnection& aConnection) override;
+  void OnPgResults(PgConnection& aConnection,
+                   std::vector<SqlResult> aResults) override;
+  void OnPgClosed(PgConnection& aConnection,
+                  const std::string& aSqlState,
+                  const std::string& aReason) override;
+
+private:
+  struct Worker
+  {
+    ConnectionId id = 0;
+    std::shared_ptr<PgConnection> connection;
+    uint64_t sequence = 0;
+    Batch batch;
+  };
+
+  PgTarget TargetOf(UpstreamIndex aUpstream) const;
+  void Send(const GroupEvent& aEvent);
+
+  Loop& loop;
+  GroupConfig config;
+  GroupEventSink& sink;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  std::vector<std::unique_ptr<AdminChannel>> admin;
+  std::map<ConnectionId, Worker> workers;
+  std::map<const PgConnection*, ConnectionId> byConnection;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/src/report.cc
@@ -0,0 +1,5 @@
+int
+main()
+{
+  return 0;
+}
--- /dev/null
+++ b/src/transport/daemon-core.cc
@@ -0,0 +1,438 @@
+#include "marigoldpitch/transport/daemon-core.h"
+
+#include "marigoldpitch/protocol/documents.h"
+#include "marigoldpitch/protocol/metrics-text.h"
+#include "marigoldpitch/transport/clock.h"
+#include "marigoldpitch/transport/command-line.h"
+#include "marigoldpitch/transport/log.h"
+
+#include <fmt/format.h>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+constexpr Duration kTick = Millis(200);
+constexpr Duration kDrainCheck = Millis(10);
+// Time for the balancer and the peers to see that this daemon leaves.
+constexpr Duration kDrainNotice = Millis(500);
+constexpr Duration kWatchWait = Seconds(20);
+
+SpreadOptions
+MakeSpreadOptions(const Settings& aSettings, DaemonRole aRole)
+{
+  SpreadOptions options;
+  options.host = aSettings.host;
+  options.zone = aSettings.zone;
+  options.peer = aSettings.host + "/" + kDaemonRoleNames.TextOf(aRole);
+  options.mayWatch = true;
+  return options;
+}
+
+} // namespace detail
+
+DaemonCore::DaemonCore(Loop& aLoop, Settings aSettings, DaemonRole aRole)
+  : loop(aLoop)
+  , settings(std::move(aSettings))
+  , spread(detail::MakeSpreadOptions(this->settings, aRole))
+{
+  this->self = detail::MakeSpreadOptions(this->settings, aRole).peer;
+}
+
+Result<void>
+DaemonCore::Start()
+{
+  const Limits& limits = this->settings.limits;
+  BOOST_OUTCOME_TRY(auto peerNetwork,
+                    PeerNetwork::Create(this->loop,
+                                        this->self,
+                                        this->settings.peers,
+                                        limits.frameBytes,
+                                        limits.connections,
+                                        *this));
+  this->network = std::move(peerNetwork);
+  BOOST_OUTCOME_TRY(auto storeClient,
+                    StoreClient::Create(this->loop, this->settings.store));
+  this->store = std::move(storeClient);
+  HttpLimits httpLimits{ limits.bodyBytes, limits.connections };
+  BOOST_OUTCOME_TRY(auto server,
+                    HttpServer::Create(
+                      this->loop, this->settings.operators, httpLimits, *this));
+  this->operators = std::move(server);
+  BOOST_OUTCOME_TRY(this->OnStart());
+  Log(LogEvent::Started, "version " + std::string(kVersion));
+  this->Tick();
+  return boost::outcome_v2::success();
+}
+
+void
+DaemonCore::Tick()
+{
+  this->KeepNeighbours();
+  this->Step(SpreadTick{});
+  this->loop.After(detail::kTick, [this] { this->Tick(); });
+}
+
+const Endpoint*
+DaemonCore::EndpointOf(const std::string& aPeer) const
+{
+  size_t slash = aPeer.find('/');
+  const HostEntry* host = this->hosts.FindHost(aPeer.substr(0, slash));
+  if (host != nullptr) {
+    bool isOwner = aPeer.substr(slash + 1) == "owner";
+    return isOwner ? &host->owner : &host->entry;
+  }
+  for (const SeedPeer& seed : this->settings.seeds) {
+    if (seed.peer == aPeer) {
+      return &seed.endpoint;
+    }
+  }
+  return nullptr;
+}
+
+void
+DaemonCore::KeepNeighbours()
+{
+  std::vector<std::string> wanted = this->spread.Neighbours();
+  if (wanted.empty()) {
+    for (const SeedPeer& seed : this->settings.seeds) {
+      wanted.push_back(seed.peer);
+    }
+  }
+  for (const std::string& peer : wanted) {
+    const Endpoint* endpoint = this->EndpointOf(peer);
+    if (endpoint != nullptr && peer != this->self &&
+        !this->network->HasLinkTo(peer)) {
+      this->network->Connect(peer, *endpoint);
+    }
+  }
+}
+
+void
+DaemonCore::Step(const SpreadEvent& aEvent)
+{
+  SpreadActions actions = this->spread.Handle(ReadClock(), aEvent);
+  for (const SpreadAction& action : actions) {
+    std::visit([this](const auto& aKind) { this->Perform(aKind); }, action);
+  }
+}
+
+void
+DaemonCore::Perform(const WatchStore& aAction)
+{
+  DocumentKind kind = aAction.kind;
+  std::string key = kind == DocumentKind::Hosts
+                      ? std::string(kHostsKey)
+                      : ConfigurationKey(this->settings.groupSet);
+  this->metrics.Count(Counter::StoreCalls);
+  auto done = [this, kind](const Result<StoreValue>& aValue) {
+    this->OnStoreValue(kind, aValue);
+  };
+  if (this->spread.IsWatcher()) {
+    this->store->Watch(key, aAction.after, detail::kWatchWait, done);
+  } else {
+    this->store->Get(key, done);
+  }
+}
+
+void
+DaemonCore::OnStoreValue(DocumentKind aKind, const Result<StoreValue>& aValue)
+{
+  bool isReached = aValue.has_value();
+  if (isReached != this->storeReachable) {
+    this->storeReachable = isReached;
+    Log(isReached ? LogEvent::StoreReachable : LogEvent::StoreUnreachable,
+        isReached ? "answers again" : aValue.error().ToString());
+  }
+  if (isReached) {
+    Document document{ aKind, aValue.value().revision, aValue.value().text };
+    bool isNew = document.revision > this->spread.Revision(aKind);
+    if (isNew && this->IsValid(document)) {
+      this->Step(DocumentSeen{ document, {} });
+    }
+  }
+  this->Step(StoreAnswered{ aKind, isReached });
+}
+
+bool
+DaemonCore::IsValid(const Document& aDocument)
+{
+  if (aDocument.kind == DocumentKind::Hosts) {
+    auto list = ParseHostList(aDocument.text, aDocument.revision);
+    if (!list) {
+      Log(LogEvent::ConfigurationRefused, list.error().ToString());
+    }
+    return list.has_value();
+  }
+  auto parsed =
+    ParseConfiguration(aDocument.text, aDocument.revision, "configuration");
+  if (!parsed) {
+    Log(LogEvent::ConfigurationRefused, parsed.error().ToString());
+  }
+  return parsed.has_value();
+}
+
+void
+DaemonCore::Perform(const SendDocument& aAction)
+{
+  this->network->SendTo(aAction.peer, DocumentFrame{ aAction.document });
+}
+
+void
+DaemonCore::Perform(const SendDigest& aAction)
+{
+  this->network->SendTo(aAction.peer,
+                        DigestFrame{ aAction.digest, this->draining });
+}
+
+void
+DaemonCore::Perform(const PutInForce& aAction)
+{
+  const Document& document = aAction.document;
+  std::string revision = "revision " + std::to_string(document.revision);
+  if (document.kind == DocumentKind::Hosts) {
+    this->hosts = ParseHostList(document.text, document.revision).value();
+    this->spread.SetHosts(this->hosts);
+    Log(LogEvent::HostListInForce, revision);
+    this->KeepNeighbours();
+    this->OnHosts(this->hosts);
+    return;
+  }
+  this->configurationText = document.text;
+  this->config =
+    ParseConfiguration(document.text, document.revision, "configuration")
+      .value();
+  Log(LogEvent::ConfigurationInForce, revision);
+  this->OnConfiguration(this->config);
+}
+
+void
+DaemonCore::OnPeerUp(LinkId aLink, const std::string& aPeer, bool aOutbound)
+{
+  this->OnLinkUp(aLink, aPeer, aOutbound);
+  if (!aOutbound) {
+    return;
+  }
+  // The first digest starts the exchange in both directions.
+  this->network->SendTo(aPeer,
+                        DigestFrame{ this->OwnDigest(), this->draining });
+}
+
+Digest
+DaemonCore::OwnDigest() const
+{
+  Digest digest;
+  for (const auto& row : kDocumentKindNames.rows) {
+    digest.revisions[static_cast<size_t>(row.value)] =
+      this->spread.Revision(row.value);
+  }
+  return digest;
+}
+
+void
+DaemonCore::OnPeerFrame(LinkId aLink,
+                        const std::string& aPeer,
+                        const Frame& aFrame)
+{
+  if (const auto* digest = std::get_if<DigestFrame>(&aFrame)) {
+    this->Step(DigestSeen{ aPeer, digest->digest });
+  }
+  if (const auto* document = std::get_if<DocumentFrame>(&aFrame)) {
+    const Document& seen = document->document;
+    bool isNew = seen.revision > this->spread.Revision(seen.kind);
+    if (!isNew || this->IsValid(seen)) {
+      this->Step(DocumentSeen{ seen, aPeer });
+    }
+  }
+  if (std::holds_alternative<PingFrame>(aFrame)) {
+    this->network->Send(aLink, PongFrame{});
+  }
+  this->OnLinkFrame(aLink, aPeer, aFrame);
+}
+
+void
+DaemonCore::OnPeerDown(LinkId aLink, const std::string& aPeer, bool aOutbound)
+{
+  this->Step(NeighbourLost{ aPeer });
+  this->OnLinkDown(aLink, aPeer, aOutbound);
+}
+
+void
+DaemonCore::OnBadFrame(const std::string& aPeer, const Error& aError)
+{
+  this->metrics.Count(Counter::FramesRefused);
+  Log(LogEvent::FrameRefused,
+      (aPeer.empty() ? "unnamed peer" : aPeer) + ": " + aError.ToString());
+}
+
+std::string
+DaemonCore::MetricsText()
+{
+  return FormatMetrics(this->metrics, "peer=\"" + this->self + "\"");
+}
+
+void
+DaemonCore::OnHttp(ExchangeId aExchange, const HttpRequest& aRequest)
+{
+  this->operators->Respond(aExchange, this->HandleOperators(aRequest));
+}
+
+HttpResponse
+DaemonCore::HandleOperators(const HttpRequest& aRequest)
+{
+  if (aRequest.path == "/live") {
+    return { 200, "text/plain", "live\n" };
+  }
+  if (aRequest.path == "/ready") {
+    bool isReady = !this->draining && this->IsReady();
+    return { isReady ? 200 : 503,
+             "text/plain",
+             isReady ? "ready\n" : "not ready\n" };
+  }
+  if (aRequest.path == "/metrics") {
+    return { 200, "text/plain; version=0.0.4", this->MetricsText() };
+  }
+  auto method = kRpcMethodNames.ValueOf(aRequest.path);
+  if (!method) {
+    return { 404, "text/plain", "unknown method: " + aRequest.path + "\n" };
+  }
+  if (aRequest.method != "POST") {
+    return { 405, "text/plain", "calls are sent with POST\n" };
+  }
+  return this->HandleRpc(*method, aRequest);
+}
+
+HttpResponse
+DaemonCore::HandleRpc(RpcMethod aMethod, const HttpRequest& aRequest)
+{
+  auto format = FormatOf(aRequest.contentType);
+  if (!format) {
+    return { 415,
+             "text/plain",
+             "content-type must be application/json or application/proto\n" };
+  }
+  std::string type(kBodyFormatNames.NameOf(*format));
+  if (aMethod == RpcMethod::Status) {
+    v1::StatusResponse status;
+    status.set_peer(this->self);
+    status.set_zone(this->settings.zone);
+    status.set_draining(this->draining);
+    status.set_configuration_revision(this->config.revision);
+    status.set_hosts_revision(this->hosts.revision);
+    status.set_watcher(this->spread.IsWatcher());
+    status.set_unfinished(static_cast<uint32_t>(this->Unfinished()));
+    this->FillStatus(status);
+    return { 200, type, EncodeBody(*format, status) };
+  }
+  if (aMethod == RpcMethod::GetConfiguration) {
+    v1::GetConfigurationResponse response;
+    response.set_revision(this->config.revision);
+    response.set_document(this->configurationText);
+    return { 200, type, EncodeBody(*format, response) };
+  }
+  if (aMethod == RpcMethod::Metrics) {
+    v1::MetricsResponse response;
+    response.set_text(this->MetricsText());
+    return { 200, type, EncodeBody(*format, response) };
+  }
+  if (aMethod == RpcMethod::Drain) {
+    v1::DrainResponse response;
+    response.set_unfinished(static_cast<uint32_t>(this->Unfinished()));
+    this->loop.Defer([this] { this->Drain(); });
+    return { 200, type, EncodeBody(*format, response) };
+  }
+  return { 404, "text/plain", "callers' methods are on another port\n" };
+}
+
+void
+DaemonCore::Drain()
+{
+  if (this->draining) {
+    return;
+  }
+  this->draining = true;
+  this->drainLimit = ReadClock() + this->settings.limits.drain;
+  this->drainEarliest = ReadClock() + detail::kDrainNotice;
+  Log(LogEvent::DrainStarted,
+      std::to_string(this->Unfinished()) + " requests are open");
+  this->network->Broadcast(DigestFrame{ this->OwnDigest(), true });
+  this->OnDrain();
+  this->CheckDrained();
+}
+
+void
+DaemonCore::CheckDrained()
+{
+  Time now = ReadClock();
+  bool isDone = this->Unfinished() == 0 && now >= this->drainEarliest;
+  if (isDone || now >= this->drainLimit) {
+    Log(LogEvent::DrainFinished,
+        std::to_string(this->Unfinished()) + " requests are open");
+    this->loop.Stop();
+    return;
+  }
+  this->loop.After(detail::kDrainCheck, [this] { this->CheckDrained(); });
+}
+
+int
+RunDaemon(int aCount,
+          const char** aArguments,
+          DaemonRole aRole,
+          const MakeDaemon& aMake)
+{
+  std::string role(kDaemonRoleNames.NameOf(aRole));
+  auto fail = [](const Error& aError, ExitCode aCode) {
+    fmt::print(stderr, "{}\n", aError.ToString());
+    return static_cast<int>(aCode);
+  };
+  auto line = ParseCommandLine(
+    aCount,
+    aArguments,
+    "--settings FILE",
+    { { "settings", "FILE", "the daemon's settings, in JSON" },
+      { "check", "", "check the settings, list every finding, and exit" } });
+  if (!line) {
+    return fail(line.error(), ExitCode::Usage);
+  }
+  if (line.value().isDone) {
+    return static_cast<int>(ExitCode::Ok);
+  }
+  std::string path = line.value().Get("settings");
+  if (path.empty()) {
+    return fail({ ErrorCode::BadSettings, "--settings", "missing" },
+                ExitCode::Usage);
+  }
+  auto text = ReadFile(path);
+  if (!text) {
+    return fail(text.error(), ExitCode::BadInput);
+  }
+  auto settings = ParseSettings(text.value(), aRole, path);
+  if (!settings) {
+    return fail(settings.error(), ExitCode::BadInput);
+  }
+  if (line.value().Has("check")) {
+    fmt::print("{}: no findings\n", path);
+    return static_cast<int>(ExitCode::Ok);
+  }
+  SetLogName(settings.value().host + "/" + role);
+  auto loop = Loop::Create();
+  if (!loop) {
+    return fail(loop.error(), ExitCode::Failed);
+  }
+  auto daemon = aMake(*loop.value(), settings.value());
+  auto signals = SignalWatch::Create(*loop.value(), [&] { daemon->Drain(); });
+  if (!signals) {
+    return fail(signals.error(), ExitCode::Failed);
+  }
+  auto started = daemon->Start();
+  if (!started) {
+    Log(LogEvent::ListenFailed, started.error().ToString());
+    return static_cast<int>(ExitCode::Failed);
+  }
+  loop.value()->Run();
+  Log(LogEvent::Stopped,
+      fmt::format("processor time {} ms", ReadProcessMicros() / 1000));
+  return static_cast<int>(ExitCode::Ok);
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/transport/http-client.cc
@@ -0,0 +1,189 @@
+#include "marigoldpitch/transport/http-client.h"
+
+#include "marigoldpitch/transport/socket-address.h"
+
+namespace marigoldpitch {
+
+namespace detail {
+constexpr size_t kPooledConnections = 4096;
+constexpr uint64_t kPooledIdleMs = 5000;
+constexpr uint64_t kIoTimeoutMs = 120000; // each call has a limit of its own
+} // namespace detail
+
+struct HttpClient::Call
+{
+  HttpClient* client = nullptr;
+  h2o_http1client_t* raw = nullptr;
+  std::string bytes;
+  h2o_iovec_t buffer{};
+  HttpReply reply;
+  HttpDone done;
+  TimerId timer = 0;
+  bool finished = false;
+};
+
+Result<std::unique_ptr<HttpClient>>
+HttpClient::Create(Loop& aLoop, const Endpoint& aEndpoint)
+{
+  BOOST_OUTCOME_TRY(auto address, SocketAddress::Create(aEndpoint));
+  std::unique_ptr<HttpClient> client(new HttpClient(aLoop, aEndpoint));
+  h2o_socketpool_init_by_address(&client->pool,
+                                 address.Raw(),
+                                 address.length,
+                                 0,
+                                 detail::kPooledConnections);
+  h2o_socketpool_set_timeout(&client->pool, aLoop.Raw(), detail::kPooledIdleMs);
+  return client;
+}
+
+HttpClient::HttpClient(Loop& aLoop, const Endpoint& aEndpoint)
+  : loop(aLoop)
+  , authority(FormatEndpoint(aEndpoint))
+{
+  h2o_timeout_init(aLoop.Raw(), &this->ioTimeout, detail::kIoTimeoutMs);
+  this->context.loop = aLoop.Raw();
+  this->context.io_timeout = &this->ioTimeout;
+}
+
+HttpClient::~HttpClient()
+{
+  std::set<Call*> open = std::move(this->calls);
+  this->calls.clear();
+  for (Call* call : open) {
+    this->loop.Cancel(call->timer);
+    if (call->raw != nullptr) {
+      h2o_http1client_cancel(call->raw);
+    }
+    delete call;
+  }
+  h2o_socketpool_dispose(&this->pool);
+  h2o_timeout_dispose(this->loop.Raw(), &this->ioTimeout);
+}
+
+void
+HttpClient::Post(const std::string& aPath,
+                 const std::string& aContentType,
+                 const std::string& aBody,
+                 Duration aTimeout,
+                 HttpDone aDone)
+{
+  std::string bytes =
+    "POST " + aPath + " HTTP/1.1\r\nhost: " + this->authority +
+    "\r\ncontent-type: " + aContentType +
+    "\r\ncontent-length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  this->Start(std::move(bytes), aTimeout, std::move(aDone));
+}
+
+void
+HttpClient::Get(const std::string& aPath, Duration aTimeout, HttpDone aDone)
+{
+  std::string bytes =
+    "GET " + aPath + " HTTP/1.1\r\nhost: " + this->authority + "\r\n\r\n";
+  this->Start(std::move(bytes), aTimeout, std::move(aDone));
+}
+
+void
+HttpClient::Start(std::string aBytes, Duration aTimeout, HttpDone aDone)
+{
+  auto* call = new Call();
+  call->client = this;
+  call->bytes = std::move(aBytes);
+  call->done = std::move(aDone);
+  this->calls.insert(call);
+  call->timer = this->loop.After(aTimeout, [this, call] {
+    if (call->raw != nullptr) {
+      h2o_http1client_cancel(std::exchange(call->raw, nullptr));
+    }
+    this->Finish(
+      call, Error{ ErrorCode::Timeout, this->authority, "no answer in time" });
+  });
+  h2o_http1client_connect_with_pool(
+    &call->raw, call, &this->context, &this->pool, OnConnected);
+}
+
+void
+HttpClient::Finish(Call* aCall, Result<HttpReply> aResult)
+{
+  if (aCall->finished) {
+    return;
+  }
+  aCall->finished = true;
+  this->loop.Cancel(aCall->timer);
+  this->calls.erase(aCall);
+  HttpDone done = std::move(aCall->done);
+  // The C library still holds the call while its callback runs.
+  this->loop.Defer([aCall, done, result = std::move(aResult)] {
+    delete aCall;
+    done(result);
+  });
+}
+
+h2o_http1client_head_cb
+HttpClient::OnConnected(h2o_http1client_t* aClient,
+                        const char* aError,
+                        h2o_iovec_t** aBuffers,
+                        size_t* aBufferCount,
+                        int* aMethodIsHead)
+{
+  auto* call = static_cast<Call*>(aClient->data);
+  if (aError != nullptr) {
+    call->raw = nullptr;
+    call->client->Finish(
+      call, Error{ ErrorCode::Io, call->client->authority, aError });
+    return nullptr;
+  }
+  call->buffer = h2o_iovec_init(call->bytes.data(), call->bytes.size());
+  *aBuffers = &call->buffer;
+  *aBufferCount = 1;
+  *aMethodIsHead = 0;
+  return OnHead;
+}
+
+h2o_http1client_body_cb
+HttpClient::OnHead(h2o_http1client_t* aClient,
+                   const char* aError,
+                   int,
+                   int aStatus,
+                   h2o_iovec_t,
+                   h2o_header_t*,
+                   size_t,
+                   int)
+{
+  auto* call = static_cast<Call*>(aClient->data);
+  bool hasEnded = aError == h2o_http1client_error_is_eos;
+  if (aError != nullptr && !hasEnded) {
+    call->raw = nullptr;
+    call->client->Finish(
+      call, Error{ ErrorCode::Io, call->client->authority, aError });
+    return nullptr;
+  }
+  call->reply.status = aStatus;
+  if (hasEnded) {
+    call->raw = nullptr;
+    call->client->Finish(call, call->reply);
+    return nullptr;
+  }
+  return OnBody;
+}
+
+int
+HttpClient::OnBody(h2o_http1client_t* aClient, const char* aError)
+{
+  auto* call = static_cast<Call*>(aClient->data);
+  h2o_buffer_t** input = &aClient->sock->input;
+  call->reply.body.append((*input)->bytes, (*input)->size);
+  h2o_buffer_consume(input, (*input)->size);
+  if (aError == nullptr) {
+    return 0;
+  }
+  call->raw = nullptr;
+  if (aError == h2o_http1client_error_is_eos) {
+    call->client->Finish(call, call->reply);
+  } else {
+    call->client->Finish(
+      call, Error{ ErrorCode::Io, call->client->authority, aError });
+  }
+  return -1;
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/transport/loop.cc
@@ -0,0 +1,147 @@
+#include "marigoldpitch/transport/loop.h"
+
+#include "marigoldpitch/transport/clock.h"
+#include "marigoldpitch/transport/unique-fd.h"
+
+#include <csignal>
+#include <sys/signalfd.h>
+
+namespace marigoldpitch {
+
+namespace detail {
+constexpr int32_t kLongestWaitMs = 1000;
+} // namespace detail
+
+Result<std::unique_ptr<Loop>>
+Loop::Create()
+{
+  h2o_loop_t* raw = h2o_evloop_create();
+  if (raw == nullptr) {
+    return Error{ ErrorCode::Io, "loop", "cannot be created" };
+  }
+  // A peer that closed shows as an error of the write, not as a signal.
+  std::signal(SIGPIPE, SIG_IGN);
+  return std::unique_ptr<Loop>(new Loop(raw));
+}
+
+// The C library has no call that destroys a loop; it lives as long as the
+// process.
+Loop::~Loop() = default;
+
+TimerId
+Loop::After(Duration aSpan, std::function<void()> aCall)
+{
+  TimerId id = ++this->lastTimer;
+  int64_t due = (ReadClock() + aSpan).ms;
+  this->timers[{ due, id }] = std::move(aCall);
+  this->dueAt[id] = due;
+  return id;
+}
+
+void
+Loop::Cancel(TimerId aTimer)
+{
+  auto found = this->dueAt.find(aTimer);
+  if (found == this->dueAt.end()) {
+    return;
+  }
+  this->timers.erase({ found->second, aTimer });
+  this->dueAt.erase(found);
+}
+
+void
+Loop::Defer(std::function<void()> aCall)
+{
+  this->deferred.push_back(std::move(aCall));
+}
+
+void
+Loop::Run()
+{
+  this->stopping = false;
+  while (!this->stopping) {
+    int32_t wait = this->NextWait();
+    this->hasPending = false;
+    h2o_evloop_run(this->loop, wait);
+    this->RunDueTimers();
+    std::vector<std::function<void()>> calls = std::move(this->deferred);
+    this->deferred.clear();
+    for (const auto& call : calls) {
+      this->hasPending = true;
+      call();
+    }
+  }
+}
+
+void
+Loop::RunDueTimers()
+{
+  int64_t now = ReadClock().ms;
+  while (!this->timers.empty() && this->timers.begin()->first.first <= now) {
+    auto first = this->timers.begin();
+    std::function<void()> call = std::move(first->second);
+    this->dueAt.erase(first->first.second);
+    this->timers.erase(first);
+    this->hasPending = true;
+    call();
+  }
+}
+
+int32_t
+Loop::NextWait() const
+{
+  if (!this->deferred.empty() || this->hasPending) {
+    return 0;
+  }
+  if (this->timers.empty()) {
+    return detail::kLongestWaitMs;
+  }
+  int64_t left = this->timers.begin()->first.first - ReadClock().ms;
+  if (left < 0) {
+    return 0;
+  }
+  return static_cast<int32_t>(std::min<int64_t>(left, detail::kLongestWaitMs));
+}
+
+Result<std::unique_ptr<SignalWatch>>
+SignalWatch::Create(Loop& aLoop, std::function<void()> aCall)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  UniqueFd fd(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
+  if (fd.Get() < 0 || sigprocmask(SIG_BLOCK, &signals, nullptr) != 0) {
+    return Error{ ErrorCode::Io, "signals", "cannot be watched" };
+  }
+  h2o_socket_t* socket = h2o_evloop_socket_create(
+    aLoop.Raw(), fd.Release(), H2O_SOCKET_FLAG_DONT_READ);
+  return std::unique_ptr<SignalWatch>(
+    new SignalWatch(socket, std::move(aCall)));
+}
+
+SignalWatch::SignalWatch(h2o_socket_t* aSocket, std::function<void()> aCall)
+  : socket(aSocket)
+  , call(std::move(aCall))
+{
+  this->socket->data = this;
+  h2o_socket_read_start(this->socket, OnReadable);
+}
+
+SignalWatch::~SignalWatch()
+{
+  h2o_socket_close(this->socket);
+}
+
+void
+SignalWatch::OnReadable(h2o_socket_t* aSocket, const char*)
+{
+  auto* watch = static_cast<SignalWatch*>(aSocket->data);
+  signalfd_siginfo info{};
+  while (read(h2o_socket_get_fd(aSocket), &info, sizeof(info)) ==
+         static_cast<ssize_t>(sizeof(info))) {
+    watch->call();
+  }
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/transport/peer-network.cc
@@ -0,0 +1,230 @@
+#include "marigoldpitch/transport/peer-network.h"
+
+namespace marigoldpitch {
+
+Result<std::unique_ptr<PeerNetwork>>
+PeerNetwork::Create(Loop& aLoop,
+                    std::string aSelf,
+                    const Endpoint& aListen,
+                    size_t aMaxFrameBytes,
+                    size_t aMaxLinks,
+                    PeerListener& aListener)
+{
+  std::unique_ptr<PeerNetwork> network(new PeerNetwork(
+    aLoop, std::move(aSelf), aMaxFrameBytes, aMaxLinks, aListener));
+  BOOST_OUTCOME_TRY(auto tcp, TcpListener::Create(aLoop, aListen, *network));
+  network->tcp = std::move(tcp);
+  return network;
+}
+
+PeerNetwork::PeerNetwork(Loop& aLoop,
+                         std::string aSelf,
+                         size_t aMaxFrameBytes,
+                         size_t aMaxLinks,
+                         PeerListener& aListener)
+  : loop(aLoop)
+  , self(std::move(aSelf))
+  , maxFrameBytes(aMaxFrameBytes)
+  , maxLinks(aMaxLinks)
+  , listener(aListener)
+{
+}
+
+void
+PeerNetwork::Add(std::shared_ptr<FrameLink> aLink,
+                 std::string aName,
+                 bool aOutbound)
+{
+  Peer peer;
+  peer.id = ++this->lastId;
+  peer.link = std::move(aLink);
+  peer.name = std::move(aName);
+  peer.outbound = aOutbound;
+  this->byLink[peer.link.get()] = peer.id;
+  this->peers[peer.id] = std::move(peer);
+}
+
+void
+PeerNetwork::Remove(LinkId aId)
+{
+  auto found = this->peers.find(aId);
+  if (found != this->peers.end()) {
+    this->byLink.erase(found->second.link.get());
+    this->peers.erase(found);
+  }
+}
+
+PeerNetwork::Peer*
+PeerNetwork::Find(const FrameLink& aLink)
+{
+  auto found = this->byLink.find(&aLink);
+  return found == this->byLink.end() ? nullptr : &this->peers[found->second];
+}
+
+PeerNetwork::Peer*
+PeerNetwork::FindOutbound(const std::string& aPeer)
+{
+  for (auto& [id, peer] : this->peers) {
+    if (peer.outbound && peer.name == aPeer) {
+      return &peer;
+    }
+  }
+  return nullptr;
+}
+
+void
+PeerNetwork::Connect(const std::string& aPeer, const Endpoint& aEndpoint)
+{
+  if (Peer* peer = this->FindOutbound(aPeer)) {
+    // Whoever asks again still wants to hear of it.
+    if (peer->up) {
+      LinkId id = peer->id;
+      this->loop.Defer([this, id, aPeer] {
+        if (this->peers.count(id) != 0) {
+          this->listener.OnPeerUp(id, aPeer, true);
+        }
+      });
+    }
+    return;
+  }
+  auto link =
+    FrameLink::Connect(this->loop, aEndpoint, this->maxFrameBytes, *this);
+  if (!link) {
+    this->loop.Defer(
+      [this, aPeer] { this->listener.OnPeerDown(0, aPeer, true); });
+    return;
+  }
+  this->Add(link.value(), aPeer, true);
+}
+
+bool
+PeerNetwork::HasLinkTo(const std::string& aPeer) const
+{
+  for (const auto& [id, peer] : this->peers) {
+    if (peer.outbound && peer.name == aPeer) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+PeerNetwork::Drop(const std::string& aPeer)
+{
+  Peer* peer = this->FindOutbound(aPeer);
+  if (peer != nullptr) {
+    peer->link->Close();
+    this->Remove(peer->id);
+  }
+}
+
+void
+PeerNetwork::SendTo(const std::string& aPeer, const Frame& aFrame)
+{
+  Peer* outbound = this->FindOutbound(aPeer);
+  if (outbound != nullptr && outbound->up) {
+    outbound->link->Send(EncodeFrame(aFrame));
+    return;
+  }
+  for (auto it = this->peers.rbegin(); it != this->peers.rend(); ++it) {
+    if (it->second.up && it->second.name == aPeer) {
+      it->second.link->Send(EncodeFrame(aFrame));
+      return;
+    }
+  }
+}
+
+void
+PeerNetwork::Send(LinkId aLink, const Frame& aFrame)
+{
+  auto found = this->peers.find(aLink);
+  if (found != this->peers.end()) {
+    found->second.link->Send(EncodeFrame(aFrame));
+  }
+}
+
+void
+PeerNetwork::Broadcast(const Frame& aFrame)
+{
+  std::string bytes = EncodeFrame(aFrame);
+  for (auto& [id, peer] : this->peers) {
+    if (peer.up) {
+      peer.link->Send(bytes);
+    }
+  }
+}
+
+void
+PeerNetwork::OnAccept(h2o_socket_t* aSocket)
+{
+  if (this->peers.size() >= this->maxLinks) {
+    h2o_socket_close(aSocket);
+    return;
+  }
+  this->Add(
+    FrameLink::Accepted(this->loop, aSocket, this->maxFrameBytes, *this),
+    {},
+    false);
+}
+
+void
+PeerNetwork::OnLinkUp(FrameLink& aLink)
+{
+  Peer* peer = this->Find(aLink);
+  if (peer == nullptr) {
+    return;
+  }
+  peer->up = true;
+  aLink.Send(EncodeFrame(HelloFrame{ this->self }));
+  this->listener.OnPeerUp(peer->id, std::string(peer->name), true);
+}
+
+void
+PeerNetwork::OnFrameBytes(FrameLink& aLink, const std::string& aFrame)
+{
+  Peer* peer = this->Find(aLink);
+  if (peer == nullptr) {
+    return;
+  }
+  LinkId id = peer->id;
+  std::string name = peer->name;
+  auto frame = DecodeFrame(aFrame);
+  if (!frame) {
+    // One broken frame harms nobody else: the next one starts at its size.
+    this->listener.OnBadFrame(name, frame.error());
+    return;
+  }
+  if (const auto* hello = std::get_if<HelloFrame>(&frame.value())) {
+    if (!peer->outbound && !peer->up) {
+      peer->name = hello->peer;
+      peer->up = true;
+      this->listener.OnPeerUp(id, hello->peer, false);
+    }
+    return;
+  }
+  if (!peer->up) {
+    this->listener.OnBadFrame(
+      name, { ErrorCode::BadFrame, "hello", "the first frame must name it" });
+    return;
+  }
+  this->listener.OnPeerFrame(id, name, frame.value());
+}
+
+void
+PeerNetwork::OnLinkDown(FrameLink& aLink, const Error& aReason)
+{
+  Peer* peer = this->Find(aLink);
+  if (peer == nullptr) {
+    return;
+  }
+  Peer gone = *peer;
+  this->Remove(gone.id);
+  if (aReason.code == ErrorCode::TooLarge) {
+    this->listener.OnBadFrame(gone.name, aReason);
+  }
+  if (gone.up || gone.outbound) {
+    this->listener.OnPeerDown(gone.id, gone.name, gone.outbound);
+  }
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/transport/pg-connection.cc
@@ -0,0 +1,293 @@
+#include "marigoldpitch/transport/pg-connection.h"
+
+#include <boost/scope_exit.hpp>
+
+#include <array>
+#include <cstdlib>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+// The upstream sends text results; all parameters go as text of unknown type.
+constexpr int kTextFormat = 0;
+
+std::string
+FieldOf(const PGresult* aResult, int aField)
+{
+  const char* text = PQresultErrorField(aResult, aField);
+  return text == nullptr ? std::string() : std::string(text);
+}
+
+std::vector<const char*>
+Pointers(const Statement& aStatement)
+{
+  std::vector<const char*> pointers;
+  pointers.reserve(aStatement.parameters.size());
+  for (const auto& parameter : aStatement.parameters) {
+    pointers.push_back(parameter ? parameter->c_str() : nullptr);
+  }
+  return pointers;
+}
+
+} // namespace detail
+
+Result<std::shared_ptr<PgConnection>>
+PgConnection::Open(Loop& aLoop, const PgTarget& aTarget, PgListener& aListener)
+{
+  std::string port = std::to_string(aTarget.endpoint.port);
+  std::array<const char*, 9> keys{
+    "hostaddr", "port",       "dbname",           "user",
+    "sslmode",  "gssencmode", "application_name", "tcp_user_timeout",
+    nullptr,
+  };
+  std::array<const char*, 9> values{
+    aTarget.endpoint.address.c_str(),
+    port.c_str(),
+    aTarget.database.c_str(),
+    aTarget.user.c_str(),
+    "disable",
+    "disable",
+    "marigoldpitch",
+    "5000",
+    nullptr,
+  };
+  PGconn* raw = PQconnectStartParams(keys.data(), values.data(), 0);
+  if (raw == nullptr || PQstatus(raw) == CONNECTION_BAD) {
+    std::string reason = raw == nullptr ? "no memory" : PQerrorMessage(raw);
+    PQfinish(raw);
+    return Error{ ErrorCode::Io, aTarget.endpoint.address, reason };
+  }
+  std::shared_ptr<PgConnection> connection(
+    new PgConnection(aLoop, raw, aListener));
+  connection->Watch(true);
+  return connection;
+}
+
+PgConnection::PgConnection(Loop& aLoop,
+                           PGconn* aConnection,
+                           PgListener& aListener)
+  : loop(aLoop)
+  , listener(aListener)
+  , connection(aConnection)
+{
+}
+
+PgConnection::~PgConnection()
+{
+  this->Close();
+}
+
+void
+PgConnection::Unwatch()
+{
+  if (this->socket != nullptr) {
+    h2o_socket_close(std::exchange(this->socket, nullptr));
+  }
+  this->watchedFd = -1;
+}
+
+void
+PgConnection::Watch(bool aForWrite)
+{
+  int fd = PQsocket(this->connection);
+  // The library may change its descriptor while it connects.
+  if (fd != this->watchedFd) {
+    this->Unwatch();
+    this->watchedFd = fd;
+    this->socket = h2o_evloop_socket_create(
+      this->loop.Raw(), dup(fd), H2O_SOCKET_FLAG_DONT_READ);
+    this->socket->data = this;
+    h2o_socket_read_start(this->socket, OnReadable);
+  }
+  if (aForWrite && this->socket->_cb.write == nullptr) {
+    h2o_socket_notify_write(this->socket, OnWritable);
+  }
+}
+
+void
+PgConnection::OnReadable(h2o_socket_t* aSocket, const char*)
+{
+  auto self = static_cast<PgConnection*>(aSocket->data)->shared_from_this();
+  if (!self->open) {
+    self->PollConnect();
+    return;
+  }
+  if (PQconsumeInput(self->connection) == 0) {
+    self->Fail(PQerrorMessage(self->connection));
+    return;
+  }
+  self->TakeResults();
+}
+
+void
+PgConnection::OnWritable(h2o_socket_t* aSocket, const char*)
+{
+  auto self = static_cast<PgConnection*>(aSocket->data)->shared_from_this();
+  if (!self->open) {
+    self->PollConnect();
+    return;
+  }
+  self->Flush();
+}
+
+void
+PgConnection::PollConnect()
+{
+  switch (PQconnectPoll(this->connection)) {
+    case PGRES_POLLING_READING:
+      this->Watch(false);
+      return;
+    case PGRES_POLLING_WRITING:
+      this->Watch(true);
+      return;
+    case PGRES_POLLING_OK:
+      break;
+    default:
+      this->Fail(PQerrorMessage(this->connection));
+      return;
+  }
+  this->Watch(false);
+  bool isReady = PQsetnonblocking(this->connection, 1) == 0 &&
+                 PQenterPipelineMode(this->connection) == 1;
+  if (!isReady) {
+    this->Fail("no pipeline mode");
+    return;
+  }
+  this->open = true;
+  this->listener.OnPgOpen(*this);
+}
+
+void
+PgConnection::Run(const std::vector<Statement>& aStatements)
+{
+  this->results.clear();
+  for (const Statement& statement : aStatements) {
+    auto pointers = detail::Pointers(statement);
+    int sent = PQsendQueryParams(this->connection,
+                                 statement.sql.c_str(),
+                                 static_cast<int>(pointers.size()),
+                                 nullptr,
+                                 pointers.data(),
+                                 nullptr,
+                                 nullptr,
+                                 detail::kTextFormat);
+    if (sent != 1) {
+      this->Fail(PQerrorMessage(this->connection));
+      return;
+    }
+  }
+  if (PQpipelineSync(this->connection) != 1) {
+    this->Fail(PQerrorMessage(this->connection));
+    return;
+  }
+  this->Flush();
+}
+
+void
+PgConnection::Flush()
+{
+  int left = PQflush(this->connection);
+  if (left < 0) {
+    this->Fail(PQerrorMessage(this->connection));
+  } else if (left > 0) {
+    this->Watch(true);
+  }
+}
+
+void
+PgConnection::TakeResults()
+{
+  bool wasNull = false;
+  while (this->connection != nullptr && PQisBusy(this->connection) == 0) {
+    PGresult* result = PQgetResult(this->connection);
+    if (result == nullptr) {
+      // One null ends a statement; two mean that nothing more has come.
+      if (wasNull) {
+        return;
+      }
+      wasNull = true;
+      continue;
+    }
+    BOOST_SCOPE_EXIT(result)
+    {
+      PQclear(result);
+    }
+    BOOST_SCOPE_EXIT_END
+    wasNull = false;
+    if (PQresultStatus(result) == PGRES_PIPELINE_SYNC) {
+      this->listener.OnPgResults(*this, std::move(this->results));
+      return;
+    }
+    this->results.push_back(TakeResult(result));
+    if (!this->results.back().sqlState.empty()) {
+      this->lastSqlState = this->results.back().sqlState;
+    }
+  }
+}
+
+SqlResult
+PgConnection::TakeResult(const PGresult* aResult)
+{
+  SqlResult taken;
+  ExecStatusType status = PQresultStatus(aResult);
+  taken.skipped = status == PGRES_PIPELINE_ABORTED;
+  taken.done = status == PGRES_COMMAND_OK || status == PGRES_TUPLES_OK;
+  if (!taken.done) {
+    taken.sqlState = detail::FieldOf(aResult, PG_DIAG_SQLSTATE);
+    taken.message = detail::FieldOf(aResult, PG_DIAG_MESSAGE_PRIMARY);
+    return taken;
+  }
+  int columns = PQnfields(aResult);
+  for (int column = 0; column < columns; ++column) {
+    taken.rows.columns.emplace_back(PQfname(aResult, column));
+  }
+  for (int row = 0; row < PQntuples(aResult); ++row) {
+    std::vector<std::optional<std::string>> cells;
+    for (int column = 0; column < columns; ++column) {
+      if (PQgetisnull(aResult, row, column) != 0) {
+        cells.emplace_back();
+      } else {
+        cells.emplace_back(
+          std::string(PQgetvalue(aResult, row, column),
+                      static_cast<size_t>(PQgetlength(aResult, row, column))));
+      }
+    }
+    taken.rows.rows.push_back(std::move(cells));
+  }
+  const char* affected = PQcmdTuples(const_cast<PGresult*>(aResult));
+  taken.rows.affected = std::strtoull(affected, nullptr, 10);
+  return taken;
+}
+
+void
+PgConnection::Close()
+{
+  this->open = false;
+  this->Unwatch();
+  if (this->connection != nullptr) {
+    PQfinish(std::exchange(this->connection, nullptr));
+  }
+}
+
+void
+PgConnection::Fail(std::string aReason)
+{
+  if (this->failing) {
+    return;
+  }
+  this->failing = true;
+  // Not from within a call of the listener: it may be in the middle of a step.
+  auto self = this->shared_from_this();
+  this->open = false;
+  this->Unwatch();
+  this->loop.Defer([self, reason = std::move(aReason)] {
+    bool isWanted = self->connection != nullptr;
+    self->Close();
+    if (isWanted) {
+      self->listener.OnPgClosed(*self, self->lastSqlState, reason);
+    }
+  });
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/test/process/cluster.sh
@@ -0,0 +1,130 @@
+# Starts the stand-ins and the daemons of a small site on loopback addresses.
+# Sourced by scripts; every process that it starts is ended on exit.
+
+build=${BUILD_DIR:-build}
+base_port=${BASE_PORT:-20000}
+run_dir=${RUN_DIR:-$(mktemp -d)}
+declare -A pid_of=()
+
+store_port=$((base_port))
+upstream_port() { echo $((base_port + 100 + $1)); }
+owner_port() { echo $((base_port + 200 + $1)); }
+entry_port() { echo $((base_port + 210 + $1)); }
+owner_ops_port() { echo $((base_port + 220 + $1)); }
+entry_ops_port() { echo $((base_port + 230 + $1)); }
+caller_port() { echo $((base_port + 240 + $1)); }
+
+start() { # name, command...
+  local name=$1
+  shift
+  "$@" 2>>"$run_dir/$name.log" >>"$run_dir/$name.out" &
+  pid_of[$name]=$!
+  disown $!
+}
+
+end_all() {
+  local name
+  for name in "${!pid_of[@]}"; do
+    kill -CONT "${pid_of[$name]}" 2>/dev/null || true
+    kill -KILL "${pid_of[$name]}" 2>/dev/null || true
+  done
+}
+trap end_all EXIT
+trap 'exit 130' INT TERM
+
+wait_http() { # port path
+  local i
+  for i in $(seq 1 600); do
+    curl -sf -o /dev/null --max-time 2 "http://127.0.0.1:$1$2" && return 0
+    sleep 0.02
+  done
+  echo "no answer from port $1$2" >&2
+  return 1
+}
+
+store_call() { # path body
+  curl -s --max-time 5 -H 'content-type: application/json' -d "$2" \
+    "http://127.0.0.1:$store_port$1"
+}
+
+start_store() {
+  start platform "$build/test/standin-platform" --port "$store_port"
+  wait_http "$store_port" /count
+}
+
+start_upstream() { # index role term [follow index]
+  local extra=()
+  [ -n "${4:-}" ] && extra=(--follow "$(upstream_port "$4")")
+  start "upstream-$1" "$build/test/standin-upstream" \
+    --port "$(upstream_port "$1")" --role "$2" --term "$3" "${extra[@]}"
+}
+
+start_group() { # three upstreams, the first one leads
+  start_upstream 1 primary 1
+  start_upstream 2 detached 1 1
+  start_upstream 3 detached 1 1
+}
+
+endpoint() { echo "{\"address\": \"127.0.0.1\", \"port\": $1}"; }
+
+put_hosts() { # host indexes...
+  local list="" i
+  for i in "$@"; do
+    list+="${list:+,}{\"name\":\"host-$i\",\"zone\":\"zone-$i\","
+    list+="\"owner\":$(endpoint "$(owner_port "$i")"),"
+    list+="\"entry\":$(endpoint "$(entry_port "$i")"),"
+    list+="\"owner_operators\":$(endpoint "$(owner_ops_port "$i")"),"
+    list+="\"entry_operators\":$(endpoint "$(entry_ops_port "$i")")}"
+  done
+  put_value hosts "{\"hosts\":[$list]}"
+}
+
+put_value() { # key text
+  local revision
+  revision=$(store_call /v1/get "{\"key\":\"$1\"}" |
+    sed 's/.*"revision":\([0-9]*\).*/\1/')
+  local text=${2//\"/\\\"}
+  store_call /v1/swap \
+    "{\"key\":\"$1\",\"revision\":$revision,\"value\":\"$text\"}" >/dev/null
+}
+
+write_settings() { # host index
+  local role callers
+  for role in entry owner; do
+    callers=""
+    [ $role = entry ] &&
+      callers="\"callers\": $(endpoint "$(caller_port "$1")"),"
+    cat >"$run_dir/host-$1-$role.json" <<EOF
+{
+  "host": "host-$1",
+  "zone": "zone-$1",
+  $callers
+  "peers": $(endpoint "$("${role}_port" "$1")"),
+  "operators": $(endpoint "$("${role}_ops_port" "$1")"),
+  "store": $(endpoint "$store_port")
+}
+EOF
+  done
+}
+
+start_host() { # host index
+  write_settings "$1"
+  local role
+  for role in owner entry; do
+    start "host-$1-$role" "$build/marigoldpitch-$role" \
+      --settings "$run_dir/host-$1-$role.json"
+  done
+  wait_http "$(owner_ops_port "$1")" /ready
+  wait_http "$(entry_ops_port "$1")" /ready
+}
+
+configuration() { # a group of three upstreams, as in the demo
+  local list="" i
+  for i in 1 2 3; do
+    list+="${list:+,}{\"name\":\"upstream-$i\",\"zone\":\"zone-$i\","
+    list+="\"address\":\"127.0.0.1\",\"port\":$(upstream_port "$i")}"
+  done
+  cat <<EOF
+{"groups":[{"name":"orders","database":"orders","user":"orders","slots":4,"connections":16,"upstreams":[$list],"services":[{"name":"payment","priority":"critical","timeout_ms":2000},{"name":"order","timeout_ms":2000},{"name":"stock","max_age_ms":2000,"timeout_ms":1000}]}]}
+EOF
+}
--- /dev/null
+++ b/test/standin/pg-session.h
@@ -0,0 +1,59 @@
+#ifndef MARIGOLDPITCH_TEST_STANDIN_PG_SESSION_H
+#define MARIGOLDPITCH_TEST_STANDIN_PG_SESSION_H
+
+#include "database.h"
+#include "marigoldpitch/transport/loop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+/** The few messages of PostgreSQL's protocol that the client library needs. */
+namespace marigoldpitch::standin {
+
+class PgSession : public std::enable_shared_from_this<PgSession>
+{
+public:
+  using Gone = std::function<void(PgSession&)>;
+
+  PgSession(Loop& aLoop, Database& aDatabase, Gone aGone, bool aRefused);
+  ~PgSession();
+
+  void Start(h2o_socket_t* aSocket);
+
+  /** Called when something was committed. */
+  std::function<void()> onWork;
+
+private:
+  static void OnRead(h2o_socket_t* aSocket, const char* aError);
+  static void OnWritten(h2o_socket_t* aSocket, const char* aError);
+  void Close();
+  bool TakeStartup();
+  bool TakeMessage();
+  void OnMessage(char aType, std::string_view aBody);
+  void TakeBind(std::string_view aBody);
+  void ExecuteStatement();
+  void Sync();
+  void Put(char aType, const std::string& aBody);
+  void PutError(const std::string& aState, const std::string& aMessage);
+  void PutRows(const Rows& aRows);
+  void Flush();
+
+  Loop& loop;
+  Database& database;
+  Gone gone;
+  bool refused;
+  h2o_socket_t* socket = nullptr;
+  bool started = false;
+  bool skipping = false;
+  std::string input;
+  std::string output;
+  std::string writing;
+  Statement statement;
+  Transaction transaction;
+};
+
+} // namespace marigoldpitch::standin
+
+#endif
--- /dev/null
+++ b/test/standin/replication.h
@@ -0,0 +1,68 @@
+#ifndef MARIGOLDPITCH_TEST_STANDIN_REPLICATION_H
+#define MARIGOLDPITCH_TEST_STANDIN_REPLICATION_H
+
+#include "database.h"
+#include "marigoldpitch/transport/frame-link.h"
+#include "marigoldpitch/transport/tcp-listener.h"
+
+#include <map>
+#include <memory>
+
+/** Asynchronous copying of the log between stand-in upstreams. */
+namespace marigoldpitch::standin {
+
+/** A replica's connection comes to the primary's port plus this. */
+constexpr uint16_t kReplicationPortOffset = 50;
+
+class Replication
+  : public AcceptHandler
+  , public FrameLinkListener
+{
+public:
+  static Result<std::unique_ptr<Replication>> Create(Loop& aLoop,
+                                                     Database& aDatabase,
+                                                     const Endpoint& aOwn);
+
+  /** Follows an order that the database took, and sends what is due. */
+  void Step();
+
+  void OnAccept(h2o_socket_t* aSocket) override;
+  void OnLinkUp(FrameLink& aLink) override;
+  void OnFrameBytes(FrameLink& aLink, const std::string& aFrame) override;
+  void OnLinkDown(FrameLink& aLink, const Error& aReason) override;
+
+private:
+  struct Follower
+  {
+    std::shared_ptr<FrameLink> link;
+    bool accepted = false;
+    Position sent = 0;
+  };
+
+  Replication(Loop& aLoop, Database& aDatabase)
+    : loop(aLoop)
+    , database(aDatabase)
+  {
+  }
+
+  void Tick();
+  void ConnectToPrimary();
+  void TakeHello(Follower& aFollower, const std::string& aFrame);
+  void TakeFromPrimary(const std::string& aFrame);
+  void SendDue();
+
+  Loop& loop;
+  Database& database;
+  std::unique_ptr<TcpListener> listener;
+  std::map<FrameLink*, Follower> followers;
+  std::shared_ptr<FrameLink> primary;
+  std::optional<Database::FollowOrder> order;
+  std::map<Position, Time> committedAt;
+  Position seen = 0;
+  Time lastBeat = kLongAgo;
+  Time lastConnect = kLongAgo;
+};
+
+} // namespace marigoldpitch::standin
+
+#endif
