Prove the guarantees and the failover on a fake clock

Cause: what must always hold needs a proof under faults before more is built. Change: a second front end under test/ drives entries, owners and upstreams on a fake clock; callers' histories are checked by content; properties over random faults; mutants that the same checks must find. A primary cut from its replicas was never replaced while an owner still reached it, so no write could be confirmed: a majority of replicas that have not heard it for 600 ms now suffices. An owner that alone cannot reach the primary hands its work to the next one.

--- a/include/marigoldpitch/coordination/failover.h
+++ b/include/marigoldpitch/coordination/failover.h
@@ -64,6 +64,7 @@
 
   /** The promoted upstream; the others are told to follow it. */
   std::optional<Promoted> Finished(const Promoted& aEvent,
+                                   Time aNow,
                                    GroupActions& aActions);
 
   /** Gives up when a higher term shows or the time is over. */
--- a/include/marigoldpitch/coordination/group-engine.h
+++ b/include/marigoldpitch/coordination/group-engine.h
@@ -111,7 +111,7 @@
   void AfterLoss(Work& aWork);
   void RequeueToResolve(Work& aWork);
   void Retry(Work& aWork, Duration aDelay);
-  void Finish(Work& aWork, Answer aAnswer);
+  void Finish(Work& aWork, const Answer& aAnswer);
   void Finish(Work& aWork, Outcome aOutcome, std::string aMessage);
   void Hold(Work& aWork, Answer aAnswer, const UpstreamStatus& aStatus);
   void FinishNotRun(Work& aWork, std::string aMessage);
@@ -161,6 +161,7 @@
   void AskFailed(UpstreamIndex aUpstream);
   void ConsiderFailover();
   bool HasSuccessor(UpstreamIndex aLeaving) const;
+  void HandOverWork();
   void ResumeAfterPause();
   void KeepTerms();
 
--- a/include/marigoldpitch/coordination/group-view.h
+++ b/include/marigoldpitch/coordination/group-view.h
@@ -12,6 +12,9 @@
 /** What an owner knows of a group's upstreams. */
 namespace marigoldpitch {
 
+/** An upstream that does not answer for this long counts as silent. */
+constexpr Duration kUpstreamSilence = Millis(300);
+
 struct UpstreamView
 {
   std::optional<UpstreamStatus> status;
@@ -54,8 +57,8 @@
   /** A term that some upstream stated outside a status. */
   void NoteTerm(Term aTerm);
 
-  /** Records that `aUpstream` leads `aTerm`. */
-  void SetPrimary(UpstreamIndex aUpstream, Term aTerm);
+  /** `aUpstream` leads `aTerm` now; what was asked before counts no more. */
+  void SetPrimary(UpstreamIndex aUpstream, Term aTerm, Time aNow);
 
   /** Whether a replica may serve reads at all. */
   bool IsServingReplica(UpstreamIndex aUpstream) const;
@@ -67,6 +70,9 @@
     return this->freshness.AgeOf(aCopy, aNow);
   }
 
+  /** Two questions failed, the second one over a fresh connection. */
+  bool IsSilent(UpstreamIndex aUpstream, Time aNow) const;
+
   size_t Size() const { return this->upstreams.size(); }
   UpstreamView& At(UpstreamIndex aUpstream)
   {
--- a/include/marigoldpitch/protocol/settings.h
+++ b/include/marigoldpitch/protocol/settings.h
@@ -3,6 +3,7 @@
 
 #include "marigoldpitch/state/config.h"
 #include "marigoldpitch/state/error.h"
+#include "marigoldpitch/state/sizes.h"
 
 #include <optional>
 #include <string>
@@ -19,8 +20,8 @@
 
 struct Limits
 {
-  size_t bodyBytes = 1024 * 1024;
-  size_t frameBytes = 4 * 1024 * 1024;
+  size_t bodyBytes = kMebibyte;
+  size_t frameBytes = 4 * kMebibyte;
   size_t connections = 20000;
   size_t requests = 50000; // unfinished ones of one daemon
   size_t sessions = 100000;
--- a/include/marigoldpitch/transport/http-server.h
+++ b/include/marigoldpitch/transport/http-server.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_TRANSPORT_HTTP_SERVER_H
 
 #include "marigoldpitch/state/config.h"
+#include "marigoldpitch/state/sizes.h"
 #include "marigoldpitch/transport/loop.h"
 #include "marigoldpitch/transport/tcp-listener.h"
 
@@ -44,7 +45,7 @@
 
 struct HttpLimits
 {
-  size_t bodyBytes = 1024 * 1024;
+  size_t bodyBytes = kMebibyte;
   size_t connections = 20000;
 };
 
--- a/include/marigoldpitch/transport/store-client.h
+++ b/include/marigoldpitch/transport/store-client.h
@@ -23,15 +23,15 @@
   static Result<std::unique_ptr<StoreClient>> Create(Loop& aLoop,
                                                      const Endpoint& aEndpoint);
 
-  void Get(const std::string& aKey, StoreDone aDone);
+  void Get(const std::string& aKey, const StoreDone& aDone);
   void Swap(const std::string& aKey,
             uint64_t aRevision,
             const std::string& aText,
-            StoreDone aDone);
+            const StoreDone& aDone);
   void Watch(const std::string& aKey,
              uint64_t aAfter,
              Duration aWait,
-             StoreDone aDone);
+             const StoreDone& aDone);
 
   uint64_t Calls() const { return this->calls; }
 
@@ -44,7 +44,7 @@
   void Send(StoreCall aCall,
             const std::string& aBody,
             Duration aTimeout,
-            StoreDone aDone);
+            const StoreDone& aDone);
 
   std::unique_ptr<HttpClient> client;
   uint64_t calls = 0;
--- a/src/coordination/entry-engine.cc
+++ b/src/coordination/entry-engine.cc
@@ -227,6 +227,10 @@
     if (isFromHere) {
       pending.tried.insert(aEvent.host);
       this->Place(aEvent.number);
+      // After a whole round the next tick begins anew with the first owner.
+      if (pending.host.empty()) {
+        pending.tried.clear();
+      }
     }
     return;
   }
--- a/src/coordination/failover.cc
+++ b/src/coordination/failover.cc
@@ -75,12 +75,12 @@
 }
 
 std::optional<Promoted>
-Failover::Finished(const Promoted& aEvent, GroupActions& aActions)
+Failover::Finished(const Promoted& aEvent, Time aNow, GroupActions& aActions)
 {
   if (this->phase != FailoverPhase::Promoting || aEvent.term != this->term) {
     return std::nullopt;
   }
-  this->phase = FailoverPhase::Idle;
+  this->Stop(aNow);
   for (UpstreamIndex i = 0; i < this->upstreams; ++i) {
     if (i != aEvent.upstream) {
       aActions.emplace_back(Follow{ i, this->term, aEvent.upstream });
--- a/src/coordination/group-engine.cc
+++ b/src/coordination/group-engine.cc
@@ -397,6 +397,7 @@
   this->ExpireTransactions();
   this->KeepTerms();
   this->ConsiderFailover();
+  this->HandOverWork();
   this->Watch();
 }
 
@@ -515,7 +516,7 @@
 }
 
 void
-GroupEngine::Finish(Work& aWork, Answer aAnswer)
+GroupEngine::Finish(Work& aWork, const Answer& aAnswer)
 {
   for (RequestHandle handle : aWork.handles) {
     this->Emit(SendAnswer{ handle, aAnswer });
@@ -548,7 +549,7 @@
   aAnswer.token = point;
   this->sessions.Advance(aWork.request.session, point);
   if (this->policies.confirmation->Needed(this->config.Majority()) == 0) {
-    this->Finish(aWork, std::move(aAnswer));
+    this->Finish(aWork, aAnswer);
     return;
   }
   this->queue.Release(aWork);
--- a/src/coordination/group-reads.cc
+++ b/src/coordination/group-reads.cc
@@ -94,7 +94,7 @@
   answer.token = status->Visible().Point();
   this->sessions.Advance(aWork.request.session, answer.token);
   this->Emit(Observe{ Observation::ReplicaRead, *answer.age });
-  this->Finish(aWork, std::move(answer));
+  this->Finish(aWork, answer);
 }
 
 } // namespace marigoldpitch
--- a/src/coordination/group-transactions.cc
+++ b/src/coordination/group-transactions.cc
@@ -79,7 +79,7 @@
   Answer answer;
   answer.transaction = id;
   answer.source = Source::Primary;
-  this->Finish(aWork, std::move(answer));
+  this->Finish(aWork, answer);
 }
 
 void
@@ -106,7 +106,7 @@
   } else {
     answer.rows = aResult.steps[0].rows;
   }
-  this->Finish(aWork, std::move(answer));
+  this->Finish(aWork, answer);
 }
 
 void
--- a/src/coordination/group-view.cc
+++ b/src/coordination/group-view.cc
@@ -60,8 +60,10 @@
 }
 
 void
-GroupView::SetPrimary(UpstreamIndex aUpstream, Term aTerm)
+GroupView::SetPrimary(UpstreamIndex aUpstream, Term aTerm, Time aNow)
 {
+  this->upstreams[aUpstream].lastAsked = aNow;
+  this->upstreams[aUpstream].lastAnswer = aNow;
   this->primary = aUpstream;
   this->term = aTerm;
   this->highestTerm = std::max(this->highestTerm, aTerm);
@@ -73,6 +75,14 @@
   this->highestTerm = std::max(this->highestTerm, aTerm);
 }
 
+bool
+GroupView::IsSilent(UpstreamIndex aUpstream, Time aNow) const
+{
+  const UpstreamView& upstream = this->upstreams[aUpstream];
+  return upstream.failures >= 2 &&
+         aNow - upstream.lastAnswer >= kUpstreamSilence;
+}
+
 bool
 GroupView::IsServingReplica(UpstreamIndex aUpstream) const
 {
--- a/src/coordination/group-watch.cc
+++ b/src/coordination/group-watch.cc
@@ -270,6 +270,32 @@
                        this->actions);
 }
 
+void
+GroupEngine::HandOverWork()
+{
+  auto primary = this->view.Primary();
+  bool isOutOfReach = primary && this->view.IsSilent(*primary, this->now) &&
+                      !this->failover.IsRunning() &&
+                      this->primaryLostAt == kNever;
+  if (!isOutOfReach) {
+    return;
+  }
+  // The replicas still hear the primary: only we cannot reach it, and another
+  // owner may.
+  for (WorkId id : this->queue.Head(this->queue.Queued())) {
+    Work* work = this->queue.Find(id);
+    bool needsPrimary =
+      work->request.transaction.empty() &&
+      !(work->request.operation == Operation::Read && work->request.maxAge);
+    if (needsPrimary) {
+      Answer answer =
+        MakeAnswer(Outcome::Unknown, "the primary is out of reach from here");
+      answer.tryNext = true;
+      this->Finish(*work, answer);
+    }
+  }
+}
+
 void
 GroupEngine::On(const TermAdopted& aEvent)
 {
@@ -285,10 +311,10 @@
 void
 GroupEngine::On(const Promoted& aEvent)
 {
-  if (!this->failover.Finished(aEvent, this->actions)) {
+  if (!this->failover.Finished(aEvent, this->now, this->actions)) {
     return;
   }
-  this->view.SetPrimary(aEvent.upstream, aEvent.term);
+  this->view.SetPrimary(aEvent.upstream, aEvent.term, this->now);
   this->Emit(Observe{ Observation::Failover, this->now - this->primaryLostAt });
   this->Emit(Report{ LogEvent::FailoverFinished,
                      this->config.upstreams[aEvent.upstream].name + " term " +
--- a/src/coordination/policies.cc
+++ b/src/coordination/policies.cc
@@ -31,8 +31,11 @@
   size_t Needed(size_t aMajority) const override { return aMajority - 1; }
 };
 
-// Longer than two missed heartbeats of 100 ms between upstreams.
-constexpr Duration kSilence = Millis(300);
+// Upstreams send each other a heartbeat each 50 ms.
+constexpr Duration kSilence = kUpstreamSilence;
+// A primary that answers us and is cut from its replicas can have nothing
+// confirmed; it gets longer, as the cut may be a short one.
+constexpr Duration kLongSilence = Millis(600);
 // A replica's word counts while its last answer is this young.
 constexpr Duration kRecent = Millis(400);
 
@@ -44,9 +47,8 @@
               Time aNow) const override
   {
     auto primary = aView.Primary();
-    if (primary && !this->IsSilent(aView.At(*primary), aNow)) {
-      return false;
-    }
+    bool hearsIt = primary && !aView.IsSilent(*primary, aNow);
+    Duration silence = hearsIt ? kLongSilence : kSilence;
     size_t agreeing = 0;
     for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
       if (primary && i == *primary) {
@@ -56,7 +58,7 @@
       if (!this->IsRecent(upstream, aNow)) {
         continue;
       }
-      if (upstream.status->heard < kSilence) {
+      if (upstream.status->heard < silence) {
         return false;
       }
       ++agreeing;
@@ -65,12 +67,6 @@
   }
 
 private:
-  // Two failed questions: the second one went over a fresh connection.
-  static bool IsSilent(const UpstreamView& aView, Time aNow)
-  {
-    return aView.failures >= 2 && aNow - aView.lastAnswer >= kSilence;
-  }
-
   static bool IsRecent(const UpstreamView& aView, Time aNow)
   {
     return aView.status && aView.failures == 0 &&
--- a/src/load.cc
+++ b/src/load.cc
@@ -120,7 +120,7 @@
   void Call(size_t aEntry,
             RpcMethod aMethod,
             const google::protobuf::Message& aMessage,
-            ReplyDone aDone)
+            const ReplyDone& aDone)
   {
     int64_t start = ReadClockMicros();
     auto done = [aDone, start](const Result<HttpReply>& aReply) {
@@ -443,7 +443,7 @@
     this->caller.Call(this->entry, RpcMethod::Begin, request, done);
   }
 
-  void Insert(const std::string& aKey, std::function<void()> aThen)
+  void Insert(const std::string& aKey, const std::function<void()>& aThen)
   {
     std::string value = "value of " + aKey;
     this->ledger.values[aKey] = value;
--- a/src/protocol/frame-splitter.cc
+++ b/src/protocol/frame-splitter.cc
@@ -1,12 +1,14 @@
 #include "marigoldpitch/protocol/frame-splitter.h"
 
+#include "marigoldpitch/state/sizes.h"
+
 #include <cstdint>
 
 namespace marigoldpitch {
 
 namespace detail {
 
-constexpr size_t kCompactAfterBytes = 64 * 1024;
+constexpr size_t kCompactAfterBytes = 64 * kKibibyte;
 
 uint32_t
 ReadSize(std::string_view aBytes)
--- a/src/transport/command-line.cc
+++ b/src/transport/command-line.cc
@@ -55,6 +55,7 @@
   CommandOption help{ "help", "", "print this text and exit" };
   CommandOption version{ "version", "", "print the version and exit" };
   std::vector<poptOption> table;
+  table.reserve(all.size() + 3);
   int value = detail::kFirstOwn;
   for (const CommandOption& option : all) {
     table.push_back(detail::MakeOption(option, value++));
--- a/src/transport/frame-link.cc
+++ b/src/transport/frame-link.cc
@@ -1,5 +1,6 @@
 #include "marigoldpitch/transport/frame-link.h"
 
+#include "marigoldpitch/state/sizes.h"
 #include "marigoldpitch/transport/socket-address.h"
 
 #include <netinet/tcp.h>
@@ -8,7 +9,7 @@
 
 namespace detail {
 
-constexpr size_t kMaxQueuedBytes = 64 * 1024 * 1024;
+constexpr size_t kMaxQueuedBytes = 64 * kMebibyte;
 
 void
 SendAtOnce(h2o_socket_t* aSocket)
--- a/src/transport/store-client.cc
+++ b/src/transport/store-client.cc
@@ -16,43 +16,40 @@
 }
 
 void
-StoreClient::Get(const std::string& aKey, StoreDone aDone)
+StoreClient::Get(const std::string& aKey, const StoreDone& aDone)
 {
-  this->Send(StoreCall::Get,
-             EncodeStoreGet(aKey),
-             detail::kCallTimeout,
-             std::move(aDone));
+  this->Send(StoreCall::Get, EncodeStoreGet(aKey), detail::kCallTimeout, aDone);
 }
 
 void
 StoreClient::Swap(const std::string& aKey,
                   uint64_t aRevision,
                   const std::string& aText,
-                  StoreDone aDone)
+                  const StoreDone& aDone)
 {
   this->Send(StoreCall::Swap,
              EncodeStoreSwap(aKey, aRevision, aText),
              detail::kCallTimeout,
-             std::move(aDone));
+             aDone);
 }
 
 void
 StoreClient::Watch(const std::string& aKey,
                    uint64_t aAfter,
                    Duration aWait,
-                   StoreDone aDone)
+                   const StoreDone& aDone)
 {
   this->Send(StoreCall::Watch,
              EncodeStoreWatch(aKey, aAfter, aWait),
              aWait + detail::kCallTimeout,
-             std::move(aDone));
+             aDone);
 }
 
 void
 StoreClient::Send(StoreCall aCall,
                   const std::string& aBody,
                   Duration aTimeout,
-                  StoreDone aDone)
+                  const StoreDone& aDone)
 {
   ++this->calls;
   auto done = [aDone](const Result<HttpReply>& aReply) {
--- /dev/null
+++ b/test/failover-test.cc
@@ -0,0 +1,160 @@
+#include "fakes/generators.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+// Failovers on the fake clock, with the latencies of the two deployments.
+
+using namespace marigoldpitch;
+using namespace marigoldpitch::fakes;
+
+namespace {
+
+constexpr uint32_t kRuns = 200;
+constexpr Duration kWriteGapTarget = Seconds(1);
+
+struct Deployment
+{
+  const char* name;
+  Duration oneWay;
+  uint32_t slots;
+  uint32_t connections;
+};
+
+// One-way latencies of 0.5 and 1.5 ms, rounded up to the clock's unit.
+const Deployment kAddisAbaba{ "addis-ababa", Millis(1), 2, 16 };
+const Deployment kBrittany{ "brittany", Millis(2), 3, 40 };
+
+PlanOptions
+OptionsOf(const Deployment& aDeployment)
+{
+  PlanOptions options;
+  options.world.oneWay = aDeployment.oneWay;
+  options.world.slots = aDeployment.slots;
+  options.world.connections = aDeployment.connections;
+  options.world.owners = 5;
+  return options;
+}
+
+int64_t
+Percentile(std::vector<int64_t> aValues, size_t aPercent)
+{
+  std::sort(aValues.begin(), aValues.end());
+  return aValues[(aValues.size() - 1) * aPercent / 100];
+}
+
+void
+CheckGaps(const Deployment& aDeployment)
+{
+  std::vector<int64_t> writes;
+  std::vector<int64_t> reads;
+  for (uint32_t seed = 1; seed <= kRuns; ++seed) {
+    Fault kill{ FaultKind::KillPrimary, 500 + seed * 7 % 1000, 0, 0 };
+    PlanResult result = RunPlan({ seed, { kill } }, OptionsOf(aDeployment));
+    cr_assert(result.violations.empty(),
+              "seed %u: %s",
+              seed,
+              result.ToString().c_str());
+    cr_assert_eq(result.promotions, 1u, "seed %u", seed);
+    writes.push_back(result.writeGap.ms);
+    reads.push_back(result.readGap.ms);
+  }
+  printf(
+    "%s_gap_writes_median %ld ms\n", aDeployment.name, Percentile(writes, 50));
+  printf(
+    "%s_gap_writes_p99 %ld ms\n", aDeployment.name, Percentile(writes, 99));
+  printf(
+    "%s_gap_reads_median %ld ms\n", aDeployment.name, Percentile(reads, 50));
+  printf("%s_gap_reads_p99 %ld ms\n", aDeployment.name, Percentile(reads, 99));
+  cr_assert_leq(Percentile(writes, 99), kWriteGapTarget.ms);
+}
+
+size_t
+PromotionsUnder(const std::vector<Fault>& aFaults, const PlanOptions& aOptions)
+{
+  size_t promotions = 0;
+  for (uint32_t seed = 1; seed <= kRuns / 4; ++seed) {
+    PlanResult result = RunPlan({ seed, aFaults }, aOptions);
+    cr_assert(result.violations.empty(),
+              "seed %u: %s",
+              seed,
+              result.ToString().c_str());
+    promotions += result.promotions;
+  }
+  return promotions;
+}
+
+/** Silence of its own connection is enough for it: a mutant. */
+class LonelySuspicion : public SuspicionPolicy
+{
+public:
+  bool IsDown(const GroupConfig&,
+              const GroupView& aView,
+              Time aNow) const override
+  {
+    auto primary = aView.Primary();
+    return primary && aView.IsSilent(*primary, aNow);
+  }
+};
+
+} // namespace
+
+Test(failover, gaps_in_addis_ababa)
+{
+  CheckGaps(kAddisAbaba);
+}
+
+Test(failover, gaps_in_brittany)
+{
+  CheckGaps(kBrittany);
+}
+
+Test(failover, goes_on_while_the_store_is_down)
+{
+  std::vector<Fault> faults{ { FaultKind::StoreDown, 0, 10000, 0 },
+                             { FaultKind::KillPrimary, 800, 0, 0 } };
+  cr_assert_eq(PromotionsUnder(faults, OptionsOf(kAddisAbaba)), kRuns / 4);
+}
+
+Test(failover, a_primary_cut_from_its_replicas_is_replaced)
+{
+  std::vector<Fault> faults{
+    { FaultKind::CutPrimaryFromReplicas, 500, 3000, 0 }
+  };
+  cr_assert_eq(PromotionsUnder(faults, OptionsOf(kBrittany)), kRuns / 4);
+}
+
+Test(failover, no_promotion_for_silent_connections)
+{
+  std::vector<Fault> faults{ { FaultKind::SilenceUpstream, 500, 0, 0 },
+                             { FaultKind::SilenceUpstream, 1500, 0, 0 } };
+  cr_assert_eq(PromotionsUnder(faults, OptionsOf(kAddisAbaba)), 0u);
+}
+
+Test(failover, no_promotion_for_a_frozen_owner)
+{
+  std::vector<Fault> faults{ { FaultKind::FreezeOwner, 500, 300, 0 },
+                             { FaultKind::FreezeOwner, 1500, 1200, 0 } };
+  cr_assert_eq(PromotionsUnder(faults, OptionsOf(kAddisAbaba)), 0u);
+}
+
+Test(failover, no_promotion_for_a_partial_cut)
+{
+  std::vector<Fault> faults{ { FaultKind::CutOwnerFromPrimary, 500, 2000, 0 } };
+  cr_assert_eq(PromotionsUnder(faults, OptionsOf(kAddisAbaba)), 0u);
+
+  PlanOptions mutant = OptionsOf(kAddisAbaba);
+  mutant.world.policies = [](const GroupConfig& aConfig) {
+    Policies policies = MakeDefaultPolicies(aConfig);
+    policies.suspicion = std::make_unique<LonelySuspicion>();
+    return policies;
+  };
+  cr_assert_gt(PromotionsUnder(faults, mutant), 0u);
+}
+
+Test(failover, a_leaving_primary_hands_over)
+{
+  std::vector<Fault> faults{ { FaultKind::ListLeaving, 500, 0, 0 } };
+  cr_assert_eq(PromotionsUnder(faults, OptionsOf(kBrittany)), kRuns / 4);
+}
--- /dev/null
+++ b/test/fakes/history.h
@@ -0,0 +1,89 @@
+#ifndef MARIGOLDPITCH_TEST_FAKES_HISTORY_H
+#define MARIGOLDPITCH_TEST_FAKES_HISTORY_H
+
+#include "world.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+/** Callers in a world, and the check of all that they were told. */
+namespace marigoldpitch::fakes {
+
+struct HistoryOptions
+{
+  size_t sessions = 6;
+  Duration pause = Millis(3);
+  Duration maxAge = Millis(1500);
+  Duration timeout = Seconds(2);
+  bool loseAnswers = false; // now and then a caller never sees its answer
+  int writePercent = 40;
+};
+
+/**
+ * Each session counts in a row of its own. It must always see what it was
+ * told was done, never less than it saw before, and nothing staler than it
+ * asked for; and at the end the rows must agree with the answers.
+ */
+class History
+{
+public:
+  History(World& aWorld, const HistoryOptions& aOptions);
+
+  void Start();
+  void Stop() { this->stopping = true; }
+
+  /** Resolves what is unknown and compares the rows with the answers. */
+  void Settle(Duration aLimit);
+
+  std::vector<std::string> violations;
+  uint64_t writesOk = 0;
+  uint64_t writesNotRun = 0;
+  uint64_t writesUnknown = 0;
+  uint64_t readsOk = 0;
+  uint64_t replicaReads = 0;
+  uint64_t readsRefused = 0;
+  Duration longestWriteGap;
+  Duration longestReadGap;
+
+private:
+  struct Session
+  {
+    std::string name;
+    LogPoint token;
+    int64_t done = 0; // writes that were answered ok
+    int64_t seen = 0; // highest value that was read
+    uint64_t requests = 0;
+    bool unresolved = false;
+    bool isReader = false;
+    bool idle = true;
+    std::string openId;
+    std::vector<std::pair<Time, int64_t>> acknowledged;
+  };
+
+  void Next(size_t aSession);
+  void Write(size_t aSession);
+  void Read(size_t aSession);
+  void Resolve(size_t aSession, int aTry);
+  void WriteAnswered(size_t aSession, const Answer& aAnswer, int aTry);
+  void ReadAnswered(size_t aSession,
+                    size_t aTarget,
+                    Time aAsked,
+                    bool aTolerant,
+                    const Answer& aAnswer);
+  void Again(size_t aSession);
+  void Violated(const std::string& aWhat);
+  size_t AnyEntry();
+  Request MakeRequest(const Session& aSession, Operation aOperation) const;
+
+  World& world;
+  HistoryOptions options;
+  std::vector<Session> sessions;
+  bool stopping = false;
+  Time lastWrite = kLongAgo;
+  Time lastRead = kLongAgo;
+};
+
+} // namespace marigoldpitch::fakes
+
+#endif
--- /dev/null
+++ b/test/fakes/plan.h
@@ -0,0 +1,94 @@
+#ifndef MARIGOLDPITCH_TEST_FAKES_PLAN_H
+#define MARIGOLDPITCH_TEST_FAKES_PLAN_H
+
+#include "history.h"
+#include "marigoldpitch/state/names.h"
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+/** Faults at given moments, and a run of a world under them. */
+namespace marigoldpitch::fakes {
+
+enum class FaultKind
+{
+  KillPrimary,
+  FreezePrimary,
+  CutPrimaryFromReplicas, // it believes that it leads
+  CutPrimaryFromAll,      // only the first owner still reaches it
+  CutOwnerFromPrimary,    // the others still reach it
+  StallReplica,
+  KillOwner,
+  FreezeOwner,
+  CutEntryFromOwner,
+  SilenceUpstream, // open connections go silent, new ones work
+  SilenceLink,
+  StoreDown,
+  ListLeaving,
+};
+
+constexpr NameTable<FaultKind, 13> kFaultKindNames{ {
+  { FaultKind::KillPrimary, "kill-primary" },
+  { FaultKind::FreezePrimary, "freeze-primary" },
+  { FaultKind::CutPrimaryFromReplicas, "cut-primary-from-replicas" },
+  { FaultKind::CutPrimaryFromAll, "cut-primary-from-all" },
+  { FaultKind::CutOwnerFromPrimary, "cut-owner-from-primary" },
+  { FaultKind::StallReplica, "stall-replica" },
+  { FaultKind::KillOwner, "kill-owner" },
+  { FaultKind::FreezeOwner, "freeze-owner" },
+  { FaultKind::CutEntryFromOwner, "cut-entry-from-owner" },
+  { FaultKind::SilenceUpstream, "silence-upstream" },
+  { FaultKind::SilenceLink, "silence-link" },
+  { FaultKind::StoreDown, "store-down" },
+  { FaultKind::ListLeaving, "list-leaving" },
+} };
+
+struct Fault
+{
+  FaultKind kind = FaultKind::KillPrimary;
+  int64_t atMs = 0;
+  int64_t spanMs = 500; // until a fault that heals is over
+  size_t party = 0;     // which owner, entry or replica, where there are many
+};
+
+struct Plan
+{
+  uint32_t seed = 1;
+  std::vector<Fault> faults;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const Plan& aPlan);
+
+struct PlanResult
+{
+  std::vector<std::string> violations;
+  size_t promotions = 0;
+  bool termLedTwice = false;
+  Duration writeGap;
+  Duration readGap;
+  uint64_t writesOk = 0;
+  uint64_t readsOk = 0;
+  uint64_t replicaReads = 0;
+  uint64_t notRun = 0;
+  uint64_t unknown = 0;
+
+  std::string ToString() const;
+};
+
+/** What a run changes besides its faults; tests put mutants in here. */
+struct PlanOptions
+{
+  WorldOptions world;
+  HistoryOptions history;
+  Duration length = Seconds(4);
+  std::function<void(World&)> prepare = [](World&) {};
+};
+
+PlanResult
+RunPlan(const Plan& aPlan, PlanOptions aOptions = {});
+
+} // namespace marigoldpitch::fakes
+
+#endif
--- /dev/null
+++ b/test/fakes/world.h
@@ -0,0 +1,205 @@
+#ifndef MARIGOLDPITCH_TEST_FAKES_WORLD_H
+#define MARIGOLDPITCH_TEST_FAKES_WORLD_H
+
+#include "marigoldpitch/coordination/entry-engine.h"
+#include "marigoldpitch/coordination/group-engine.h"
+#include "standin/database.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+/**
+ * A second front end for the decisions: one group, its upstreams, owners and
+ * entries in one process, on a fake clock. Messages take time, links can be
+ * cut, connections can go silent, and parties can stop or freeze.
+ */
+namespace marigoldpitch::fakes {
+
+struct WorldOptions
+{
+  uint32_t seed = 1;
+  size_t upstreams = 3;
+  size_t owners = 2;
+  size_t entries = 2;
+  uint32_t slots = 2;
+  uint32_t connections = 16;
+  Duration oneWay = Millis(1);       // between availability zones
+  Duration opening = Millis(12);     // of a connection
+  Duration service = Millis(2);      // of one batch
+  Duration longestLag = Millis(100); // replicas lag up to this, unpredictably
+  std::function<Policies(const GroupConfig&)> policies = MakeDefaultPolicies;
+};
+
+class World
+{
+public:
+  explicit World(const WorldOptions& aOptions);
+
+  Time Now() const { return this->now; }
+  void RunUntil(Time aEnd);
+  void RunFor(Duration aSpan) { this->RunUntil(this->now + aSpan); }
+  void After(Duration aSpan, std::function<void()> aCall);
+  uint32_t Random(uint32_t aBelow) { return this->random() % aBelow; }
+
+  // Callers.
+  using Answered = std::function<void(const Answer&)>;
+  void Ask(size_t aEntry, Request aRequest, Answered aDone);
+
+  /** Straight to an owner, without an entry. */
+  void AskOwner(size_t aOwner, Request aRequest, Answered aDone);
+
+  // Faults. Parties are named by index within their kind.
+  void KillUpstream(size_t aUpstream);
+  void RestartUpstream(size_t aUpstream); // empty, as on a host without disks
+  void FreezeUpstream(size_t aUpstream, Duration aSpan);
+  void KillOwner(size_t aOwner);
+  void FreezeOwner(size_t aOwner, Duration aSpan);
+  void CutOwnerUpstream(size_t aOwner, size_t aUpstream, bool aCut);
+  void CutUpstreams(size_t aLeft, size_t aRight, bool aCut);
+  void CutEntryOwner(size_t aEntry, size_t aOwner, bool aCut);
+
+  /** Open connections of the owner go silent; new ones work. */
+  void SilenceConnections(size_t aOwner, size_t aUpstream);
+  void SilenceLink(size_t aEntry, size_t aOwner);
+  void SetStoreDown(bool aDown) { this->storeDown = aDown; }
+  void StallReplica(size_t aUpstream, Duration aLag);
+  void ListLeaving(size_t aUpstream);
+  void SetLeavingItself(size_t aUpstream);
+  void DrainOwner(size_t aOwner);
+
+  // What is to be seen.
+  standin::Database& DatabaseOf(size_t aUpstream)
+  {
+    return *this->upstreams[aUpstream].database;
+  }
+  bool IsUp(size_t aUpstream) const { return this->upstreams[aUpstream].alive; }
+
+  size_t Owners() const { return this->owners.size(); }
+
+  /** Every upstream is up, and every replica holds all of the log. */
+  bool IsWhole() const;
+
+  /** The owner that the entries go to while it is there. */
+  size_t FirstOwner() const;
+
+  /** The primary of the highest term among living upstreams. */
+  std::optional<size_t> TruePrimary() const;
+  GroupEngine& EngineOf(size_t aOwner) { return *this->owners[aOwner].engine; }
+  std::string Value(size_t aUpstream,
+                    const std::string& aTable,
+                    const std::string& aKey);
+
+  size_t promotions = 0;
+  uint32_t mostBusy = 0;        // statements in flight at any upstream
+  uint32_t mostConnections = 0; // open at any upstream, from one owner
+  std::map<size_t, Time> lastWorkStarted; // of each upstream
+  std::set<Term> promotedTerms;
+  bool termLedTwice = false;
+  size_t retries = 0;
+
+  GroupConfig config;
+
+private:
+  struct FakeSession
+  {
+    size_t upstream = 0;
+    uint64_t incarnation = 0;
+    bool silent = false;
+    bool open = false;
+    standin::Transaction transaction;
+  };
+
+  struct Upstream
+  {
+    std::unique_ptr<standin::Database> database;
+    bool alive = true;
+    uint64_t incarnation = 0;
+    Time frozenUntil = kLongAgo;
+    std::optional<size_t> following;
+    Position copied = 0;
+    bool linked = false;
+    Time linkedAt = kLongAgo;
+    std::deque<Time> committedAt; // of each entry of the log
+  };
+
+  struct Owner
+  {
+    std::unique_ptr<GroupEngine> engine;
+    bool alive = true;
+    Time frozenUntil = kLongAgo;
+    uint64_t incarnation = 0;
+    std::map<ConnectionId, std::shared_ptr<FakeSession>> sessions;
+    std::map<size_t, std::shared_ptr<bool>> adminSilent;
+  };
+
+  struct Entry
+  {
+    std::unique_ptr<EntryEngine> engine;
+    std::map<size_t, uint64_t> links; // owner to the link's number
+  };
+
+  struct Event
+  {
+    Time at;
+    uint64_t order;
+    std::function<void()> call;
+    bool operator<(const Event& aOther) const
+    {
+      return aOther.at < this->at ||
+             (aOther.at == this->at && aOther.order < this->order);
+    }
+  };
+
+  Duration Latency();
+  void StepOwner(size_t aOwner, const GroupEvent& aEvent);
+  void StepEntry(size_t aEntry, const EntryEvent& aEvent);
+  void Perform(size_t aOwner, const GroupAction& aAction);
+  void Perform(size_t aEntry, const EntryAction& aAction);
+  void OpenConnectionFor(size_t aOwner, const OpenConnection& aAction);
+  void RunBatchFor(size_t aOwner, const RunBatch& aAction);
+  void CloseConnectionFor(size_t aOwner, ConnectionId aConnection);
+  void Admin(size_t aOwner,
+             size_t aUpstream,
+             const Statement& aStatement,
+             std::function<void(const standin::Outcome*)> aDone);
+  void ForwardTo(size_t aEntry, const ForwardRequest& aAction);
+  void ConnectTo(size_t aEntry, const std::string& aHost);
+  void LinkDown(size_t aEntry, size_t aOwner);
+  void TickOwner(size_t aOwner, uint64_t aIncarnation);
+  void TickEntry(size_t aEntry);
+  void Replicate();
+  void Copy(size_t aReplica);
+  bool Reaches(size_t aOwner, size_t aUpstream) const;
+  void AtUpstream(size_t aUpstream, std::function<void()> aCall);
+  void GoneUpstream(size_t aUpstream);
+  static size_t IndexOf(const std::string& aHost);
+
+  WorldOptions options;
+  std::mt19937 random;
+  Time now{ 0 };
+  uint64_t lastOrder = 0;
+  std::priority_queue<Event> events;
+  std::vector<Upstream> upstreams;
+  std::vector<Owner> owners;
+  std::vector<Entry> entries;
+  std::set<std::pair<size_t, size_t>> ownerCuts;
+  std::set<std::pair<size_t, size_t>> upstreamCuts;
+  std::set<std::pair<size_t, size_t>> entryCuts;
+  bool storeDown = false;
+  Term lastReserved = 0;
+  RequestHandle lastHandle = 0;
+  std::map<RequestHandle, Answered> callers;
+  std::map<RequestHandle, std::function<void(const Answer&)>> ownerAsks;
+  std::map<size_t, uint32_t> busy;
+  uint64_t lastLink = 0;
+};
+
+} // namespace marigoldpitch::fakes
+
+#endif
--- /dev/null
+++ b/test/guarantees-test.cc
@@ -0,0 +1,254 @@
+#include "fakes/generators.h"
+
+#include <criterion/criterion.h>
+
+// What must always hold, as properties over random faults. The callers'
+// history is checked by content; see fakes/history.h.
+
+using namespace marigoldpitch;
+using namespace marigoldpitch::fakes;
+
+namespace {
+
+const std::vector<FaultKind> kAllKinds = [] {
+  std::vector<FaultKind> kinds;
+  for (const auto& row : kFaultKindNames.rows) {
+    kinds.push_back(row.value);
+  }
+  return kinds;
+}();
+
+bool
+HoldsUnder(const Plan& aPlan, const PlanOptions& aOptions = {})
+{
+  PlanResult result = RunPlan(aPlan, aOptions);
+  if (!result.violations.empty() || result.termLedTwice) {
+    RC_LOG() << aPlan << "\n" << result.ToString();
+    return false;
+  }
+  return true;
+}
+
+/** Plans of a mutant in which the check finds at least one violation. */
+size_t
+FoundBy(const std::vector<Fault>& aFaults,
+        const PlanOptions& aOptions,
+        uint32_t aSeeds)
+{
+  size_t found = 0;
+  for (uint32_t seed = 1; seed <= aSeeds; ++seed) {
+    found += RunPlan({ seed, aFaults }, aOptions).violations.empty() ? 0 : 1;
+  }
+  return found;
+}
+
+PlanOptions
+LosingAnswers()
+{
+  PlanOptions options;
+  options.world.owners = 3;
+  options.history.loseAnswers = true;
+  return options;
+}
+
+} // namespace
+
+Test(guarantees, hold_without_faults)
+{
+  cr_assert(rc::check("no fault, no violation, no promotion", [] {
+    Plan plan;
+    plan.seed = *rc::gen::inRange<uint32_t>(1, 100000);
+    PlanResult result = RunPlan(plan);
+    RC_ASSERT(result.violations.empty());
+    RC_ASSERT(result.promotions == 0u);
+    RC_ASSERT(result.notRun == 0u);
+    RC_ASSERT(result.writesOk > 0u);
+  }));
+}
+
+Test(guarantees, read_your_writes)
+{
+  cr_assert(rc::check("read-your-writes and monotonic reads", [] {
+    auto plan = *GenPlan({ FaultKind::KillOwner,
+                           FaultKind::KillPrimary,
+                           FaultKind::StallReplica,
+                           FaultKind::SilenceLink },
+                         1);
+    RC_ASSERT(HoldsUnder(plan, LosingAnswers()));
+  }));
+}
+
+Test(guarantees, replaced_primary)
+{
+  cr_assert(rc::check("a replaced primary acknowledges nothing", [] {
+    auto plan = *GenPlan({ FaultKind::CutPrimaryFromReplicas,
+                           FaultKind::CutPrimaryFromAll,
+                           FaultKind::FreezePrimary,
+                           FaultKind::KillPrimary },
+                         1);
+    RC_ASSERT(HoldsUnder(plan, LosingAnswers()));
+  }));
+}
+
+Test(guarantees, at_most_once)
+{
+  cr_assert(rc::check("nothing runs twice, not run means not run", [] {
+    auto plan = *GenPlan({ FaultKind::KillOwner,
+                           FaultKind::FreezeOwner,
+                           FaultKind::CutEntryFromOwner,
+                           FaultKind::SilenceUpstream,
+                           FaultKind::SilenceLink,
+                           FaultKind::KillPrimary },
+                         1);
+    RC_ASSERT(HoldsUnder(plan, LosingAnswers()));
+  }));
+}
+
+Test(guarantees, two_faults)
+{
+  cr_assert(rc::check("any two faults at any two moments", [] {
+    auto plan = *GenPlan(kAllKinds, 2);
+    RC_ASSERT(HoldsUnder(plan, LosingAnswers()));
+  }));
+}
+
+// The same checks with a mechanism switched off: they must find it.
+
+namespace {
+
+class NoConfirmation : public ConfirmationPolicy
+{
+public:
+  bool Counts(const LogPoint&, const UpstreamStatus&) const override
+  {
+    return true;
+  }
+  size_t Needed(size_t) const override { return 0; }
+};
+
+class ForgetfulRouting : public RoutingPolicy
+{
+public:
+  Route Choose(const GroupConfig& aConfig,
+               const GroupView& aView,
+               const ConnectionTable& aConnections,
+               const ReadNeed& aNeed,
+               Time aNow) const override
+  {
+    ReadNeed need = aNeed;
+    need.seen = {};
+    return this->inner->Choose(aConfig, aView, aConnections, need, aNow);
+  }
+
+  bool Accepts(const GroupView& aView,
+               const ReadNeed& aNeed,
+               const UpstreamStatus& aShown,
+               Time aNow) const override
+  {
+    ReadNeed need = aNeed;
+    need.seen = {};
+    return this->inner->Accepts(aView, need, aShown, aNow);
+  }
+
+private:
+  std::unique_ptr<RoutingPolicy> inner = MakeFreshReplicaRouting();
+};
+
+class AgelessRouting : public RoutingPolicy
+{
+public:
+  Route Choose(const GroupConfig& aConfig,
+               const GroupView& aView,
+               const ConnectionTable& aConnections,
+               const ReadNeed& aNeed,
+               Time aNow) const override
+  {
+    ReadNeed need = aNeed;
+    if (need.maxAge) {
+      need.maxAge = Seconds(3600);
+    }
+    return this->inner->Choose(aConfig, aView, aConnections, need, aNow);
+  }
+
+  bool Accepts(const GroupView& aView,
+               const ReadNeed& aNeed,
+               const UpstreamStatus& aShown,
+               Time aNow) const override
+  {
+    ReadNeed need = aNeed;
+    need.maxAge = Seconds(3600);
+    return this->inner->Accepts(aView, need, aShown, aNow);
+  }
+
+private:
+  std::unique_ptr<RoutingPolicy> inner = MakeFreshReplicaRouting();
+};
+
+template<typename P>
+PlanOptions
+WithRouting()
+{
+  PlanOptions options;
+  options.world.policies = [](const GroupConfig& aConfig) {
+    Policies policies = MakeDefaultPolicies(aConfig);
+    policies.routing = std::make_unique<P>();
+    return policies;
+  };
+  return options;
+}
+
+PlanOptions
+WithoutConfirmation()
+{
+  PlanOptions options;
+  options.world.policies = [](const GroupConfig& aConfig) {
+    Policies policies = MakeDefaultPolicies(aConfig);
+    policies.confirmation = std::make_unique<NoConfirmation>();
+    return policies;
+  };
+  return options;
+}
+
+Fault
+At(FaultKind aKind, int64_t aAtMs, int64_t aSpanMs = 500)
+{
+  return { aKind, aAtMs, aSpanMs, 0 };
+}
+
+} // namespace
+
+Test(mutants, writes_without_confirmation_are_found)
+{
+  std::vector<Fault> faults{ At(FaultKind::CutPrimaryFromReplicas, 500, 2000),
+                             At(FaultKind::KillPrimary, 900) };
+  cr_assert_gt(FoundBy(faults, WithoutConfirmation(), 20), 0u);
+  cr_assert_eq(FoundBy(faults, {}, 20), 0u);
+}
+
+Test(mutants, reads_without_tokens_are_found)
+{
+  cr_assert_gt(FoundBy({}, WithRouting<ForgetfulRouting>(), 20), 0u);
+  cr_assert_eq(FoundBy({}, {}, 20), 0u);
+}
+
+Test(mutants, reads_without_age_are_found)
+{
+  std::vector<Fault> faults{ At(FaultKind::StallReplica, 100, 3500) };
+  cr_assert_gt(FoundBy(faults, WithRouting<AgelessRouting>(), 20), 0u);
+  cr_assert_eq(FoundBy(faults, {}, 20), 0u);
+}
+
+Test(mutants, records_that_are_not_unique_are_found)
+{
+  std::vector<Fault> faults{ At(FaultKind::SilenceUpstream, 300),
+                             At(FaultKind::SilenceLink, 600),
+                             At(FaultKind::FreezeOwner, 1200, 900) };
+  PlanOptions mutant = LosingAnswers();
+  mutant.prepare = [](World& aWorld) {
+    for (size_t i = 0; i < aWorld.config.upstreams.size(); ++i) {
+      aWorld.DatabaseOf(i).knobs.uniqueRecords = false;
+    }
+  };
+  cr_assert_gt(FoundBy(faults, mutant, 20), 0u);
+  cr_assert_eq(FoundBy(faults, LosingAnswers(), 20), 0u);
+}
--- a/test/standin/database.h
+++ b/test/standin/database.h
@@ -68,6 +68,7 @@
   Duration service;    // each batch takes this long
   bool leaving = false;
   size_t connections = 100;
+  bool uniqueRecords = true; // off: what a missing unique key would allow
 };
 
 class Database
