--- a/include/marigoldpitch/coordination/group-io.h
+++ b/include/marigoldpitch/coordination/group-io.h
@@ -191,6 +191,7 @@
 {
   ReplicaRead,
   PrimaryRead,
+  FallbackRead, // of the primary, though age was accepted
   Retry,
   Failover,
 };
--- a/include/marigoldpitch/coordination/spread.h
+++ b/include/marigoldpitch/coordination/spread.h
@@ -111,7 +111,7 @@
   std::string peer; // this daemon: `host/owner` or `host/entry`
   std::string host;
   std::string zone;
-  bool mayWatch = true; // entries learn from their neighbours alone
+  bool mayWatch = true; // entries leave it to owners once they know hosts
 };
 
 /**
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -37,7 +37,6 @@
   FailoverFailed,
   TermsReserved,
   UpstreamLeaving,
-  ConnectionOpened,
   ConnectionLost,
   TransactionExpired,
   OwnerPaused,
@@ -52,7 +51,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 25> kLogEvents{ {
+constexpr std::array<LogEventRow, 24> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -79,7 +78,6 @@
   { LogEvent::FailoverFailed, 404, Severity::Error, "failover-failed" },
   { LogEvent::TermsReserved, 405, Severity::Info, "terms-reserved" },
   { LogEvent::UpstreamLeaving, 406, Severity::Info, "upstream-leaving" },
-  { LogEvent::ConnectionOpened, 500, Severity::Info, "connection-opened" },
   { LogEvent::ConnectionLost, 501, Severity::Warning, "connection-lost" },
   { LogEvent::TransactionExpired,
     502,
--- a/include/marigoldpitch/state/metrics.h
+++ b/include/marigoldpitch/state/metrics.h
@@ -18,6 +18,7 @@
 {
   ReplicaReads,
   PrimaryReads,
+  FallbackReads, // of the primary, where age was accepted
   Failovers,
   ConnectionsOpened,
   ConnectionsLost,
@@ -26,9 +27,10 @@
   FramesRefused,
 };
 
-constexpr NameTable<Counter, 8> kCounterNames{ {
+constexpr NameTable<Counter, 9> kCounterNames{ {
   { Counter::ReplicaReads, "replica_reads_total" },
   { Counter::PrimaryReads, "primary_reads_total" },
+  { Counter::FallbackReads, "fallback_reads_total" },
   { Counter::Failovers, "failovers_total" },
   { Counter::ConnectionsOpened, "connections_opened_total" },
   { Counter::ConnectionsLost, "connections_lost_total" },
--- /dev/null
+++ b/include/marigoldpitch/transport/blocking-http.h
@@ -0,0 +1,54 @@
+#ifndef MARIGOLDPITCH_TRANSPORT_BLOCKING_HTTP_H
+#define MARIGOLDPITCH_TRANSPORT_BLOCKING_HTTP_H
+
+#include "marigoldpitch.pb.h"
+#include "marigoldpitch/protocol/rpc.h"
+#include "marigoldpitch/protocol/store-messages.h"
+#include "marigoldpitch/transport/http-client.h"
+#include "marigoldpitch/transport/loop.h"
+
+#include <string>
+
+/** Calls that wait for their answer, for the operators' tools alone. */
+namespace marigoldpitch {
+
+/** `127.0.0.1:80` */
+Result<Endpoint>
+ParseEndpoint(const std::string& aText);
+
+class BlockingHttp
+{
+public:
+  explicit BlockingHttp(Loop& aLoop)
+    : loop(aLoop)
+  {
+  }
+
+  /** Runs the loop until the answer or its timeout is there. */
+  Result<HttpReply> Post(const Endpoint& aEndpoint,
+                         const std::string& aPath,
+                         const std::string& aContentType,
+                         const std::string& aBody);
+  Result<HttpReply> Get(const Endpoint& aEndpoint, const std::string& aPath);
+
+  /** An operator's call; fails unless the status is 200. */
+  Result<void> Call(const Endpoint& aEndpoint,
+                    RpcMethod aMethod,
+                    const google::protobuf::Message& aRequest,
+                    google::protobuf::Message& aResponse);
+
+  /** A call to the store; `Conflict` carries the value that stands. */
+  Result<StoreValue> Store(const Endpoint& aEndpoint,
+                           StoreCall aCall,
+                           const std::string& aBody);
+
+  /** Sleeps in the loop. */
+  void Wait(Duration aSpan);
+
+private:
+  Loop& loop;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- a/include/marigoldpitch/transport/clock.h
+++ b/include/marigoldpitch/transport/clock.h
@@ -14,6 +14,10 @@
 int64_t
 ReadClockMicros();
 
+/** The wall clock, for reports alone; it may jump. */
+Time
+ReadWallClock();
+
 /** Processor time that this process has used, in microseconds. */
 int64_t
 ReadProcessMicros();
--- a/src/coordination/group-reads.cc
+++ b/src/coordination/group-reads.cc
@@ -78,7 +78,8 @@
     }
     answer.source = Source::Primary;
     answer.age = Duration{};
-    this->Emit(Observe{ Observation::PrimaryRead, {} });
+    this->Emit(Observe{
+      need.maxAge ? Observation::FallbackRead : Observation::PrimaryRead, {} });
     this->Hold(aWork, std::move(answer), *status);
     return;
   }
--- a/src/coordination/spread.cc
+++ b/src/coordination/spread.cc
@@ -72,7 +72,7 @@
   bool isNamed =
     std::find(watchers.begin(), watchers.end(), this->options.host) !=
     watchers.end();
-  this->watches = aHosts.hosts.empty() || isNamed;
+  this->watches = aHosts.hosts.empty() || (isNamed && this->options.mayWatch);
 }
 
 const Document&
@@ -172,7 +172,7 @@
 Spread::Watch(DocumentKind aKind)
 {
   StoreState& state = this->store[detail::IndexOf(aKind)];
-  if (state.waiting || state.notBefore > this->now || !this->options.mayWatch) {
+  if (state.waiting || state.notBefore > this->now) {
     return;
   }
   state.waiting = true;
--- a/src/load.cc
+++ b/src/load.cc
@@ -1,6 +1,6 @@
 #include "marigoldpitch.pb.h"
 #include "marigoldpitch/protocol/rpc.h"
-#include "marigoldpitch/protocol/settings.h"
+#include "marigoldpitch/transport/blocking-http.h"
 #include "marigoldpitch/transport/clock.h"
 #include "marigoldpitch/transport/command-line.h"
 #include "marigoldpitch/transport/http-client.h"
@@ -691,14 +691,12 @@
   while (start <= aText.size()) {
     size_t comma = std::min(aText.find(',', start), aText.size());
     std::string part = aText.substr(start, comma - start);
-    size_t colon = part.rfind(':');
-    int port =
-      colon == std::string::npos ? 0 : std::atoi(part.c_str() + colon + 1);
-    Endpoint endpoint{ part.substr(0, colon), static_cast<uint16_t>(port) };
-    if (!IsIpNumber(endpoint.address) || port < 1 || port > 65535) {
-      findings.Add("--entries", "'" + part + "' is not IP:PORT");
+    auto endpoint = ParseEndpoint(part);
+    if (endpoint) {
+      entries.push_back(endpoint.value());
+    } else {
+      findings.Add("--entries", endpoint.error().message);
     }
-    entries.push_back(endpoint);
     start = comma + 1;
   }
   if (!findings.Empty()) {
--- a/src/report.cc
+++ b/src/report.cc
@@ -1,5 +1,173 @@
+#include "marigoldpitch/protocol/burn-report.h"
+#include "marigoldpitch/protocol/documents.h"
+#include "marigoldpitch/transport/blocking-http.h"
+#include "marigoldpitch/transport/clock.h"
+#include "marigoldpitch/transport/command-line.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <sstream>
+
+// marigoldpitch-report: service-level burn from all hosts' metrics.
+
+namespace marigoldpitch {
+
+namespace detail {
+
+class BurnRun
+{
+public:
+  BurnRun(Loop& aLoop, const CommandLine& aLine, const Endpoint& aStore)
+    : http(aLoop)
+    , line(aLine)
+    , store(aStore)
+  {
+  }
+
+  ExitCode Run()
+  {
+    auto ready = this->Prepare();
+    if (!ready) {
+      fmt::print(stderr, "{}\n", ready.error().ToString());
+      return ExitCode::Failed;
+    }
+    int64_t count = std::atoll(this->line.Get("samples", "2").c_str());
+    Duration every =
+      Millis(std::atoll(this->line.Get("every-ms", "1000").c_str()));
+    for (int64_t i = 0; i < count; ++i) {
+      if (i != 0) {
+        this->http.Wait(every);
+      }
+      this->Collect();
+    }
+    return this->Print();
+  }
+
+private:
+  Result<StoreValue> Get(const std::string& aKey)
+  {
+    return this->http.Store(this->store, StoreCall::Get, EncodeStoreGet(aKey));
+  }
+
+  Result<void> Prepare()
+  {
+    std::string key = ConfigurationKey(this->line.Get("group-set", "default"));
+    BOOST_OUTCOME_TRY(auto document, this->Get(key));
+    BOOST_OUTCOME_TRY(
+      auto config, ParseConfiguration(document.text, document.revision, key));
+    this->objectives = config.objectives;
+    BOOST_OUTCOME_TRY(auto list, this->Get(kHostsKey));
+    BOOST_OUTCOME_TRY(auto parsed, ParseHostList(list.text, list.revision));
+    this->hosts = std::move(parsed);
+    return this->ReadHistory();
+  }
+
+  Result<void> ReadHistory()
+  {
+    std::ifstream file(this->line.Get("history"));
+    std::string text;
+    while (std::getline(file, text)) {
+      BOOST_OUTCOME_TRY(auto sample, DecodeBurnSample(text));
+      this->samples.push_back(sample);
+    }
+    return boost::outcome_v2::success();
+  }
+
+  void Collect()
+  {
+    std::vector<std::string> texts;
+    for (const HostEntry& host : this->hosts.hosts) {
+      for (const Endpoint& endpoint : { host.ownerOps, host.entryOps }) {
+        auto reply = this->http.Get(endpoint, "/metrics");
+        if (reply) {
+          texts.push_back(reply.value().body);
+        } else {
+          ++this->silent;
+        }
+      }
+    }
+    this->samples.push_back(
+      MakeBurnSample(ReadWallClock(), texts, this->objectives));
+    std::string path = this->line.Get("history");
+    if (!path.empty()) {
+      std::ofstream file(path, std::ios::app);
+      file << EncodeBurnSample(this->samples.back()) << '\n';
+    }
+  }
+
+  ExitCode Print()
+  {
+    std::vector<Duration> windows;
+    std::istringstream list(this->line.Get("windows", "300,3600,21600"));
+    std::string word;
+    while (std::getline(list, word, ',')) {
+      windows.push_back(Seconds(std::atoll(word.c_str())));
+    }
+    auto rows = ComputeBurn(this->samples, windows, this->objectives);
+    fmt::print("{}", FormatBurnText(rows, this->objectives));
+    std::string path = this->line.Get("html");
+    if (!path.empty()) {
+      std::ofstream file(path);
+      file << FormatBurnHtml(rows, this->samples, this->objectives);
+      if (!file) {
+        fmt::print(stderr, "{}: cannot be written\n", path);
+        return ExitCode::Failed;
+      }
+    }
+    if (this->silent != 0) {
+      fmt::print(stderr, "{} daemons did not answer\n", this->silent);
+      return ExitCode::Incomplete;
+    }
+    return ExitCode::Ok;
+  }
+
+  BlockingHttp http;
+  const CommandLine& line;
+  Endpoint store;
+  Objectives objectives;
+  HostList hosts;
+  std::vector<BurnSample> samples;
+  size_t silent = 0;
+};
+
+} // namespace detail
+
+} // namespace marigoldpitch
+
 int
-main()
+main(int aCount, char** aArguments)
 {
-  return 0;
+  using namespace marigoldpitch;
+  auto fail = [](const Error& aError, ExitCode aCode) {
+    fmt::print(stderr, "{}\n", aError.ToString());
+    return static_cast<int>(aCode);
+  };
+  auto line = ParseCommandLine(
+    aCount,
+    const_cast<const char**>(aArguments),
+    "--store IP:PORT",
+    { { "store", "IP:PORT", "the platform's key-value service" },
+      { "group-set", "NAME", "which configuration; default: default" },
+      { "samples", "N", "samples to take now; default: 2" },
+      { "every-ms", "N", "between two samples; default: 1000" },
+      { "windows", "LIST", "seconds, by commas; default: 300,3600,21600" },
+      { "history", "FILE", "read earlier samples, append the new ones" },
+      { "html", "FILE", "write the page here" } });
+  if (!line) {
+    return fail(line.error(), ExitCode::Usage);
+  }
+  if (line.value().isDone) {
+    return static_cast<int>(ExitCode::Ok);
+  }
+  auto store = ParseEndpoint(line.value().Get("store"));
+  if (!store) {
+    return fail(store.error(), ExitCode::Usage);
+  }
+  auto loop = Loop::Create();
+  if (!loop) {
+    return fail(loop.error(), ExitCode::Failed);
+  }
+  detail::BurnRun run(*loop.value(), line.value(), store.value());
+  return static_cast<int>(run.Run());
 }
--- /dev/null
+++ b/src/transport/blocking-http.cc
@@ -0,0 +1,113 @@
+#include "marigoldpitch/transport/blocking-http.h"
+
+#include "marigoldpitch/protocol/settings.h"
+
+#include <optional>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+constexpr Duration kToolTimeout = Seconds(2);
+constexpr int kStatusOk = 200;
+constexpr int kStatusConflict = 409;
+constexpr int kHighestPort = 65535;
+
+} // namespace detail
+
+Result<Endpoint>
+ParseEndpoint(const std::string& aText)
+{
+  size_t colon = aText.rfind(':');
+  int port =
+    colon == std::string::npos ? 0 : std::atoi(aText.c_str() + colon + 1);
+  Endpoint endpoint{ aText.substr(0, colon), static_cast<uint16_t>(port) };
+  bool isGood =
+    IsIpNumber(endpoint.address) && port >= 1 && port <= detail::kHighestPort;
+  if (!isGood) {
+    return Error{ ErrorCode::BadSettings,
+                  "command line",
+                  "'" + aText + "' is not IP:PORT" };
+  }
+  return endpoint;
+}
+
+Result<HttpReply>
+BlockingHttp::Post(const Endpoint& aEndpoint,
+                   const std::string& aPath,
+                   const std::string& aContentType,
+                   const std::string& aBody)
+{
+  BOOST_OUTCOME_TRY(auto client, HttpClient::Create(this->loop, aEndpoint));
+  std::optional<Result<HttpReply>> reply;
+  auto done = [&](const Result<HttpReply>& aReply) {
+    reply = aReply;
+    this->loop.Stop();
+  };
+  client->Post(aPath, aContentType, aBody, detail::kToolTimeout, done);
+  this->loop.Run();
+  return *reply;
+}
+
+Result<HttpReply>
+BlockingHttp::Get(const Endpoint& aEndpoint, const std::string& aPath)
+{
+  BOOST_OUTCOME_TRY(auto client, HttpClient::Create(this->loop, aEndpoint));
+  std::optional<Result<HttpReply>> reply;
+  auto done = [&](const Result<HttpReply>& aReply) {
+    reply = aReply;
+    this->loop.Stop();
+  };
+  client->Get(aPath, detail::kToolTimeout, done);
+  this->loop.Run();
+  return *reply;
+}
+
+Result<void>
+BlockingHttp::Call(const Endpoint& aEndpoint,
+                   RpcMethod aMethod,
+                   const google::protobuf::Message& aRequest,
+                   google::protobuf::Message& aResponse)
+{
+  BOOST_OUTCOME_TRY(auto reply,
+                    this->Post(aEndpoint,
+                               kRpcMethodNames.TextOf(aMethod),
+                               kBodyFormatNames.TextOf(BodyFormat::Proto),
+                               aRequest.SerializeAsString()));
+  if (reply.status != detail::kStatusOk) {
+    return Error{ ErrorCode::Refused,
+                  aEndpoint.address + ":" + std::to_string(aEndpoint.port),
+                  "status " + std::to_string(reply.status) };
+  }
+  return DecodeBody(BodyFormat::Proto, reply.body, aResponse);
+}
+
+Result<StoreValue>
+BlockingHttp::Store(const Endpoint& aEndpoint,
+                    StoreCall aCall,
+                    const std::string& aBody)
+{
+  BOOST_OUTCOME_TRY(auto reply,
+                    this->Post(aEndpoint,
+                               kStoreCallPaths.TextOf(aCall),
+                               kBodyFormatNames.TextOf(BodyFormat::Json),
+                               aBody));
+  if (reply.status == detail::kStatusConflict) {
+    return Error{ ErrorCode::Conflict, "store", reply.body };
+  }
+  if (reply.status != detail::kStatusOk) {
+    return Error{ ErrorCode::Unavailable,
+                  "store",
+                  "status " + std::to_string(reply.status) };
+  }
+  return DecodeStoreValue(reply.body);
+}
+
+void
+BlockingHttp::Wait(Duration aSpan)
+{
+  this->loop.After(aSpan, [this] { this->loop.Stop(); });
+  this->loop.Run();
+}
+
+} // namespace marigoldpitch
--- a/src/transport/clock.cc
+++ b/src/transport/clock.cc
@@ -32,6 +32,12 @@
   return detail::ReadMicros(CLOCK_MONOTONIC);
 }
 
+Time
+ReadWallClock()
+{
+  return { detail::ReadMicros(CLOCK_REALTIME) / detail::kMicrosPerMilli };
+}
+
 int64_t
 ReadProcessMicros()
 {
--- a/src/transport/daemon-core.cc
+++ b/src/transport/daemon-core.cc
@@ -25,7 +25,7 @@
   options.host = aSettings.host;
   options.zone = aSettings.zone;
   options.peer = aSettings.host + "/" + kDaemonRoleNames.TextOf(aRole);
-  options.mayWatch = true;
+  options.mayWatch = aRole == DaemonRole::Owner;
   return options;
 }
 
--- a/src/transport/owner-daemon.cc
+++ b/src/transport/owner-daemon.cc
@@ -103,6 +103,9 @@
     case Observation::PrimaryRead:
       metrics.Count(Counter::PrimaryReads);
       return;
+    case Observation::FallbackRead:
+      metrics.Count(Counter::FallbackReads);
+      return;
     case Observation::Retry:
       metrics.Count(Counter::Retries);
       return;
--- /dev/null
+++ b/test/codec-test.cc
@@ -0,0 +1,346 @@
+#include "marigoldpitch/protocol/burn-report.h"
+#include "marigoldpitch/protocol/documents.h"
+#include "marigoldpitch/protocol/frame-splitter.h"
+#include "marigoldpitch/protocol/metrics-text.h"
+#include "marigoldpitch/protocol/rpc.h"
+#include "marigoldpitch/protocol/settings.h"
+#include "marigoldpitch/protocol/store-messages.h"
+#include "marigoldpitch/protocol/upstream-sql.h"
+#include "marigoldpitch/protocol/wire.h"
+#include "marigoldpitch/transport/command-line.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+// Every decoder takes any bytes: it answers with a value or with an error that
+// names its place.
+
+using namespace marigoldpitch;
+
+namespace {
+
+rc::Gen<std::optional<std::string>>
+GenCell()
+{
+  return rc::gen::map(rc::gen::arbitrary<std::pair<bool, std::string>>(),
+                      [](const std::pair<bool, std::string>& aPair) {
+                        return aPair.first
+                                 ? std::optional<std::string>(aPair.second)
+                                 : std::nullopt;
+                      });
+}
+
+Rows
+AnyRows()
+{
+  Rows rows;
+  rows.columns = *rc::gen::arbitrary<std::vector<std::string>>();
+  rows.affected = *rc::gen::arbitrary<uint64_t>();
+  auto cells = rc::gen::container<std::vector<std::optional<std::string>>>(
+    rows.columns.size(), GenCell());
+  size_t count = *rc::gen::inRange<size_t>(0, 4);
+  for (size_t i = 0; i < count; ++i) {
+    rows.rows.push_back(*cells);
+  }
+  return rows;
+}
+
+template<typename T>
+bool
+NamesItsPlace(const Result<T>& aResult)
+{
+  return aResult.has_value() || !aResult.error().place.empty();
+}
+
+std::string
+ValidFrame()
+{
+  RequestFrame frame;
+  frame.request.statement = { "SELECT 1", { std::string("x"), std::nullopt } };
+  return EncodeFrame(frame);
+}
+
+} // namespace
+
+Test(codec, random_bytes)
+{
+  cr_assert(rc::check("no decoder falls over random bytes", [] {
+    auto bytes = *rc::gen::arbitrary<std::string>();
+    RC_ASSERT(NamesItsPlace(DecodeFrame(bytes)));
+    RC_ASSERT(NamesItsPlace(ParseToken(bytes)));
+    RC_ASSERT(NamesItsPlace(ParseSettings(bytes, DaemonRole::Entry, "x")));
+    RC_ASSERT(NamesItsPlace(ParseConfiguration(bytes, 1, "x")));
+    RC_ASSERT(NamesItsPlace(ParseHostList(bytes, 1)));
+    RC_ASSERT(NamesItsPlace(ParseTermRecord(bytes)));
+    RC_ASSERT(NamesItsPlace(DecodeStoreValue(bytes)));
+    RC_ASSERT(NamesItsPlace(DecodeRecord(bytes)));
+    RC_ASSERT(NamesItsPlace(DecodeBurnSample(bytes)));
+    ParseMetrics(bytes);
+    for (const auto& method : kRpcMethodNames.rows) {
+      for (const auto& format : kBodyFormatNames.rows) {
+        RC_ASSERT(
+          NamesItsPlace(DecodeRequest(method.value, format.value, bytes)));
+      }
+    }
+  }));
+}
+
+Test(codec, damaged_frames)
+{
+  cr_assert(rc::check("a damaged frame is refused or read, never more", [] {
+    std::string bytes = ValidFrame();
+    size_t count = *rc::gen::inRange<size_t>(1, 6);
+    for (size_t i = 0; i < count; ++i) {
+      auto at = *rc::gen::inRange<size_t>(0, bytes.size());
+      bytes[at] = *rc::gen::arbitrary<char>();
+    }
+    bytes.resize(*rc::gen::inRange<size_t>(0, bytes.size() + 1));
+    RC_ASSERT(NamesItsPlace(DecodeFrame(bytes)));
+  }));
+}
+
+Test(codec, damaged_documents)
+{
+  auto text = ReadFile("examples/buna-gebeya.json").value();
+  cr_assert(rc::check("a damaged document is refused or read", [&] {
+    std::string damaged = text;
+    auto at = *rc::gen::inRange<size_t>(0, damaged.size());
+    damaged[at] = *rc::gen::arbitrary<char>();
+    RC_ASSERT(NamesItsPlace(ParseConfiguration(damaged, 1, "x")));
+  }));
+}
+
+Test(codec, answers_come_back_whole)
+{
+  cr_assert(rc::check("an answer survives its frame", [] {
+    AnswerFrame sent;
+    sent.number = *rc::gen::arbitrary<uint64_t>();
+    sent.answer.rows = AnyRows();
+    sent.answer.message = *rc::gen::arbitrary<std::string>();
+    sent.answer.token = { *rc::gen::arbitrary<uint64_t>(),
+                          *rc::gen::arbitrary<uint64_t>() };
+    sent.answer.outcome = *rc::gen::element(
+      Outcome::Ok, Outcome::NotRun, Outcome::Unknown, Outcome::Stale);
+    auto frame = DecodeFrame(EncodeFrame(sent));
+    const auto& got = std::get<AnswerFrame>(frame.value());
+    RC_ASSERT(got.number == sent.number);
+    RC_ASSERT(got.answer.rows == sent.answer.rows);
+    RC_ASSERT(got.answer.message == sent.answer.message);
+    RC_ASSERT(got.answer.token == sent.answer.token);
+    RC_ASSERT(got.answer.outcome == sent.answer.outcome);
+  }));
+}
+
+Test(codec, requests_come_back_whole)
+{
+  cr_assert(rc::check("a request survives its frame", [] {
+    RequestFrame sent;
+    sent.number = *rc::gen::arbitrary<uint64_t>();
+    sent.request.statement.sql = *rc::gen::arbitrary<std::string>();
+    sent.request.statement.parameters =
+      *rc::gen::container<std::vector<std::optional<std::string>>>(GenCell());
+    sent.request.requestId = *rc::gen::arbitrary<std::string>();
+    sent.request.firstAttempt = *rc::gen::arbitrary<bool>();
+    sent.request.unresolved = *rc::gen::arbitrary<bool>();
+    sent.request.timeout = Millis(*rc::gen::inRange<int64_t>(1, 100000));
+    if (*rc::gen::arbitrary<bool>()) {
+      sent.request.maxAge = Millis(*rc::gen::inRange<int64_t>(0, 100000));
+    }
+    auto frame = DecodeFrame(EncodeFrame(sent));
+    const Request& got = std::get<RequestFrame>(frame.value()).request;
+    RC_ASSERT(got.statement.sql == sent.request.statement.sql);
+    RC_ASSERT(got.statement.parameters == sent.request.statement.parameters);
+    RC_ASSERT(got.requestId == sent.request.requestId);
+    RC_ASSERT(got.firstAttempt == sent.request.firstAttempt);
+    RC_ASSERT(got.unresolved == sent.request.unresolved);
+    RC_ASSERT(got.maxAge == sent.request.maxAge);
+    RC_ASSERT(got.timeout == sent.request.timeout);
+  }));
+}
+
+Test(codec, frames_are_cut_at_any_place)
+{
+  cr_assert(rc::check("a stream gives the frames that went in", [] {
+    auto frames = *rc::gen::container<std::vector<std::string>>(
+      rc::gen::container<std::string>(rc::gen::arbitrary<char>()));
+    std::string stream;
+    for (const std::string& frame : frames) {
+      stream += WithPrefix(frame);
+    }
+    FrameSplitter splitter(kMebibyte);
+    std::vector<std::string> got;
+    while (!stream.empty()) {
+      auto size = *rc::gen::inRange<size_t>(1, stream.size() + 1);
+      splitter.Append(stream.substr(0, size));
+      stream.erase(0, size);
+      while (auto frame = splitter.Next().value()) {
+        got.push_back(*frame);
+      }
+    }
+    RC_ASSERT(got == frames);
+  }));
+}
+
+Test(codec, a_frame_over_the_limit_is_refused)
+{
+  FrameSplitter splitter(100);
+  splitter.Append(WithPrefix(std::string(101, 'x')));
+  auto frame = splitter.Next();
+  cr_assert(!frame.has_value());
+  cr_assert(frame.error().code == ErrorCode::TooLarge);
+}
+
+Test(codec, records_come_back_whole)
+{
+  cr_assert(rc::check("a record survives its text", [] {
+    Rows rows;
+    rows.columns = { "a" };
+    auto text =
+      *rc::gen::container<std::string>(rc::gen::inRange<char>(1, 127));
+    rows.rows = { { text }, { std::nullopt } };
+    rows.affected = *rc::gen::arbitrary<uint64_t>();
+    auto record = DecodeRecord(EncodeRecord({ true, rows }));
+    RC_ASSERT(record.value().ran);
+    RC_ASSERT(record.value().result == rows);
+  }));
+}
+
+Test(codec, tokens)
+{
+  cr_assert(ParseToken("").value().IsNothing());
+  cr_assert(ParseToken("3:120").value() == (LogPoint{ 3, 120 }));
+  cr_assert(ParseToken(FormatToken({ 7, 9 })).value() == (LogPoint{ 7, 9 }));
+  for (const char* bad : { "3", ":", "3:", "x:1", "3:1x", "-1:2", " 3:1" }) {
+    cr_assert(!ParseToken(bad).has_value(), "%s", bad);
+  }
+}
+
+Test(codec, a_body_lists_what_is_missing)
+{
+  auto request = DecodeRequest(RpcMethod::Read,
+                               BodyFormat::Json,
+                               R"({"context":{"token":"x"},"sql":"SELECT 1"})");
+  cr_assert(!request.has_value());
+  std::string message = request.error().message;
+  for (const char* place :
+       { "context.group", "context.session", "context.token" }) {
+    cr_assert(message.find(place) != std::string::npos, "%s", place);
+  }
+}
+
+Test(codec, each_outcome_has_its_status)
+{
+  for (const auto& row : kOutcomeNames.rows) {
+    cr_assert(RowOf(row.value).outcome == row.value);
+    Answer answer = MakeAnswer(row.value, "why");
+    RpcReply reply = EncodeAnswer(BodyFormat::Json, answer, "id");
+    cr_assert_eq(reply.status, RowOf(row.value).httpStatus);
+    auto body = nlohmann::json::parse(reply.body);
+    cr_assert_eq(body["outcome"].get<std::string>(), std::string(row.name));
+  }
+}
+
+Test(codec, settings_report_all_findings_at_once)
+{
+  auto settings = ParseSettings(
+    R"({"host":"H 1","zone":"z","peers":{"address":"1.2.3.4","port":0},
+        "operators":{"address":"here","port":1},"extra":1})",
+    DaemonRole::Entry,
+    "entry.json");
+  cr_assert(!settings.has_value());
+  std::string message = settings.error().message;
+  for (const char* place : { "/host", "/peers/port", "store", "extra" }) {
+    cr_assert(message.find(place) != std::string::npos, "%s", message.c_str());
+  }
+  auto second = ParseSettings(
+    R"({"host":"h","zone":"z","peers":{"address":"nowhere","port":1},
+        "operators":{"address":"here","port":1},
+        "store":{"address":"there","port":1}})",
+    DaemonRole::Entry,
+    "entry.json");
+  cr_assert(!second.has_value());
+  message = second.error().message;
+  for (const char* place : { "/peers/address",
+                             "/operators/address",
+                             "/store/address",
+                             "/callers" }) {
+    cr_assert(message.find(place) != std::string::npos, "%s", message.c_str());
+  }
+}
+
+Test(codec, configurations_report_all_findings_at_once)
+{
+  auto config = ParseConfiguration(
+    R"({"groups":[
+      {"name":"a","database":"a","user":"a","slots":4,"connections":4,
+       "upstreams":[{"name":"u","zone":"z","address":"db.example","port":1},
+                    {"name":"u","zone":"z","address":"1.1.1.1","port":1}]},
+      {"name":"a","database":"a","user":"a",
+       "upstreams":[{"name":"u","zone":"z","address":"1.1.1.1","port":1}]}]})",
+    1,
+    "file");
+  cr_assert(!config.has_value());
+  std::string message = config.error().message;
+  for (const char* place : { "/groups/0/connections",
+                             "/groups/0/upstreams/0/address",
+                             "/groups/0/upstreams/1/name",
+                             "/groups/1/name" }) {
+    cr_assert(message.find(place) != std::string::npos, "%s", message.c_str());
+  }
+}
+
+Test(codec, the_examples_are_valid)
+{
+  for (const char* name : { "buna-gebeya", "neons-armorique" }) {
+    std::string path = std::string("examples/") + name + ".json";
+    auto config = ParseConfiguration(ReadFile(path).value(), 1, path);
+    cr_assert(config.has_value(), "%s", name);
+    cr_assert_eq(config.value().groups.size(), 3u);
+    cr_assert_eq(config.value().groups[0].upstreams.size(), 3u);
+  }
+  cr_assert(ParseSettings(ReadFile("examples/entry-settings.json").value(),
+                          DaemonRole::Entry,
+                          "x")
+              .has_value());
+  cr_assert(ParseSettings(ReadFile("examples/owner-settings.json").value(),
+                          DaemonRole::Owner,
+                          "x")
+              .has_value());
+}
+
+Test(codec, metrics_add_up_over_daemons)
+{
+  Metrics metrics;
+  metrics.CountOutcome(Outcome::Ok);
+  metrics.Add(Measure::Latency, Millis(0));
+  metrics.Add(Measure::Latency, Millis(20));
+  metrics.Add(Measure::Latency, Seconds(3600));
+  std::string text = FormatMetrics(metrics, "peer=\"a/entry\"") +
+                     FormatMetrics(metrics, "peer=\"b/entry\"");
+  auto samples = ParseMetrics(text);
+  cr_assert_eq(samples["marigoldpitch_requests_total{outcome=\"ok\"}"], 2);
+  cr_assert_eq(samples["marigoldpitch_request_latency_ms_count{}"], 6);
+  std::string infinity = "marigoldpitch_request_latency_ms_bucket{le=\"+Inf\"}";
+  std::string first = "marigoldpitch_request_latency_ms_bucket{le=\"2\"}";
+  cr_assert_eq(samples[infinity], 6);
+  cr_assert_eq(samples[first], 2);
+}
+
+Test(codec, burn_over_windows)
+{
+  std::vector<BurnSample> samples(3);
+  samples[0].at = { 0 };
+  samples[1].at = { 60000 };
+  samples[1].answered = samples[1].good = 1000;
+  samples[2].at = { 120000 };
+  samples[2].answered = 2000;
+  samples[2].good = 1990;
+  Objectives objectives;
+  objectives.availability = 0.999;
+  auto rows = ComputeBurn(samples, { Seconds(60), Seconds(120) }, objectives);
+  cr_assert_float_eq(rows[0].burnRate, 10, 1e-6);
+  cr_assert_float_eq(rows[1].burnRate, 5, 1e-6);
+  auto back = DecodeBurnSample(EncodeBurnSample(samples[2]));
+  cr_assert_eq(back.value().good, 1990);
+}
--- /dev/null
+++ b/test/spread-test.cc
@@ -0,0 +1,391 @@
+#include "marigoldpitch/coordination/spread.h"
+#include "marigoldpitch/coordination/term-reserver.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <memory>
+#include <queue>
+#include <set>
+#include <utility>
+
+// Spreading the configuration, and reserving terms, over a store that is down,
+// slow, or loses an answer after its effect.
+
+using namespace marigoldpitch;
+
+namespace {
+
+constexpr Duration kSpreadTarget = Seconds(4);
+constexpr Duration kTick = Millis(200);
+
+/** Daemons on a fake clock, with one store. */
+class Fleet
+{
+public:
+  Fleet(size_t aHosts, size_t aZones)
+  {
+    this->hosts.revision = 1;
+    for (size_t i = 0; i < aHosts; ++i) {
+      HostEntry host;
+      host.name = "host-" + std::to_string(i);
+      host.zone = "zone-" + std::to_string(i % aZones);
+      this->hosts.hosts.push_back(host);
+    }
+    for (const HostEntry& host : this->hosts.hosts) {
+      for (const char* role : { "/owner", "/entry" }) {
+        this->Add(host.name + role, host);
+      }
+    }
+    for (auto& [name, daemon] : this->daemons) {
+      this->Start(name);
+    }
+  }
+
+  struct Daemon
+  {
+    std::unique_ptr<Spread> spread;
+    SpreadOptions options;
+    Time frozenUntil = kLongAgo;
+    bool cutFromStore = false;
+    uint64_t highest = 0;
+    uint64_t inForce = 0;
+    bool reverted = false;
+    uint64_t incarnation = 0;
+  };
+
+  void RunFor(Duration aSpan)
+  {
+    Time end = this->now + aSpan;
+    while (!this->events.empty() && this->events.top().at <= end) {
+      Event event = this->events.top();
+      this->events.pop();
+      this->now = event.at;
+      event.call();
+    }
+    this->now = end;
+  }
+
+  void Put(uint64_t aRevision)
+  {
+    this->revision = aRevision;
+    for (auto& call : std::exchange(this->watches, {})) {
+      call();
+    }
+  }
+
+  bool AllHave(uint64_t aRevision) const
+  {
+    return std::all_of(
+      this->daemons.begin(), this->daemons.end(), [&](const auto& aDaemon) {
+        return aDaemon.second.inForce >= aRevision;
+      });
+  }
+
+  bool AnyReverted() const
+  {
+    return std::any_of(
+      this->daemons.begin(), this->daemons.end(), [](const auto& aDaemon) {
+        return aDaemon.second.reverted;
+      });
+  }
+
+  /** Milliseconds until all have it, or the limit. */
+  int64_t TimeUntilAllHave(uint64_t aRevision, Duration aLimit)
+  {
+    Time start = this->now;
+    while (!this->AllHave(aRevision) && this->now - start < aLimit) {
+      this->RunFor(Millis(1));
+    }
+    return (this->now - start).ms;
+  }
+
+  void Restart(const std::string& aName)
+  {
+    Daemon& daemon = this->daemons[aName];
+    daemon.spread = std::make_unique<Spread>(daemon.options);
+    daemon.inForce = 0;
+    daemon.highest = 0;
+    ++daemon.incarnation;
+    for (auto& [name, other] : this->daemons) {
+      this->Step(name, NeighbourLost{ aName });
+    }
+    this->Start(aName);
+  }
+
+  std::map<std::string, Daemon> daemons;
+  HostList hosts;
+  Time now{ 0 };
+  bool storeDown = false;
+  uint64_t storeCalls = 0;
+  uint64_t messages = 0;
+
+private:
+  struct Event
+  {
+    Time at;
+    uint64_t order;
+    std::function<void()> call;
+    bool operator<(const Event& aOther) const
+    {
+      return aOther.at < this->at ||
+             (aOther.at == this->at && aOther.order < this->order);
+    }
+  };
+
+  void Add(const std::string& aName, const HostEntry& aHost)
+  {
+    Daemon daemon;
+    daemon.options.peer = aName;
+    daemon.options.host = aHost.name;
+    daemon.options.zone = aHost.zone;
+    daemon.options.mayWatch = aName.find("/owner") != std::string::npos;
+    daemon.spread = std::make_unique<Spread>(daemon.options);
+    this->daemons[aName] = std::move(daemon);
+  }
+
+  void Start(const std::string& aName)
+  {
+    Daemon& daemon = this->daemons[aName];
+    daemon.spread->SetHosts(this->hosts);
+    for (const std::string& neighbour : daemon.spread->Neighbours()) {
+      Digest none;
+      this->Deliver(aName, neighbour, DigestSeen{ aName, none });
+    }
+    this->Tick(aName, daemon.incarnation);
+  }
+
+  void Tick(const std::string& aName, uint64_t aIncarnation)
+  {
+    if (this->daemons[aName].incarnation != aIncarnation) {
+      return;
+    }
+    this->Step(aName, SpreadTick{});
+    this->After(kTick, [=] { this->Tick(aName, aIncarnation); });
+  }
+
+  void After(Duration aSpan, std::function<void()> aCall)
+  {
+    this->events.push({ this->now + aSpan, ++this->lastOrder, aCall });
+  }
+
+  void Deliver(const std::string&,
+               const std::string& aTo,
+               const SpreadEvent& aEvent)
+  {
+    ++this->messages;
+    this->After(Millis(2), [=] { this->Step(aTo, aEvent); });
+  }
+
+  void Step(const std::string& aName, const SpreadEvent& aEvent)
+  {
+    Daemon& daemon = this->daemons[aName];
+    if (this->now < daemon.frozenUntil) {
+      this->After(daemon.frozenUntil - this->now,
+                  [=] { this->Step(aName, aEvent); });
+      return;
+    }
+    for (const SpreadAction& action :
+         daemon.spread->Handle(this->now, aEvent)) {
+      this->Perform(aName, daemon, action);
+    }
+  }
+
+  void Perform(const std::string& aName,
+               Daemon& aDaemon,
+               const SpreadAction& aAction)
+  {
+    if (const auto* put = std::get_if<PutInForce>(&aAction)) {
+      if (put->document.kind == DocumentKind::Configuration) {
+        aDaemon.reverted =
+          aDaemon.reverted || put->document.revision < aDaemon.highest;
+        aDaemon.inForce = put->document.revision;
+        aDaemon.highest = std::max(aDaemon.highest, aDaemon.inForce);
+      }
+    } else if (const auto* send = std::get_if<SendDocument>(&aAction)) {
+      this->Deliver(aName, send->peer, DocumentSeen{ send->document, aName });
+    } else if (const auto* digest = std::get_if<SendDigest>(&aAction)) {
+      this->Deliver(aName, digest->peer, DigestSeen{ aName, digest->digest });
+    } else if (const auto* watch = std::get_if<WatchStore>(&aAction)) {
+      this->Watch(aName, *watch);
+    }
+  }
+
+  void Watch(const std::string& aName, const WatchStore& aWatch)
+  {
+    ++this->storeCalls;
+    bool isCut = this->storeDown || this->daemons[aName].cutFromStore;
+    if (isCut) {
+      this->After(Millis(5), [=] {
+        this->Step(aName, StoreAnswered{ aWatch.kind, false });
+      });
+      return;
+    }
+    if (aWatch.kind == DocumentKind::Hosts) {
+      this->After(Seconds(20), [=] {
+        this->Step(aName, StoreAnswered{ aWatch.kind, true });
+      });
+      return;
+    }
+    auto answer = [=] {
+      Document document{ aWatch.kind, this->revision, "text" };
+      this->After(Millis(5), [=] {
+        if (document.revision > aWatch.after) {
+          this->Step(aName, DocumentSeen{ document, {} });
+        }
+        this->Step(aName, StoreAnswered{ aWatch.kind, true });
+      });
+    };
+    bool isWatcher = this->daemons[aName].spread->IsWatcher();
+    if (this->revision > aWatch.after || !isWatcher) {
+      answer();
+    } else {
+      this->watches.push_back(answer);
+    }
+  }
+
+  std::priority_queue<Event> events;
+  uint64_t lastOrder = 0;
+  uint64_t revision = 0;
+  std::vector<std::function<void()>> watches;
+};
+
+} // namespace
+
+Test(spread, reaches_everyone_within_the_target)
+{
+  for (size_t hosts : { 5, 20, 80, 320 }) {
+    Fleet fleet(hosts, 11);
+    fleet.RunFor(Seconds(30));
+    uint64_t callsBefore = fleet.storeCalls;
+    uint64_t messagesBefore = fleet.messages;
+    fleet.Put(7);
+    int64_t took = fleet.TimeUntilAllHave(7, Seconds(30));
+    printf("config_spread_ms_%zu_daemons %ld ms\n", 2 * hosts, took);
+    printf("config_spread_messages_%zu_daemons %lu count\n",
+           2 * hosts,
+           fleet.messages - messagesBefore);
+    fleet.RunFor(Seconds(1));
+    printf("store_calls_per_change_%zu_daemons %lu count\n",
+           2 * hosts,
+           fleet.storeCalls - callsBefore);
+    cr_assert_leq(took, kSpreadTarget.ms);
+  }
+}
+
+Test(spread, a_change_during_an_outage_arrives_after_it)
+{
+  Fleet fleet(10, 3);
+  fleet.Put(1);
+  fleet.RunFor(Seconds(5));
+  fleet.storeDown = true;
+  fleet.RunFor(Seconds(60));
+  fleet.Restart("host-3/owner");
+  cr_assert(fleet.TimeUntilAllHave(1, kSpreadTarget) < kSpreadTarget.ms,
+            "a host that restarts during the outage learns it from its peers");
+  fleet.storeDown = false;
+  fleet.Put(2);
+  cr_assert_lt(fleet.TimeUntilAllHave(2, kSpreadTarget), kSpreadTarget.ms);
+}
+
+Test(spread, never_reverts)
+{
+  cr_assert(rc::check("a daemon only moves to higher revisions", [] {
+    Fleet fleet(*rc::gen::inRange<size_t>(2, 12),
+                *rc::gen::inRange<size_t>(1, 4));
+    auto names = rc::gen::map(
+      rc::gen::inRange<size_t>(0, fleet.daemons.size()), [&](size_t aIndex) {
+        return std::next(fleet.daemons.begin(), static_cast<long>(aIndex))
+          ->first;
+      });
+    uint64_t revision = 0;
+    auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5));
+    for (int step : steps) {
+      if (step == 0) {
+        fleet.Put(++revision);
+      } else if (step == 1) {
+        fleet.storeDown = !fleet.storeDown;
+      } else if (step == 2) {
+        fleet.daemons[*names].frozenUntil = fleet.now + Seconds(30);
+      } else if (step == 3) {
+        fleet.daemons[*names].cutFromStore = true;
+      } else {
+        fleet.Restart(*names);
+      }
+      fleet.RunFor(Millis(*rc::gen::inRange<int64_t>(1, 3000)));
+    }
+    fleet.storeDown = false;
+    for (auto& [name, daemon] : fleet.daemons) {
+      daemon.cutFromStore = false;
+    }
+    fleet.Put(++revision);
+    fleet.RunFor(Seconds(40));
+    RC_ASSERT(fleet.AllHave(revision));
+    RC_ASSERT(!fleet.AnyReverted());
+  }));
+}
+
+namespace {
+
+/** The store's side of a reservation, with its faults. */
+struct TermStore
+{
+  uint64_t revision = 0;
+  TermRecord record;
+
+  TermRecordRead Read() const { return { true, this->revision, this->record }; }
+
+  bool Swap(const SwapTermRecord& aSwap)
+  {
+    if (aSwap.revision != this->revision) {
+      return false;
+    }
+    ++this->revision;
+    this->record = aSwap.record;
+    return true;
+  }
+};
+
+} // namespace
+
+Test(terms, are_never_granted_twice)
+{
+  cr_assert(
+    rc::check("reserved terms are unique, whatever the store loses", [] {
+      TermStore store;
+      std::vector<TermReserver> reservers;
+      for (int i = 0; i < 3; ++i) {
+        reservers.emplace_back("owner-" + std::to_string(i));
+      }
+      std::vector<std::optional<ReserverAction>> pending(3);
+      std::set<Term> granted;
+      auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::inRange(0, 10)));
+      for (const auto& [who, luck] : steps) {
+        auto index = static_cast<size_t>(who);
+        auto& action = pending[index];
+        TermReserver& reserver = reservers[index];
+        if (!action) {
+          action = reserver.Start(static_cast<Term>(luck));
+          continue;
+        }
+        ReserverAction current = *action;
+        action.reset();
+        if (std::holds_alternative<ReadTermRecord>(current)) {
+          action = reserver.On(luck == 0 ? TermRecordRead{} : store.Read());
+        } else if (const auto* swap = std::get_if<SwapTermRecord>(&current)) {
+          // The request is lost, the answer is lost, or neither.
+          bool isDone = luck != 1 && store.Swap(*swap);
+          SwapOutcome outcome = luck <= 2 ? SwapOutcome::Lost
+                                : isDone  ? SwapOutcome::Done
+                                          : SwapOutcome::Conflict;
+          action = reserver.On(outcome);
+        } else if (const auto* grant = std::get_if<GrantTerms>(&current)) {
+          for (Term term = grant->first; term <= grant->last; ++term) {
+            RC_ASSERT(granted.insert(term).second);
+          }
+        }
+      }
+    }));
+}
--- /dev/null
+++ b/test/state-test.cc
@@ -0,0 +1,255 @@
+#include "marigoldpitch/coordination/ownership.h"
+#include "marigoldpitch/coordination/retry-budget.h"
+#include "marigoldpitch/coordination/statement-check.h"
+#include "marigoldpitch/state/connection-table.h"
+#include "marigoldpitch/state/freshness.h"
+#include "marigoldpitch/state/log-event.h"
+#include "marigoldpitch/state/session-table.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+
+// The small parts that the decisions rest on.
+
+using namespace marigoldpitch;
+
+Test(state, age_is_never_understated)
+{
+  cr_assert(rc::check("a copy is at least as fresh as its stated age", [] {
+    // A primary that commits at random moments, sampled at random moments.
+    FreshnessTracker tracker;
+    std::vector<int64_t> commits; // time of each position
+    Time now{ 0 };
+    auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3));
+    for (int step : steps) {
+      now = now + Millis(*rc::gen::inRange<int64_t>(1, 50));
+      if (step == 0) {
+        tracker.Sample(now, { 1, 0, commits.size() });
+      } else {
+        commits.push_back(now.ms);
+      }
+    }
+    auto copied = *rc::gen::inRange<size_t>(0, commits.size() + 1);
+    auto age = tracker.AgeOf({ 1, 0, copied }, now);
+    if (age && copied < commits.size()) {
+      // The first commit that the copy lacks is its true age.
+      RC_ASSERT(age->ms >= now.ms - commits[copied]);
+    }
+  }));
+}
+
+Test(state, positions_of_two_terms_are_not_compared)
+{
+  CopyPoint copy{ 4, 100, 90 };
+  cr_assert(!copy.Covers({ 5, 1 }));
+  cr_assert(!copy.Covers({ 3, 10 }), "it has not reached the term's start");
+  copy.position = 100;
+  cr_assert(copy.Covers({ 3, 5000 }), "what was confirmed lies before 100");
+  cr_assert(!copy.Covers({ 4, 101 }));
+}
+
+Test(state, samples_of_an_ended_history_are_dropped)
+{
+  FreshnessTracker tracker;
+  tracker.Sample({ 10 }, { 1, 0, 50 });
+  tracker.Sample({ 20 }, { 1, 0, 60 });
+  tracker.Sample({ 30 }, { 2, 55, 55 });
+  cr_assert(tracker.AgeOf({ 2, 55, 52 }, { 40 }).value() == Millis(30));
+  cr_assert(tracker.AgeOf({ 2, 55, 55 }, { 40 }).value() == Millis(10));
+  cr_assert(!tracker.AgeOf({ 1, 0, 60 }, { 40 }).has_value());
+}
+
+Test(state, sessions_only_move_forward)
+{
+  cr_assert(rc::check("a session's point never falls", [] {
+    SessionTable table(4);
+    std::map<std::string, LogPoint> model;
+    auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(1, 100)));
+    for (const auto& [session, position] : steps) {
+      std::string name = std::to_string(session);
+      LogPoint point{ 1, static_cast<Position>(position) };
+      table.Advance(name, point);
+      if (model[name].IsBehind(point)) {
+        model[name] = point;
+      }
+      RC_ASSERT(table.Newest(name, {}) == model[name]);
+    }
+    RC_ASSERT(table.Size() <= 4u);
+  }));
+}
+
+Test(state, limits_of_connections_and_slots_hold)
+{
+  cr_assert(rc::check("no step exceeds the slots or the budget", [] {
+    constexpr uint32_t kSlots = 2;
+    constexpr uint32_t kBudget = 5;
+    ConnectionTable table(2, kSlots, kBudget);
+    std::vector<ConnectionId> known;
+    std::map<ConnectionId, uint64_t> running;
+    auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::inRange(0, 20)));
+    Time now{ 0 };
+    for (const auto& [step, pick] : steps) {
+      UpstreamIndex upstream = static_cast<size_t>(pick) % 2;
+      if (step == 0 && table.MayOpen(upstream)) {
+        known.push_back(table.Open(upstream, now));
+        table.Opened(known.back(), now);
+      } else if (step == 1) {
+        if (auto idle = table.FindIdle(upstream)) {
+          running[*idle] = table.StartBatch(*idle, now);
+        }
+      } else if (step == 2 && !running.empty()) {
+        auto it = running.begin();
+        RC_ASSERT(!table.FinishBatch(it->first, it->second + 1, now));
+        RC_ASSERT(table.FinishBatch(it->first, it->second, now));
+        running.erase(it);
+      } else if (step == 3 && !known.empty()) {
+        ConnectionId id = known[static_cast<size_t>(pick) % known.size()];
+        table.Remove(id);
+        running.erase(id);
+      }
+      for (UpstreamIndex i = 0; i < 2; ++i) {
+        RC_ASSERT(table.Use(i).busy <= kSlots);
+        RC_ASSERT(table.Use(i).open <= kBudget);
+        RC_ASSERT(table.Use(i).open == table.AllOf(i).size());
+      }
+    }
+  }));
+}
+
+Test(state, a_late_answer_belongs_to_no_later_batch)
+{
+  ConnectionTable table(1, 1, 1);
+  ConnectionId id = table.Open(0, {});
+  table.Opened(id, {});
+  uint64_t first = table.StartBatch(id, {});
+  cr_assert(table.FinishBatch(id, first, {}));
+  uint64_t second = table.StartBatch(id, {});
+  cr_assert(!table.FinishBatch(id, first, {}));
+  cr_assert(table.FinishBatch(id, second, {}));
+}
+
+Test(state, a_pinned_connection_is_never_idle)
+{
+  ConnectionTable table(1, 2, 2);
+  ConnectionId id = table.Open(0, {});
+  table.Opened(id, {});
+  table.Pin(id, "t");
+  cr_assert(!table.FindIdle(0).has_value());
+  uint64_t batch = table.StartBatch(id, {});
+  table.FinishBatch(id, batch, {});
+  cr_assert(!table.FindIdle(0).has_value());
+  table.Unpin(id);
+  cr_assert(table.FindIdle(0) == id);
+}
+
+Test(state, retries_stay_within_a_tenth)
+{
+  RetryBudget budget;
+  int spent = 0;
+  for (int i = 0; i < 10000; ++i) {
+    budget.Earn();
+    spent += budget.Spend() ? 1 : 0;
+  }
+  cr_assert_leq(spent, 1000 + 3);
+}
+
+Test(state, only_data_statements_pass)
+{
+  for (const char* good : { "SELECT 1",
+                            "  insert into t",
+                            "UPDATE t",
+                            "with x",
+                            "DELETE FROM t" }) {
+    cr_assert(IsDataStatement(good), "%s", good);
+  }
+  for (const char* bad : { "COMMIT",
+                           "begin",
+                           "ROLLBACK",
+                           "SET x = 1",
+                           "",
+                           "/* SELECT */ COMMIT",
+                           "-- SELECT\nCOMMIT",
+                           ";SELECT",
+                           "SELECTED",
+                           "DISCARD ALL" }) {
+    cr_assert(!IsDataStatement(bad), "%s", bad);
+  }
+}
+
+Test(state, owners_move_little_when_a_host_goes)
+{
+  std::vector<HostEntry> hosts(5);
+  for (size_t i = 0; i < hosts.size(); ++i) {
+    hosts[i].name = "host-" + std::to_string(i);
+    hosts[i].zone = "zone-" + std::to_string(i % 3);
+  }
+  auto fewer = hosts;
+  fewer.pop_back();
+  int moved = 0;
+  std::map<std::string, int> owned;
+  for (int group = 0; group < 1000; ++group) {
+    std::string name = "group-" + std::to_string(group);
+    auto before = RankOwners(name, hosts);
+    auto after = RankOwners(name, fewer);
+    cr_assert_eq(before.size(), hosts.size());
+    cr_assert(before[0] != before[1]);
+    if (before[0] == "host-4") {
+      ++moved;
+    } else {
+      cr_assert_eq(before[0], after[0]);
+    }
+    ++owned[before[0]];
+  }
+  cr_assert_lt(moved, 300);
+  cr_assert_eq(owned.size(), hosts.size());
+}
+
+Test(state, a_leaving_host_ranks_last)
+{
+  std::vector<HostEntry> hosts(3);
+  for (size_t i = 0; i < hosts.size(); ++i) {
+    hosts[i].name = "host-" + std::to_string(i);
+  }
+  std::string first = RankOwners("g", hosts)[0];
+  for (HostEntry& host : hosts) {
+    if (host.name == first) {
+      host.state = HostState::Leaving;
+    }
+  }
+  cr_assert_eq(RankOwners("g", hosts)[2], first);
+}
+
+Test(state, each_event_is_in_the_catalogue)
+{
+  std::ifstream file("docs/EVENTS.md");
+  std::map<std::string, int> listed;
+  std::string line;
+  while (std::getline(file, line)) {
+    std::istringstream words(line);
+    std::string bar;
+    std::string number;
+    std::string name;
+    words >> bar >> number >> bar >> name;
+    if (line.rfind("| E", 0) == 0) {
+      ++listed[number + " " + name];
+    }
+  }
+  std::set<std::string> known;
+  size_t index = 0;
+  for (const LogEventRow& row : kLogEvents) {
+    cr_assert_eq(static_cast<size_t>(row.event), index++);
+    std::string key =
+      "E" + std::to_string(row.number) + " " + std::string(row.name);
+    cr_assert_eq(listed[key], 1, "%s is not listed once", key.c_str());
+    cr_assert(known.insert(key).second);
+  }
+  cr_assert_eq(listed.size(), known.size(), "the page lists unknown events");
+}
