--- a/include/marigoldpitch/coordination/group-engine.h
+++ b/include/marigoldpitch/coordination/group-engine.h
@@ -28,6 +28,7 @@
   Duration batchLimit = Millis(1000);  // a silent batch loses its connection
   Duration pauseNoticed = Millis(200); // a gap between ticks: we were paused
   Duration contentionDelay = Millis(10);
+  Duration silentBatch = Millis(200); // left once old connections are silent
 };
 
 struct GroupOptions
@@ -108,6 +109,7 @@
            Batch aBatch);
   void LoseConnection(ConnectionId aId);
   void CloseAndLose(ConnectionId aId);
+  void DropUnproven(UpstreamIndex aUpstream, Time aSince);
   void AfterLoss(Work& aWork);
   void RequeueToResolve(Work& aWork);
   void Retry(Work& aWork, Duration aDelay);
@@ -159,6 +161,7 @@
   void AskReplicas();
   void CheckAsks();
   void AskFailed(UpstreamIndex aUpstream);
+  void OldConnectionsAreSilent(UpstreamIndex aUpstream, Time aSince);
   void ConsiderFailover();
   bool HasSuccessor(UpstreamIndex aLeaving) const;
   void HandOverWork();
--- a/include/marigoldpitch/coordination/group-view.h
+++ b/include/marigoldpitch/coordination/group-view.h
@@ -26,6 +26,7 @@
   Time openAfter = kLongAgo;  // no new connection before this time
   Time askLimit = kNever;     // when the open question counts as failed
   uint32_t failures = 0;      // questions failed since the last answer
+  Time silentSince = kNever;  // when the first of them was asked
   bool leavingByConfig = false;
   bool leavingByList = false;
   bool leavingByItself = false;
--- a/src/coordination/group-engine.cc
+++ b/src/coordination/group-engine.cc
@@ -510,7 +510,24 @@
     bool isSilent =
       work != nullptr && work->connection != 0 && work->batchLimit <= this->now;
     if (isSilent) {
+      UpstreamIndex upstream = work->upstream;
+      Time started = work->started;
       this->CloseAndLose(work->connection);
+      this->DropUnproven(upstream, started);
+    }
+  }
+}
+
+void
+GroupEngine::DropUnproven(UpstreamIndex aUpstream, Time aSince)
+{
+  // What took one idle connection away may have taken all that were idle then;
+  // one that has answered since is proved.
+  for (ConnectionId id : this->connections.AllOf(aUpstream)) {
+    const Connection* connection = this->connections.Find(id);
+    if (connection->state == ConnectionState::Idle &&
+        connection->since <= aSince) {
+      this->CloseAndLose(id);
     }
   }
 }
--- a/src/coordination/group-watch.cc
+++ b/src/coordination/group-watch.cc
@@ -1,6 +1,7 @@
 #include "marigoldpitch/coordination/group-engine.h"
 
 #include <algorithm>
+#include <utility>
 
 // Watching the upstreams: statuses, suspicion, failover and rejoining.
 
@@ -84,6 +85,7 @@
   UpstreamView& upstream = this->view.At(aUpstream);
   upstream.ask = 0;
   ++upstream.failures;
+  upstream.silentSince = std::min(upstream.silentSince, upstream.questionSent);
   // A silent connection is not a dead upstream: ask again over a new one.
   if (upstream.failures == 1) {
     this->Ask(aUpstream);
@@ -98,6 +100,10 @@
     return;
   }
   upstream.ask = 0;
+  Time silentSince = std::exchange(upstream.silentSince, kNever);
+  if (!(silentSince == kNever)) {
+    this->OldConnectionsAreSilent(aEvent.upstream, silentSince);
+  }
   this->Learn(aEvent.upstream,
               aEvent.status,
               upstream.questionSent,
@@ -108,6 +114,23 @@
   this->ConsiderFailover();
 }
 
+void
+GroupEngine::OldConnectionsAreSilent(UpstreamIndex aUpstream, Time aSince)
+{
+  // The old connection gave no answer and a new one did: the upstream lives,
+  // and something between has lost track of what was open.
+  this->DropUnproven(aUpstream, aSince);
+  Time limit = this->now + this->options.timing.silentBatch;
+  for (WorkId id : this->queue.All()) {
+    Work* work = this->queue.Find(id);
+    bool isOld = work->connection != 0 && work->upstream == aUpstream &&
+                 work->started <= aSince + this->options.timing.probeLimit;
+    if (isOld) {
+      work->batchLimit = std::min(work->batchLimit, limit);
+    }
+  }
+}
+
 void
 GroupEngine::On(const StatusFailed& aEvent)
 {
--- /dev/null
+++ b/test/fakes/transactions.cc
@@ -0,0 +1,179 @@
+#include "transactions.h"
+
+namespace marigoldpitch::fakes {
+
+namespace {
+constexpr int kResolveTries = 20;
+} // namespace
+
+Transactions::Transactions(World& aWorld, size_t aSessions, bool aAbandons)
+  : world(aWorld)
+  , abandons(aAbandons)
+{
+  for (size_t i = 0; i < aSessions; ++i) {
+    Session session;
+    session.name = "pair-" + std::to_string(i);
+    this->sessions.push_back(session);
+  }
+}
+
+Request
+Transactions::MakeRequest(size_t aSession, Operation aOperation) const
+{
+  Request request;
+  request.operation = aOperation;
+  request.session = this->sessions[aSession].name;
+  request.transaction = this->sessions[aSession].transaction;
+  return request;
+}
+
+void
+Transactions::Start()
+{
+  for (size_t i = 0; i < this->sessions.size(); ++i) {
+    this->Seed(i, "a", [=] { this->Seed(i, "b", [=] { this->Begin(i); }); });
+  }
+  this->world.RunFor(Millis(500));
+}
+
+void
+Transactions::Seed(size_t aSession,
+                   const std::string& aRow,
+                   std::function<void()> aThen)
+{
+  Request request = this->MakeRequest(aSession, Operation::Write);
+  request.requestId = this->sessions[aSession].name + aRow;
+  request.firstAttempt = true;
+  request.statement = { "INSERT INTO pairs (key, value) VALUES ($1, $2)",
+                        { request.requestId, std::string("0") } };
+  this->world.Ask(0, request, [=](const Answer& aAnswer) {
+    if (aAnswer.outcome != Outcome::Ok) {
+      this->violations.push_back("a seed failed: " + aAnswer.message);
+      return;
+    }
+    aThen();
+  });
+}
+
+void
+Transactions::Again(size_t aSession)
+{
+  this->sessions[aSession].transaction.clear();
+  if (!this->stopping) {
+    this->world.After(Millis(5), [=] { this->Begin(aSession); });
+  }
+}
+
+void
+Transactions::Begin(size_t aSession)
+{
+  if (this->stopping) {
+    return;
+  }
+  Request request = this->MakeRequest(aSession, Operation::Begin);
+  this->world.Ask(this->world.Random(2), request, [=](const Answer& aAnswer) {
+    if (aAnswer.outcome != Outcome::Ok) {
+      ++this->ended;
+      this->Again(aSession);
+      return;
+    }
+    this->sessions[aSession].transaction = aAnswer.transaction;
+    this->Raise(aSession, "a", [=] {
+      this->Raise(aSession, "b", [=] { this->Commit(aSession); });
+    });
+  });
+}
+
+void
+Transactions::Raise(size_t aSession,
+                    const std::string& aRow,
+                    std::function<void()> aThen)
+{
+  // Some callers go away in the middle; nothing of theirs may stay.
+  if (this->abandons && this->world.Random(15) == 0) {
+    ++this->ended;
+    this->Again(aSession);
+    return;
+  }
+  Request request = this->MakeRequest(aSession, Operation::Statement);
+  request.timeout =
+    Millis(this->abandons && this->world.Random(10) == 0 ? 1 : 2000);
+  request.statement = { "UPDATE pairs SET value = value + $2 WHERE key = $1",
+                        { this->sessions[aSession].name + aRow,
+                          std::string("1") } };
+  this->world.Ask(this->world.Random(2), request, [=](const Answer& aAnswer) {
+    if (aAnswer.outcome != Outcome::Ok) {
+      ++this->cut;
+      this->RollBack(aSession);
+      return;
+    }
+    aThen();
+  });
+}
+
+void
+Transactions::RollBack(size_t aSession)
+{
+  ++this->ended;
+  Request request = this->MakeRequest(aSession, Operation::RollBack);
+  this->world.Ask(this->world.Random(2), request, [=](const Answer&) {
+    this->Again(aSession);
+  });
+}
+
+void
+Transactions::Commit(size_t aSession)
+{
+  Session& session = this->sessions[aSession];
+  Request request = this->MakeRequest(aSession, Operation::Commit);
+  request.requestId = session.name + "-" + std::to_string(++session.requests);
+  request.firstAttempt = true;
+  session.requestId = request.requestId;
+  this->world.Ask(this->world.Random(2), request, [=](const Answer& aAnswer) {
+    this->CommitAnswered(aSession, aAnswer, 0);
+  });
+}
+
+void
+Transactions::CommitAnswered(size_t aSession, const Answer& aAnswer, int aTry)
+{
+  Session& session = this->sessions[aSession];
+  if (aAnswer.outcome == Outcome::Ok) {
+    ++session.done;
+    ++this->committed;
+  } else if (aAnswer.outcome == Outcome::Unknown && aTry < kResolveTries) {
+    Request request = this->MakeRequest(aSession, Operation::Resolve);
+    request.transaction.clear();
+    request.requestId = session.requestId;
+    this->world.Ask(this->world.Random(2), request, [=](const Answer& aNext) {
+      this->CommitAnswered(aSession, aNext, aTry + 1);
+    });
+    return;
+  } else if (aAnswer.outcome == Outcome::Unknown) {
+    ++session.open;
+  } else {
+    ++this->ended;
+    ++this->cut;
+  }
+  this->Again(aSession);
+}
+
+void
+Transactions::Check()
+{
+  auto primary = this->world.TruePrimary();
+  for (const Session& session : this->sessions) {
+    std::string a = this->world.Value(*primary, "pairs", session.name + "a");
+    std::string b = this->world.Value(*primary, "pairs", session.name + "b");
+    int64_t value = std::atoll(a.c_str());
+    bool isRight =
+      a == b && value >= session.done && value <= session.done + session.open;
+    if (!isRight) {
+      this->violations.push_back(session.name + " has " + a + " and " + b +
+                                 " where " + std::to_string(session.done) +
+                                 " were told");
+    }
+  }
+}
+
+} // namespace marigoldpitch::fakes
--- /dev/null
+++ b/test/fakes/transactions.h
@@ -0,0 +1,61 @@
+#ifndef MARIGOLDPITCH_TEST_FAKES_TRANSACTIONS_H
+#define MARIGOLDPITCH_TEST_FAKES_TRANSACTIONS_H
+
+#include "world.h"
+
+#include <string>
+#include <vector>
+
+/** Callers that raise two rows in one transaction, and the check of both. */
+namespace marigoldpitch::fakes {
+
+class Transactions
+{
+public:
+  Transactions(World& aWorld, size_t aSessions, bool aAbandons);
+
+  void Start();
+  void Stop() { this->stopping = true; }
+
+  /** Both rows of a session agree with each other and with its answers. */
+  void Check();
+
+  std::vector<std::string> violations;
+  uint64_t committed = 0;
+  uint64_t ended = 0; // rolled back, refused or lost
+  uint64_t cut = 0;   // answered neither ok nor by the caller's own end
+
+private:
+  struct Session
+  {
+    std::string name;
+    std::string transaction;
+    std::string requestId;
+    int64_t done = 0;
+    int64_t open = 0; // commits whose outcome is unknown
+    uint64_t requests = 0;
+    bool started = false;
+  };
+
+  void Seed(size_t aSession,
+            const std::string& aRow,
+            std::function<void()> aThen);
+  void Begin(size_t aSession);
+  void Raise(size_t aSession,
+             const std::string& aRow,
+             std::function<void()> aThen);
+  void Commit(size_t aSession);
+  void CommitAnswered(size_t aSession, const Answer& aAnswer, int aTry);
+  void RollBack(size_t aSession);
+  void Again(size_t aSession);
+  Request MakeRequest(size_t aSession, Operation aOperation) const;
+
+  World& world;
+  bool abandons;
+  std::vector<Session> sessions;
+  bool stopping = false;
+};
+
+} // namespace marigoldpitch::fakes
+
+#endif
