--- a/include/marigoldpitch/coordination/entry-engine.h
+++ b/include/marigoldpitch/coordination/entry-engine.h
@@ -202,7 +202,8 @@
 
   bool ApplyDefaults(Request& aRequest, Answer& aRefusal) const;
   void Place(uint64_t aNumber);
-  std::string ChooseHost(const Pending& aPending) const;
+  std::string ChooseHost(const Pending& aPending);
+  const std::vector<std::string>& RanksOf(const std::string& aGroup);
   void Send(uint64_t aNumber);
   void LeaveOwner(const std::string& aHost);
   void PlaceAgain(const std::string& aHost);
@@ -215,6 +216,8 @@
 
   Config config;
   HostList hosts;
+  // First owners of each group that was asked for, until the hosts change.
+  std::unordered_map<std::string, std::vector<std::string>> ranks;
   std::map<uint64_t, Pending> pending;
   std::unordered_map<RequestHandle, uint64_t> byHandle;
   std::map<std::string, Owner> owners;
--- a/include/marigoldpitch/coordination/group-engine.h
+++ b/include/marigoldpitch/coordination/group-engine.h
@@ -13,6 +13,7 @@
 #include "marigoldpitch/state/error.h"
 #include "marigoldpitch/state/session-table.h"
 
+#include <array>
 #include <map>
 #include <string>
 
@@ -27,7 +28,8 @@
   Duration probeLimit = Millis(150);   // an open question counts as failed
   Duration batchLimit = Millis(1000);  // a silent batch loses its connection
   Duration pauseNoticed = Millis(200); // a gap between ticks: we were paused
-  Duration contentionDelay = Millis(10);
+  Duration contentionDelay = Millis(5);
+  int mostContentionDoublings = 5;
   Duration silentBatch = Millis(200); // left once old connections are silent
 };
 
@@ -101,6 +103,14 @@
   void StartQueued(Work& aWork);
   void ExpireWork();
   void Expire(Work& aWork);
+  void Abandon(Work& aWork, const Answer& aAnswer);
+  Outcome UnprovedOutcome(const Work& aWork) const;
+  void LearnService(const Work& aWork);
+  double ServiceOf(Lane aLane) const
+  {
+    return this->serviceMs[static_cast<size_t>(aLane)];
+  }
+  size_t SlotsFor(Lane aLane) const;
   void CheckBatchLimits();
   std::optional<ConnectionId> Acquire(UpstreamIndex aUpstream);
   void Run(Work& aWork,
@@ -133,6 +143,7 @@
   void ReadRecordAfterUndo(Work& aWork);
   void Undo(Work& aWork, Answer aAnswer);
   void UndoAndRetry(Work& aWork);
+  void WaitForOther(Work& aWork);
 
   // group-transactions.cc
   void StartInTransaction(Work& aWork);
@@ -193,7 +204,8 @@
   Time suspectedAt = kNever;
   Time lastRequest = kLongAgo;
   Time termsAskedAt = kLongAgo;
-  Duration service{ 2 }; // smoothed time of one batch
+  // Smoothed time in a slot of one request, for each lane.
+  std::array<double, kLaneNames.Size()> serviceMs{ 4, 2 };
   bool draining = false;
   GroupActions actions;
 };
--- a/include/marigoldpitch/coordination/group-io.h
+++ b/include/marigoldpitch/coordination/group-io.h
@@ -130,6 +130,10 @@
   UpstreamIndex upstream = 0;
 };
 
+/**
+ * Ends the connection at both sides: its end may not arrive over the connection
+ * itself, so the upstream is also told over another one.
+ */
 struct CloseConnection
 {
   ConnectionId connection = 0;
--- a/include/marigoldpitch/coordination/policies.h
+++ b/include/marigoldpitch/coordination/policies.h
@@ -18,6 +18,7 @@
 {
   LogPoint seen;
   bool primaryOnly = false;
+  bool primaryIsWanted = false; // by work that nothing else can serve
   std::optional<Duration> maxAge;
   std::string zone;
   Time arrived;
@@ -94,10 +95,10 @@
 /** How much work is ahead of a new request. */
 struct QueueLoad
 {
-  size_t ahead = 0;      // queued work that goes before it
-  size_t queued = 0;     // all queued work
-  size_t slots = 0;      // slots of the upstreams that can serve it
-  Duration service{ 1 }; // usual time of one statement
+  size_t ahead = 0;     // queued work that goes before it
+  size_t queued = 0;    // all queued work
+  size_t slots = 0;     // slots of the upstreams that can serve it
+  double serviceMs = 1; // usual time of one statement
 };
 
 class AdmissionPolicy
--- a/include/marigoldpitch/coordination/work-queue.h
+++ b/include/marigoldpitch/coordination/work-queue.h
@@ -38,11 +38,24 @@
   { WorkPhase::Confirming, "confirming" },
 } };
 
+/** What queued work waits for. */
+enum class Lane
+{
+  Primary,
+  Replicas, // reads that accept age
+};
+
+constexpr NameTable<Lane, 2> kLaneNames{ {
+  { Lane::Primary, "primary" },
+  { Lane::Replicas, "replicas" },
+} };
+
 struct Work
 {
   WorkId id = 0;
   std::vector<RequestHandle> handles; // all who asked with the same request id
   Request request;
+  Lane lane = Lane::Primary;
   WorkPhase phase = WorkPhase::Queued;
   Time arrived;
   Time deadline;
@@ -54,6 +67,9 @@
   UpstreamIndex upstream = 0;
   bool mustResolve = false; // a commit was sent and its answer lost
   bool retryAfterUndo = false;
+  int waits = 0;          // for another transaction with the same record
+  bool abandoned = false; // answered already; its batch still runs
+  double spentMs = 0;     // time in a slot so far
   Time notBefore = kLongAgo;
   Rows rows;     // of the write, until its commit
   Answer answer; // held while confirming
@@ -82,28 +98,43 @@
   void Release(Work& aWork); // from its connection
   void Remove(WorkId aId);
 
-  /** Ids of queued work, most urgent first, at most `aMost`. */
-  std::vector<WorkId> Head(size_t aMost) const;
+  /** Ids of queued work of a lane, most urgent first, at most `aMost`. */
+  std::vector<WorkId> Head(Lane aLane, size_t aMost) const;
   std::vector<WorkId> All() const;
 
-  size_t Queued() const { return this->order.size(); }
+  size_t Queued() const
+  {
+    return this->order[0].size() + this->order[1].size();
+  }
+  size_t Queued(Lane aLane) const { return this->OrderOf(aLane).size(); }
   size_t Size() const { return this->works.size(); }
 
   /** Queued work that goes before a new request of this priority. */
-  size_t Ahead(Priority aPriority) const;
+  size_t Ahead(Lane aLane, Priority aPriority) const;
+
+  static Lane LaneOf(const Request& aRequest);
 
 private:
   using Key = std::tuple<int, int64_t, WorkId>;
+  using Order = std::set<Key>;
+
+  const Order& OrderOf(Lane aLane) const
+  {
+    return this->order[static_cast<size_t>(aLane)];
+  }
+  void Enqueue(Work& aWork);
+  void Dequeue(Work& aWork);
 
   Key KeyOf(const Work& aWork) const;
 
   bool byPriority;
   WorkId lastId = 0;
   std::unordered_map<WorkId, Work> works;
-  std::set<Key> order;
+  std::array<Order, kLaneNames.Size()> order;
   std::unordered_map<std::string, WorkId> byRequestId;
   std::unordered_map<ConnectionId, WorkId> byConnection;
-  std::array<size_t, kPriorityNames.Size()> queuedBy{};
+  std::array<std::array<size_t, kPriorityNames.Size()>, kLaneNames.Size()>
+    queuedBy{};
 };
 
 } // namespace marigoldpitch
--- a/include/marigoldpitch/protocol/upstream-sql.h
+++ b/include/marigoldpitch/protocol/upstream-sql.h
@@ -36,9 +36,17 @@
 AdoptTermSql(Term aTerm);
 Statement
 PromoteSql(Term aTerm);
+
+/** Ends another session of the same user, by the upstream's number for it. */
+Statement
+TerminateSql(int aBackend);
 Statement
 FollowSql(Term aTerm, const Endpoint& aPrimary);
 
+/**
+ * `role term last_term term_start received replayed heard_ms leaving` in the
+ * column `state`.
+ */
 Result<UpstreamStatus>
 ParseStatus(const Rows& aRows);
 
--- a/include/marigoldpitch/transport/pg-connection.h
+++ b/include/marigoldpitch/transport/pg-connection.h
@@ -36,6 +36,7 @@
   Endpoint endpoint;
   std::string database;
   std::string user;
+  Duration idleInTransaction = Seconds(6); // then the upstream ends it
 };
 
 class PgConnection : public std::enable_shared_from_this<PgConnection>
@@ -55,6 +56,9 @@
   void Close();
   bool IsOpen() const { return this->open; }
 
+  /** The upstream's number for this session; 0 before it is open. */
+  int Backend() const;
+
 private:
   PgConnection(Loop& aLoop, PGconn* aConnection, PgListener& aListener);
 
--- a/include/marigoldpitch/transport/upstream-pool.h
+++ b/include/marigoldpitch/transport/upstream-pool.h
@@ -90,6 +90,7 @@
   struct Worker
   {
     ConnectionId id = 0;
+    UpstreamIndex upstream = 0;
     std::shared_ptr<PgConnection> connection;
     uint64_t sequence = 0;
     Batch batch;
--- a/src/coordination/entry-engine.cc
+++ b/src/coordination/entry-engine.cc
@@ -14,6 +14,7 @@
 constexpr Duration kSilentAfter = Millis(200);
 // The owner's own verdict at the deadline is better than the entry's.
 constexpr Duration kAnswerGrace = Millis(50);
+constexpr size_t kRanksKept = 8;
 constexpr char kIncarnationMark = '~';
 
 bool
@@ -146,14 +147,25 @@
   return !isDown && !owner.draining;
 }
 
+const std::vector<std::string>&
+EntryEngine::RanksOf(const std::string& aGroup)
+{
+  auto found = this->ranks.find(aGroup);
+  if (found == this->ranks.end()) {
+    std::vector<std::string> names = RankOwners(aGroup, this->hosts.hosts);
+    names.resize(std::min(names.size(), detail::kRanksKept));
+    found = this->ranks.emplace(aGroup, std::move(names)).first;
+  }
+  return found->second;
+}
+
 std::string
-EntryEngine::ChooseHost(const Pending& aPending) const
+EntryEngine::ChooseHost(const Pending& aPending)
 {
   if (detail::IsTransactional(aPending.request)) {
     return detail::HostOfTransaction(aPending.request.transaction);
   }
-  for (const std::string& host :
-       RankOwners(aPending.request.group, this->hosts.hosts)) {
+  for (const std::string& host : this->RanksOf(aPending.request.group)) {
     if (this->IsUsable(host) && aPending.tried.count(host) == 0) {
       return host;
     }
@@ -338,6 +350,7 @@
 EntryEngine::On(const HostsChanged& aEvent)
 {
   this->hosts = aEvent.hosts;
+  this->ranks.clear();
 }
 
 void
--- a/src/coordination/group-engine.cc
+++ b/src/coordination/group-engine.cc
@@ -13,7 +13,7 @@
 constexpr Duration kConfirmingTick = Millis(2);
 constexpr Duration kBusyTick = Millis(10);
 constexpr Duration kIdleTick = Millis(50);
-constexpr int64_t kServiceSmoothing = 8;
+constexpr double kServiceSmoothing = 32;
 
 bool
 IsInTransaction(Operation aOperation)
@@ -129,6 +129,10 @@
   if (Work* same = this->queue.FindByRequestId(request.requestId)) {
     same->handles.push_back(aEvent.handle);
     same->request.firstAttempt = false;
+    if (same->abandoned) {
+      same->abandoned = false;
+      same->deadline = this->now + request.timeout;
+    }
     return;
   }
   Work& work = this->queue.Add(aEvent.handle, request, this->now);
@@ -176,20 +180,28 @@
   if (this->queue.Queued() > this->options.queueLimit) {
     return false;
   }
-  bool usesReplicas =
-    aRequest.operation == Operation::Read && aRequest.maxAge.has_value();
-  size_t servers = this->view.Primary() ? 1 : 0;
-  if (usesReplicas && this->view.Size() > 1) {
-    servers = this->view.Size() - 1;
-  }
+  Lane lane = WorkQueue::LaneOf(aRequest);
   QueueLoad load;
-  load.ahead = this->queue.Ahead(aRequest.priority);
+  load.ahead = this->queue.Ahead(lane, aRequest.priority);
   load.queued = this->queue.Queued();
-  load.slots = servers * this->config.slots;
-  load.service = this->service;
+  load.slots = this->SlotsFor(lane);
+  load.serviceMs = this->ServiceOf(lane);
   return this->policies.admission->Admits(load, aRequest.timeout);
 }
 
+size_t
+GroupEngine::SlotsFor(Lane aLane) const
+{
+  if (aLane == Lane::Primary) {
+    return this->view.Primary() ? this->config.slots : 0;
+  }
+  size_t replicas = 0;
+  for (UpstreamIndex i = 0; i < this->view.Size(); ++i) {
+    replicas += this->view.IsServingReplica(i) ? 1 : 0;
+  }
+  return replicas * this->config.slots;
+}
+
 void
 GroupEngine::On(const RequestCancelled& aEvent)
 {
@@ -296,6 +308,10 @@
 void
 GroupEngine::RequeueToResolve(Work& aWork)
 {
+  if (aWork.abandoned) {
+    this->queue.Remove(aWork.id);
+    return;
+  }
   aWork.mustResolve = true;
   aWork.notBefore = this->now + this->options.timing.contentionDelay;
   this->queue.Requeue(aWork);
@@ -304,6 +320,10 @@
 void
 GroupEngine::Retry(Work& aWork, Duration aDelay)
 {
+  if (aWork.abandoned) {
+    this->queue.Remove(aWork.id);
+    return;
+  }
   if (!this->retries.Spend()) {
     this->FinishNotRun(aWork, "refused: the budget for retries is spent");
     return;
@@ -325,9 +345,7 @@
   if (work == nullptr) {
     return;
   }
-  Duration took = this->now - work->started;
-  this->service.ms += (took.ms - this->service.ms) / detail::kServiceSmoothing;
-  this->service.ms = std::max<int64_t>(this->service.ms, 1);
+  work->spentMs += static_cast<double>((this->now - work->started).ms);
   const BatchResult& result = aEvent.result;
   if (const UpstreamStatus* status = result.Status()) {
     this->Learn(work->upstream, *status, work->started, work->startedEvent);
@@ -405,10 +423,12 @@
 void
 GroupEngine::Dispatch()
 {
-  for (WorkId id : this->queue.Head(detail::kDispatchScan)) {
-    Work* work = this->queue.Find(id);
-    if (work != nullptr && work->notBefore <= this->now) {
-      this->StartQueued(*work);
+  for (const auto& lane : kLaneNames.rows) {
+    for (WorkId id : this->queue.Head(lane.value, detail::kDispatchScan)) {
+      Work* work = this->queue.Find(id);
+      if (work != nullptr && work->notBefore <= this->now) {
+        this->StartQueued(*work);
+      }
     }
   }
 }
@@ -417,6 +437,13 @@
 GroupEngine::StartQueued(Work& aWork)
 {
   Operation operation = aWork.request.operation;
+  bool isWhole = operation == Operation::Read || operation == Operation::Write;
+  auto leftMs = static_cast<double>((aWork.deadline - this->now).ms);
+  // A slot is worth more than work that its deadline would only cut off.
+  if (isWhole && !aWork.mustResolve && leftMs < this->ServiceOf(aWork.lane)) {
+    this->FinishNotRun(aWork, "refused: it could not finish in time");
+    return;
+  }
   if (aWork.mustResolve || operation == Operation::Resolve) {
     this->StartOnPrimary(aWork);
   } else if (operation == Operation::Read) {
@@ -479,28 +506,49 @@
 void
 GroupEngine::Expire(Work& aWork)
 {
-  ConnectionId connection = aWork.connection;
   WorkPhase phase = aWork.phase;
   bool isRead = aWork.request.operation == Operation::Read;
-  this->queue.Release(aWork);
   if (phase == WorkPhase::Confirming) {
     this->confirmations.Drop(aWork.id);
   }
-  if (phase == WorkPhase::Undoing && !aWork.retryAfterUndo) {
-    this->Finish(aWork, aWork.answer);
+  Outcome outcome = this->UnprovedOutcome(aWork);
+  std::string message = "not done in time, and rolled back";
+  if (phase == WorkPhase::Committing || phase == WorkPhase::Resolving ||
+      (phase == WorkPhase::Confirming && !isRead) || aWork.mustResolve) {
+    outcome = Outcome::Unknown;
+    message = "no answer in time: ask with the same id";
   } else if (isRead && aWork.request.maxAge) {
-    this->Finish(aWork, Outcome::Stale, "no copy was fresh enough in time");
-  } else if (phase == WorkPhase::Committing || phase == WorkPhase::Resolving ||
-             (phase == WorkPhase::Confirming && !isRead) || aWork.mustResolve) {
-    this->Finish(
-      aWork, Outcome::Unknown, "no answer in time: ask with the same id");
-  } else {
-    this->FinishNotRun(aWork, "not done in time, and rolled back");
+    outcome = Outcome::Stale;
+    message = "no copy was fresh enough in time";
   }
-  // A late answer must never meet another statement on its connection.
-  if (connection != 0) {
+  Answer answer = MakeAnswer(outcome, message);
+  if (phase == WorkPhase::Undoing && !aWork.retryAfterUndo) {
+    answer = aWork.answer;
+  }
+  if (aWork.connection == 0) {
+    this->Finish(aWork, answer);
+    return;
+  }
+  // A statement of a transaction is undone with all of it; any other batch runs
+  // to its end, so that its connection stays whole for others.
+  if (aWork.request.operation == Operation::Statement) {
+    ConnectionId connection = aWork.connection;
+    this->Finish(aWork, answer);
     this->CloseAndLose(connection);
+    return;
+  }
+  this->Abandon(aWork, answer);
+}
+
+void
+GroupEngine::Abandon(Work& aWork, const Answer& aAnswer)
+{
+  for (RequestHandle handle : aWork.handles) {
+    this->Emit(SendAnswer{ handle, aAnswer });
   }
+  aWork.handles.clear();
+  aWork.abandoned = true;
+  aWork.deadline = kNever;
 }
 
 void
@@ -550,23 +598,37 @@
 
 void
 GroupEngine::FinishNotRun(Work& aWork, std::string aMessage)
+{
+  this->Finish(aWork, this->UnprovedOutcome(aWork), std::move(aMessage));
+}
+
+Outcome
+GroupEngine::UnprovedOutcome(const Work& aWork) const
 {
   // An earlier attempt under this id may have run elsewhere: only a first one
   // can be called "not run" without a look at the record.
   bool hasRecord = detail::NeedsRequestId(aWork.request.operation);
   bool isProved =
     !aWork.mustResolve && (!hasRecord || aWork.request.firstAttempt);
-  this->Finish(
-    aWork, isProved ? Outcome::NotRun : Outcome::Unknown, std::move(aMessage));
+  return isProved ? Outcome::NotRun : Outcome::Unknown;
+}
+
+void
+GroupEngine::LearnService(const Work& aWork)
+{
+  double& service = this->serviceMs[static_cast<size_t>(aWork.lane)];
+  service += (aWork.spentMs - service) / detail::kServiceSmoothing;
 }
 
 void
 GroupEngine::Hold(Work& aWork, Answer aAnswer, const UpstreamStatus& aStatus)
 {
   LogPoint point{ aStatus.term, aStatus.received };
+  this->LearnService(aWork);
   aAnswer.token = point;
   this->sessions.Advance(aWork.request.session, point);
-  if (this->policies.confirmation->Needed(this->config.Majority()) == 0) {
+  if (aWork.abandoned ||
+      this->policies.confirmation->Needed(this->config.Majority()) == 0) {
     this->Finish(aWork, aAnswer);
     return;
   }
--- a/src/coordination/group-reads.cc
+++ b/src/coordination/group-reads.cc
@@ -15,6 +15,7 @@
   need.zone = request.zone;
   need.arrived = aWork.arrived;
   need.deadline = aWork.deadline;
+  need.primaryIsWanted = this->queue.Queued(Lane::Primary) != 0;
   return need;
 }
 
@@ -69,6 +70,10 @@
     return;
   }
   ReadNeed need = this->NeedOf(aWork);
+  if (aWork.abandoned) {
+    this->queue.Remove(aWork.id);
+    return;
+  }
   Answer answer;
   answer.rows = aResult.steps[1].rows;
   if (status->role == Role::Primary) {
@@ -94,6 +99,7 @@
   answer.age = this->view.AgeOf(status->Visible(), this->now);
   answer.token = status->Visible().Point();
   this->sessions.Advance(aWork.request.session, answer.token);
+  this->LearnService(aWork);
   this->Emit(Observe{ Observation::ReplicaRead, *answer.age });
   this->Finish(aWork, answer);
 }
--- a/src/coordination/group-watch.cc
+++ b/src/coordination/group-watch.cc
@@ -16,7 +16,8 @@
 constexpr Duration kStandbyPatience = Seconds(1);
 constexpr Duration kActingPatience = Millis(100);
 constexpr Duration kActsAfterRequest = Seconds(5);
-constexpr int64_t kStandbyProbeFactor = 4;
+constexpr int64_t kIdleProbeFactor = 2;
+constexpr int64_t kStandbyProbeFactor = 8;
 } // namespace detail
 
 void
@@ -57,8 +58,10 @@
     const GroupTiming& timing = this->options.timing;
     bool isPrimary = i == this->view.Primary();
     Duration interval = isPrimary ? timing.probePrimary : timing.probeReplica;
-    if (this->options.standby && this->queue.Size() == 0) {
-      interval = interval * detail::kStandbyProbeFactor;
+    bool isIdle = this->now - this->lastRequest > detail::kActsAfterRequest;
+    if (isIdle) {
+      interval = interval * (this->options.standby ? detail::kStandbyProbeFactor
+                                                   : detail::kIdleProbeFactor);
     }
     // While the primary is silent, the replicas' word on it must be recent.
     auto primary = this->view.Primary();
@@ -66,7 +69,9 @@
     if (upstream.failures > 0 || isLost) {
       interval = std::min(interval, detail::kFailingProbe);
     }
-    if (this->now - upstream.questionSent >= interval) {
+    // A statement's answer tells as much as a question's.
+    Time lastTold = std::max(upstream.questionSent, upstream.lastAnswer);
+    if (this->now - lastTold >= interval) {
       this->Ask(i);
     }
   }
@@ -318,7 +323,7 @@
   }
   // The replicas still hear the primary: only we cannot reach it, and another
   // owner may.
-  for (WorkId id : this->queue.Head(this->queue.Queued())) {
+  for (WorkId id : this->queue.Head(Lane::Primary, this->queue.Queued())) {
     Work* work = this->queue.Find(id);
     bool needsPrimary =
       work->request.transaction.empty() &&
--- a/src/coordination/group-writes.cc
+++ b/src/coordination/group-writes.cc
@@ -66,8 +66,11 @@
   if (!primary || this->view.At(*primary).Leaving()) {
     return;
   }
+  // A write whose commit got lost is simply claimed again: its record, if it
+  // ran, answers for it. Only what cannot be run again is settled instead.
   bool isResolve =
-    aWork.mustResolve || aWork.request.operation == Operation::Resolve;
+    aWork.request.operation == Operation::Resolve ||
+    (aWork.mustResolve && aWork.request.operation != Operation::Write);
   bool isBegin = !isResolve && aWork.request.operation == Operation::Begin;
   // Idle transactions may never hold the connections that other work needs.
   uint32_t pinnable = this->config.connections > this->config.slots
@@ -120,10 +123,12 @@
     }
     return;
   }
-  if (aWork.deadline <= this->now) {
-    bool isProved = aWork.request.firstAttempt;
+  // The claim went through, so an earlier transaction with this record has
+  // ended without a commit.
+  aWork.mustResolve = false;
+  if (aWork.abandoned || aWork.deadline <= this->now) {
     this->Undo(aWork,
-               MakeAnswer(isProved ? Outcome::NotRun : Outcome::Unknown,
+               MakeAnswer(this->UnprovedOutcome(aWork),
                           "not done in time, and rolled back"));
     return;
   }
@@ -262,6 +267,23 @@
             { detail::MakeStep(StepKind::RollBack) });
 }
 
+void
+GroupEngine::WaitForOther(Work& aWork)
+{
+  if (aWork.abandoned) {
+    this->queue.Remove(aWork.id);
+    return;
+  }
+  // Another transaction holds the same record: it ends soon, or its upstream
+  // ends it.
+  const GroupTiming& timing = this->options.timing;
+  aWork.retryAfterUndo = false;
+  aWork.waits = std::min(aWork.waits + 1, timing.mostContentionDoublings);
+  aWork.notBefore =
+    this->now + timing.contentionDelay * (int64_t{ 1 } << aWork.waits);
+  this->queue.Requeue(aWork);
+}
+
 void
 GroupEngine::UndoDone(Work& aWork, const BatchResult& aResult)
 {
@@ -270,7 +292,7 @@
     return;
   }
   if (aWork.retryAfterUndo) {
-    this->Retry(aWork, this->options.timing.contentionDelay);
+    this->WaitForOther(aWork);
     return;
   }
   this->Finish(aWork, aWork.answer);
--- a/src/coordination/policies.cc
+++ b/src/coordination/policies.cc
@@ -82,9 +82,9 @@
     if (aLoad.slots == 0) {
       return true; // no primary for the moment: waiting may still help
     }
-    auto slots = static_cast<int64_t>(aLoad.slots);
-    auto rounds = static_cast<int64_t>(aLoad.ahead) / slots + 1;
-    return aLoad.service * rounds <= aTimeLeft;
+    double rounds =
+      static_cast<double>(aLoad.ahead) / static_cast<double>(aLoad.slots) + 1;
+    return aLoad.serviceMs * rounds <= static_cast<double>(aTimeLeft.ms);
   }
 
   bool OrdersByPriority() const override { return true; }
--- a/src/coordination/routing.cc
+++ b/src/coordination/routing.cc
@@ -64,7 +64,8 @@
       return { RouteKind::Upstream, *best, false };
     }
     Route route;
-    if (this->MayUsePrimary(aNeed, foundFresh, aNow)) {
+    if (!aNeed.primaryIsWanted &&
+        this->MayUsePrimary(aNeed, foundFresh, aNow)) {
       route = ToPrimary(aView, aConnections);
     }
     route.lacksFreshness = !foundFresh;
--- a/src/coordination/work-queue.cc
+++ b/src/coordination/work-queue.cc
@@ -12,8 +12,8 @@
   work.request = aRequest;
   work.arrived = aNow;
   work.deadline = aNow + aRequest.timeout;
-  this->order.insert(this->KeyOf(work));
-  ++this->queuedBy[static_cast<size_t>(aRequest.priority)];
+  work.lane = LaneOf(aRequest);
+  this->Enqueue(work);
   if (!aRequest.requestId.empty()) {
     this->byRequestId[aRequest.requestId] = id;
   }
@@ -45,9 +45,7 @@
 void
 WorkQueue::Start(Work& aWork, ConnectionId aConnection)
 {
-  if (this->order.erase(this->KeyOf(aWork)) != 0) {
-    --this->queuedBy[static_cast<size_t>(aWork.request.priority)];
-  }
+  this->Dequeue(aWork);
   aWork.connection = aConnection;
   this->byConnection[aConnection] = aWork.id;
 }
@@ -57,9 +55,7 @@
 {
   this->Release(aWork);
   aWork.phase = WorkPhase::Queued;
-  if (this->order.insert(this->KeyOf(aWork)).second) {
-    ++this->queuedBy[static_cast<size_t>(aWork.request.priority)];
-  }
+  this->Enqueue(aWork);
 }
 
 void
@@ -79,9 +75,7 @@
     return;
   }
   this->Release(*work);
-  if (this->order.erase(this->KeyOf(*work)) != 0) {
-    --this->queuedBy[static_cast<size_t>(work->request.priority)];
-  }
+  this->Dequeue(*work);
   auto named = this->byRequestId.find(work->request.requestId);
   if (named != this->byRequestId.end() && named->second == aId) {
     this->byRequestId.erase(named);
@@ -90,10 +84,10 @@
 }
 
 std::vector<WorkId>
-WorkQueue::Head(size_t aMost) const
+WorkQueue::Head(Lane aLane, size_t aMost) const
 {
   std::vector<WorkId> head;
-  for (const Key& key : this->order) {
+  for (const Key& key : this->OrderOf(aLane)) {
     if (head.size() == aMost) {
       break;
     }
@@ -114,18 +108,44 @@
 }
 
 size_t
-WorkQueue::Ahead(Priority aPriority) const
+WorkQueue::Ahead(Lane aLane, Priority aPriority) const
 {
   if (!this->byPriority) {
-    return this->order.size();
+    return this->Queued(aLane);
   }
   size_t ahead = 0;
   for (size_t i = 0; i <= static_cast<size_t>(aPriority); ++i) {
-    ahead += this->queuedBy[i];
+    ahead += this->queuedBy[static_cast<size_t>(aLane)][i];
   }
   return ahead;
 }
 
+Lane
+WorkQueue::LaneOf(const Request& aRequest)
+{
+  bool acceptsAge = aRequest.operation == Operation::Read &&
+                    aRequest.maxAge.has_value() && !aRequest.unresolved;
+  return acceptsAge ? Lane::Replicas : Lane::Primary;
+}
+
+void
+WorkQueue::Enqueue(Work& aWork)
+{
+  auto lane = static_cast<size_t>(aWork.lane);
+  if (this->order[lane].insert(this->KeyOf(aWork)).second) {
+    ++this->queuedBy[lane][static_cast<size_t>(aWork.request.priority)];
+  }
+}
+
+void
+WorkQueue::Dequeue(Work& aWork)
+{
+  auto lane = static_cast<size_t>(aWork.lane);
+  if (this->order[lane].erase(this->KeyOf(aWork)) != 0) {
+    --this->queuedBy[lane][static_cast<size_t>(aWork.request.priority)];
+  }
+}
+
 WorkQueue::Key
 WorkQueue::KeyOf(const Work& aWork) const
 {
--- a/src/protocol/upstream-sql.cc
+++ b/src/protocol/upstream-sql.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <sstream>
 
 namespace marigoldpitch {
 
@@ -177,7 +178,7 @@
 Statement
 StatusSql()
 {
-  return detail::Call("SELECT * FROM marigoldpitch_status()", {});
+  return detail::Call("SELECT state FROM marigoldpitch_status()", {});
 }
 
 Statement
@@ -194,6 +195,13 @@
                       { std::to_string(aTerm) });
 }
 
+Statement
+TerminateSql(int aBackend)
+{
+  return detail::Call("SELECT pg_terminate_backend($1)",
+                      { std::to_string(aBackend) });
+}
+
 Statement
 FollowSql(Term aTerm, const Endpoint& aPrimary)
 {
@@ -205,23 +213,19 @@
 Result<UpstreamStatus>
 ParseStatus(const Rows& aRows)
 {
-  detail::NumberRow numbers(aRows);
+  // One short line: it is asked for many times a second.
+  std::istringstream words(detail::Cell(aRows, "state").value_or(""));
+  std::string role;
   UpstreamStatus status;
-  auto role = kRoleNames.ValueOf(detail::Cell(aRows, "role").value_or(""));
-  if (!role) {
-    numbers.findings.Add("role", "unknown");
-  }
-  status.role = role.value_or(Role::Detached);
-  status.term = numbers.Take("term");
-  status.lastTerm = numbers.Take("last_term");
-  status.termStart = numbers.Take("term_start");
-  status.received = numbers.Take("received");
-  status.replayed = numbers.Take("replayed");
-  status.heard = Millis(static_cast<int64_t>(numbers.Take("heard_ms")));
-  status.leaving = numbers.Take("leaving") != 0;
-  if (!numbers.findings.Empty()) {
-    return numbers.findings.ToError("status");
+  int leaving = 0;
+  words >> role >> status.term >> status.lastTerm >> status.termStart >>
+    status.received >> status.replayed >> status.heard.ms >> leaving;
+  auto known = kRoleNames.ValueOf(role);
+  if (!words || !known) {
+    return Error{ ErrorCode::BadMessage, "status", "not a state of ours" };
   }
+  status.role = *known;
+  status.leaving = leaving != 0;
   return status;
 }
 
--- a/src/transport/pg-connection.cc
+++ b/src/transport/pg-connection.cc
@@ -36,12 +36,14 @@
 PgConnection::Open(Loop& aLoop, const PgTarget& aTarget, PgListener& aListener)
 {
   std::string port = std::to_string(aTarget.endpoint.port);
-  std::array<const char*, 9> keys{
-    "hostaddr", "port",       "dbname",           "user",
-    "sslmode",  "gssencmode", "application_name", "tcp_user_timeout",
-    nullptr,
+  std::string options = "-c idle_in_transaction_session_timeout=" +
+                        std::to_string(aTarget.idleInTransaction.ms);
+  std::array<const char*, 10> keys{
+    "hostaddr",         "port",       "dbname",           "user",
+    "sslmode",          "gssencmode", "application_name", "options",
+    "tcp_user_timeout", nullptr,
   };
-  std::array<const char*, 9> values{
+  std::array<const char*, 10> values{
     aTarget.endpoint.address.c_str(),
     port.c_str(),
     aTarget.database.c_str(),
@@ -49,6 +51,7 @@
     "disable",
     "disable",
     "marigoldpitch",
+    options.c_str(),
     "5000",
     nullptr,
   };
@@ -78,6 +81,12 @@
   this->Close();
 }
 
+int
+PgConnection::Backend() const
+{
+  return this->open ? PQbackendPID(this->connection) : 0;
+}
+
 void
 PgConnection::Unwatch()
 {
--- a/src/transport/upstream-pool.cc
+++ b/src/transport/upstream-pool.cc
@@ -4,6 +4,9 @@
 
 namespace detail {
 
+// The owner ends an idle transaction first; the upstream does when it cannot.
+constexpr Duration kIdleGrace = Seconds(1);
+
 // An upstream that refuses a term states the one that it has.
 constexpr char kTermRefused[] = "MP001";
 
@@ -123,7 +126,8 @@
 {
   return { this->config.upstreams[aUpstream].endpoint,
            this->config.database,
-           this->config.user };
+           this->config.user,
+           this->config.transactionIdle + detail::kIdleGrace };
 }
 
 void
@@ -152,6 +156,7 @@
   }
   Worker worker;
   worker.id = aAction.connection;
+  worker.upstream = aAction.upstream;
   worker.connection = opened.value();
   this->byConnection[worker.connection.get()] = worker.id;
   this->workers[worker.id] = std::move(worker);
@@ -164,9 +169,15 @@
   if (found == this->workers.end()) {
     return;
   }
-  this->byConnection.erase(found->second.connection.get());
-  found->second.connection->Close();
+  Worker worker = std::move(found->second);
   this->workers.erase(found);
+  this->byConnection.erase(worker.connection.get());
+  int backend = worker.connection->Backend();
+  worker.connection->Close();
+  if (backend != 0) {
+    this->admin[worker.upstream]->Call(TerminateSql(backend),
+                                       [](const SqlResult*) {});
+  }
 }
 
 void
--- /dev/null
+++ b/test/bench/decisions-bench.cc
@@ -0,0 +1,258 @@
+#include "marigoldpitch/coordination/entry-engine.h"
+#include "marigoldpitch/coordination/group-engine.h"
+#include "marigoldpitch/coordination/spread.h"
+#include "marigoldpitch/transport/clock.h"
+
+#include <fmt/format.h>
+
+#include <malloc.h>
+#include <memory>
+
+// What decisions cost: processor time a request, bytes a session, group, host.
+
+using namespace marigoldpitch;
+
+namespace {
+
+constexpr int kRequests = 200000;
+constexpr int kGroups = 2000;
+constexpr size_t kSessions = 200000;
+constexpr int kHosts = 2400;
+
+GroupConfig
+MakeConfig(const std::string& aName)
+{
+  GroupConfig config;
+  config.name = aName;
+  config.slots = 2;
+  config.connections = 16;
+  for (int i = 0; i < 3; ++i) {
+    UpstreamConfig upstream;
+    upstream.name = "upstream-" + std::to_string(i);
+    upstream.zone = "zone-" + std::to_string(i);
+    upstream.endpoint = { "10.0.0.1", 5432 };
+    config.upstreams.push_back(upstream);
+  }
+  return config;
+}
+
+std::unique_ptr<GroupEngine>
+MakeEngine(const std::string& aName)
+{
+  GroupConfig config = MakeConfig(aName);
+  GroupOptions options;
+  options.owner = "host-1~a";
+  return std::move(
+    GroupEngine::Create(config, MakeDefaultPolicies(config), options).value());
+}
+
+UpstreamStatus
+StatusOf(UpstreamIndex aUpstream, Position aPosition)
+{
+  UpstreamStatus status;
+  status.role = aUpstream == 0 ? Role::Primary : Role::Replica;
+  status.term = 1;
+  status.lastTerm = 1;
+  status.received = aPosition;
+  status.replayed = aPosition;
+  return status;
+}
+
+/** Answers each action at once, as an upstream without any delay would. */
+class InstantUpstreams
+{
+public:
+  explicit InstantUpstreams(GroupEngine& aEngine)
+    : engine(aEngine)
+  {
+  }
+
+  void Step(const GroupEvent& aEvent)
+  {
+    ++this->events;
+    for (const GroupAction& action : this->engine.Handle(this->now, aEvent)) {
+      this->Perform(action);
+    }
+  }
+
+  Time now{ 1000 };
+  uint64_t answers = 0;
+  uint64_t events = 0;
+
+private:
+  void Perform(const GroupAction& aAction)
+  {
+    if (const auto* ask = std::get_if<AskStatus>(&aAction)) {
+      this->Step(StatusAnswered{
+        ask->upstream, ask->ask, StatusOf(ask->upstream, this->position) });
+    } else if (const auto* open = std::get_if<OpenConnection>(&aAction)) {
+      this->upstreamOf[open->connection] = open->upstream;
+      this->Step(ConnectionOpened{ open->connection });
+    } else if (const auto* run = std::get_if<RunBatch>(&aAction)) {
+      BatchFinished finished{ run->connection, run->sequence, {} };
+      for (const marigoldpitch::Step& step : run->batch) {
+        StepResult result;
+        result.outcome = StepOutcome::Done;
+        if (step.kind == StepKind::Commit) {
+          ++this->position;
+        }
+        if (step.kind == StepKind::Status) {
+          result.status =
+            StatusOf(this->upstreamOf[run->connection], this->position);
+        }
+        finished.result.steps.push_back(result);
+      }
+      this->Step(finished);
+    } else if (std::get_if<SendAnswer>(&aAction) != nullptr) {
+      ++this->answers;
+    }
+  }
+
+  GroupEngine& engine;
+  Position position = 1;
+  std::map<ConnectionId, UpstreamIndex> upstreamOf;
+};
+
+double
+Bytes()
+{
+  return static_cast<double>(mallinfo2().uordblks);
+}
+
+void
+MeasureDecisions(Operation aOperation, const char* aName)
+{
+  auto engine = MakeEngine("g");
+  InstantUpstreams upstreams(*engine);
+  for (int i = 0; i < 50; ++i) {
+    upstreams.now = upstreams.now + Millis(50);
+    upstreams.Step(Tick{});
+  }
+  Request request;
+  request.operation = aOperation;
+  request.statement.sql = "SELECT 1";
+  if (aOperation == Operation::Read) {
+    request.maxAge = Seconds(5);
+  }
+  upstreams.answers = 0;
+  int64_t start = ReadProcessMicros();
+  for (int i = 0; i < kRequests; ++i) {
+    request.session = "s" + std::to_string(i % 1000);
+    request.requestId =
+      aOperation == Operation::Read ? "" : "r" + std::to_string(i);
+    upstreams.Step(
+      RequestArrived{ static_cast<RequestHandle>(i + 1), request });
+    if (i % 4 == 0) {
+      upstreams.now = upstreams.now + Millis(2);
+      upstreams.Step(Tick{});
+    }
+  }
+  int64_t took = ReadProcessMicros() - start;
+  fmt::print("decide_ns_{} {} ns\n", aName, took * 1000 / kRequests);
+  fmt::print("decide_answered_{} {:.1f} percent\n",
+             aName,
+             100.0 * static_cast<double>(upstreams.answers) / kRequests);
+}
+
+void
+MeasureSessions()
+{
+  double before = Bytes();
+  SessionTable table(kSessions);
+  for (size_t i = 0; i < kSessions; ++i) {
+    table.Advance("0f66c4c3474add49" + std::to_string(i), { 1, i });
+  }
+  fmt::print("session_bytes {:.0f} bytes\n", (Bytes() - before) / kSessions);
+}
+
+void
+MeasureGroups()
+{
+  std::vector<std::unique_ptr<GroupEngine>> engines;
+  double before = Bytes();
+  for (int i = 0; i < kGroups; ++i) {
+    engines.push_back(MakeEngine("group-" + std::to_string(i)));
+    InstantUpstreams upstreams(*engines.back());
+    for (int tick = 0; tick < 20; ++tick) {
+      upstreams.now = upstreams.now + Millis(50);
+      upstreams.Step(Tick{});
+    }
+  }
+  fmt::print("group_bytes {:.0f} bytes\n", (Bytes() - before) / kGroups);
+
+  constexpr int kIdleSeconds = 60;
+  uint64_t asks = 0;
+  Time now{ 100000 };
+  int64_t start = ReadProcessMicros();
+  InstantUpstreams upstreams(*engines[0]);
+  upstreams.now = now;
+  for (int i = 0; i < kIdleSeconds * 20; ++i) {
+    upstreams.now = upstreams.now + Millis(50);
+    upstreams.Step(Tick{});
+  }
+  int64_t took = ReadProcessMicros() - start;
+  asks = upstreams.events - kIdleSeconds * 20;
+  fmt::print("idle_group_decide {:.1f} us/s\n",
+             static_cast<double>(took) / kIdleSeconds);
+  fmt::print("idle_group_status_calls {:.1f} per_second\n",
+             static_cast<double>(asks) / kIdleSeconds);
+}
+
+void
+MeasureHosts()
+{
+  double before = Bytes();
+  HostList list;
+  list.revision = 1;
+  for (int i = 0; i < kHosts; ++i) {
+    HostEntry host;
+    host.name = "host-" + std::to_string(i);
+    host.zone = "zone-" + std::to_string(i % 11);
+    host.owner = host.entry = host.ownerOps =
+      host.entryOps = { "10.11.12.13", 7000 };
+    list.hosts.push_back(host);
+  }
+  EntryEngine entry;
+  entry.Handle({ 0 }, HostsChanged{ list });
+  fmt::print("host_bytes {:.0f} bytes\n", (Bytes() - before) / kHosts);
+
+  SpreadOptions options;
+  options.peer = "host-1/owner";
+  options.host = "host-1";
+  options.zone = "zone-1";
+  Spread spread(options);
+  int64_t start = ReadProcessMicros();
+  spread.SetHosts(list);
+  fmt::print("host_list_decide {} us\n", ReadProcessMicros() - start);
+
+  Config config;
+  config.revision = 1;
+  config.groups.push_back(MakeConfig("g"));
+  entry.Handle({ 0 }, ConfigurationChanged{ config });
+  Request request;
+  request.group = "g";
+  request.session = "s";
+  entry.Handle({ 0 }, CallerAsked{ 1, request });
+  constexpr int kForwards = 2000;
+  start = ReadProcessMicros();
+  for (int i = 0; i < kForwards; ++i) {
+    entry.Handle({ 0 },
+                 CallerAsked{ static_cast<RequestHandle>(i + 2), request });
+  }
+  fmt::print("entry_decide_ns_{}_hosts {} ns\n",
+             kHosts,
+             (ReadProcessMicros() - start) * 1000 / kForwards);
+}
+
+} // namespace
+
+int
+main()
+{
+  MeasureDecisions(Operation::Read, "read");
+  MeasureDecisions(Operation::Write, "write");
+  MeasureSessions();
+  MeasureGroups();
+  MeasureHosts();
+  return 0;
+}
--- /dev/null
+++ b/test/bench/policy-bench.cc
@@ -0,0 +1,310 @@
+#include "fakes/history.h"
+#include "fakes/plan.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+// The policies on the fake clock, each beside a plain baseline in the same run.
+
+using namespace marigoldpitch;
+using namespace marigoldpitch::fakes;
+
+namespace {
+
+constexpr uint32_t kSeeds = 20;
+
+struct Deployment
+{
+  const char* name;
+  Duration oneWay;
+  uint32_t slots;
+  uint32_t connections;
+};
+
+const Deployment kDeployments[] = {
+  { "addis_ababa", Millis(1), 2, 16 },
+  { "brittany", Millis(2), 3, 40 },
+};
+
+PlanOptions
+OptionsOf(const Deployment& aDeployment)
+{
+  PlanOptions options;
+  options.world.oneWay = aDeployment.oneWay;
+  options.world.slots = aDeployment.slots;
+  options.world.connections = aDeployment.connections;
+  options.world.owners = 5;
+  options.world.longestLag = Millis(400);
+  options.history.maxAge = Millis(600);
+  options.history.countsOracle = true;
+  return options;
+}
+
+double
+Share(uint64_t aPart, uint64_t aWhole)
+{
+  return aWhole == 0
+           ? 0
+           : 100.0 * static_cast<double>(aPart) / static_cast<double>(aWhole);
+}
+
+void
+MeasureReplicaShare(const Deployment& aDeployment,
+                    const char* aCase,
+                    const std::vector<Fault>& aFaults)
+{
+  PlanResult sum;
+  PlanResult plain;
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    PlanOptions options = OptionsOf(aDeployment);
+    sum.Add(RunPlan({ seed, aFaults }, options));
+    options.world.policies = [](const GroupConfig& aConfig) {
+      Policies policies = MakeDefaultPolicies(aConfig);
+      policies.routing = MakePrimaryOnlyRouting();
+      return policies;
+    };
+    plain.Add(RunPlan({ seed, aFaults }, options));
+  }
+  std::string name = fmt::format("{}_{}", aDeployment.name, aCase);
+  fmt::print("replica_share_{} {:.2f} percent oracle {:.2f} of_oracle {:.2f} "
+             "baseline {:.2f}\n",
+             name,
+             Share(sum.tolerantReplicaReads, sum.tolerantReads),
+             Share(sum.oracleReads, sum.tolerantReads),
+             Share(sum.tolerantReplicaReads, sum.oracleReads),
+             Share(plain.tolerantReplicaReads, plain.tolerantReads));
+  fmt::print("stale_reads_{} {} count\n", name, sum.violations.size());
+  fmt::print("tolerant_reads_refused_{} {} count baseline {}\n",
+             name,
+             sum.readsRefused,
+             plain.readsRefused);
+}
+
+// Overload: requests arrive whether or not earlier ones were answered.
+
+struct OverloadResult
+{
+  uint64_t offered = 0;
+  uint64_t good = 0;
+  uint64_t urgentOffered = 0;
+  uint64_t urgentGood = 0;
+  uint64_t urgentRefused = 0;
+  uint64_t batches = 0;
+  int64_t recoveryMs = -1;
+};
+
+constexpr Duration kOverloadTimeout = Millis(300);
+constexpr Duration kOverloadLength = Seconds(4);
+constexpr int kUrgentPercent = 20;
+
+class Overload
+{
+public:
+  Overload(World& aWorld, double aPerMs)
+    : world(aWorld)
+    , perMs(aPerMs)
+  {
+  }
+
+  OverloadResult Run()
+  {
+    Time end = this->world.Now() + kOverloadLength;
+    this->Arrive(end);
+    this->world.RunUntil(end);
+    this->MeasureRecovery(end);
+    this->world.RunFor(Seconds(1));
+    this->result.batches = this->world.batches;
+    return this->result;
+  }
+
+private:
+  void Arrive(Time aEnd)
+  {
+    if (this->world.Now() >= aEnd) {
+      return;
+    }
+    this->due += this->perMs;
+    for (; this->due >= 1; this->due -= 1) {
+      this->Send();
+    }
+    this->world.After(Millis(1), [=] { this->Arrive(aEnd); });
+  }
+
+  void Send()
+  {
+    bool isUrgent = static_cast<int>(this->world.Random(100)) < kUrgentPercent;
+    Request request;
+    request.session = "s" + std::to_string(this->world.Random(1000));
+    request.timeout = kOverloadTimeout;
+    if (isUrgent) {
+      request.operation = Operation::Write;
+      request.priority = Priority::Critical;
+      request.requestId = "w" + std::to_string(++this->lastId);
+      request.firstAttempt = true;
+      request.statement = { "INSERT INTO rows (key, value) VALUES ($1, $2)",
+                            { request.requestId, std::string("v") } };
+    } else {
+      request.operation = Operation::Read;
+      request.priority = Priority::Tolerant;
+      request.maxAge = Seconds(2);
+      request.statement = { "SELECT value FROM rows WHERE key = $1",
+                            { std::string("x") } };
+    }
+    ++this->result.offered;
+    this->result.urgentOffered += isUrgent ? 1 : 0;
+    Time asked = this->world.Now();
+    this->world.AskOwner(
+      this->world.FirstOwner(), request, [=](const Answer& aAnswer) {
+        bool isGood = aAnswer.outcome == Outcome::Ok &&
+                      this->world.Now() - asked <= kOverloadTimeout;
+        this->result.good += isGood ? 1 : 0;
+        this->result.urgentGood += isGood && isUrgent ? 1 : 0;
+        this->result.urgentRefused += !isGood && isUrgent ? 1 : 0;
+      });
+  }
+
+  void MeasureRecovery(Time aEnd)
+  {
+    // One read at a time until an answer is quick again.
+    while (this->world.Now() - aEnd < Seconds(10)) {
+      Time asked = this->world.Now();
+      bool isQuick = false;
+      Request request;
+      request.operation = Operation::Read;
+      request.session = "probe";
+      request.maxAge = Seconds(2);
+      request.statement = { "SELECT value FROM rows WHERE key = $1",
+                            { std::string("x") } };
+      this->world.AskOwner(
+        this->world.FirstOwner(), request, [&](const Answer& aAnswer) {
+          isQuick = aAnswer.outcome == Outcome::Ok;
+        });
+      this->world.RunFor(Millis(15));
+      if (isQuick) {
+        this->result.recoveryMs = (asked - aEnd).ms;
+        return;
+      }
+      this->world.RunFor(Seconds(3)); // let that probe end
+    }
+  }
+
+  World& world;
+  double perMs;
+  double due = 0;
+  uint64_t lastId = 0;
+  OverloadResult result;
+};
+
+OverloadResult
+RunOverload(const Deployment& aDeployment, double aPerMs, bool aFifo)
+{
+  WorldOptions options = OptionsOf(aDeployment).world;
+  options.longestLag = Millis(20);
+  if (aFifo) {
+    options.policies = [](const GroupConfig& aConfig) {
+      Policies policies = MakeDefaultPolicies(aConfig);
+      policies.admission = MakeFifoAdmission();
+      return policies;
+    };
+  }
+  World world(options);
+  return Overload(world, aPerMs).Run();
+}
+
+void
+MeasureOverload(const Deployment& aDeployment)
+{
+  // Capacity: the most that is answered in time, found by raising the load.
+  double capacity = 0;
+  for (double rate = 0.2; rate < 4; rate += 0.1) {
+    OverloadResult result = RunOverload(aDeployment, rate, false);
+    double good = static_cast<double>(result.good) /
+                  static_cast<double>(kOverloadLength.ms);
+    capacity = std::max(capacity, good);
+  }
+  fmt::print(
+    "capacity_{} {:.0f} per_second\n", aDeployment.name, capacity * 1000);
+  for (double load : { 0.8, 1.0, 2.0, 4.0 }) {
+    OverloadResult ours = RunOverload(aDeployment, capacity * load, false);
+    OverloadResult fifo = RunOverload(aDeployment, capacity * load, true);
+    double most = capacity * static_cast<double>(kOverloadLength.ms);
+    fmt::print("goodput_{}_at_{} {:.1f} percent_of_capacity baseline {:.1f}\n",
+               aDeployment.name,
+               load,
+               100 * static_cast<double>(ours.good) / most,
+               100 * static_cast<double>(fifo.good) / most);
+    fmt::print("urgent_in_time_{}_at_{} {:.1f} percent baseline {:.1f}\n",
+               aDeployment.name,
+               load,
+               Share(ours.urgentGood, ours.urgentOffered),
+               Share(fifo.urgentGood, fifo.urgentOffered));
+    fmt::print("recovery_{}_at_{} {} ms baseline {}\n",
+               aDeployment.name,
+               load,
+               ours.recoveryMs,
+               fifo.recoveryMs);
+  }
+}
+
+void
+MeasureRetries(const Deployment& aDeployment)
+{
+  // An upstream whose connections go silent again and again.
+  WorldOptions options = OptionsOf(aDeployment).world;
+  World world(options);
+  History history(world, {});
+  history.Start();
+  uint64_t before = world.batches;
+  uint64_t retriesBefore = world.retries;
+  uint64_t answeredBefore = history.writesOk + history.readsOk;
+  for (int i = 0; i < 20; ++i) {
+    world.SilenceConnections(world.FirstOwner(), static_cast<size_t>(i) % 3);
+    world.RunFor(Millis(500));
+  }
+  uint64_t answered = history.writesOk + history.readsOk - answeredBefore;
+  fmt::print(
+    "retries_{} {} count of {} answered {} batches {}\n",
+    aDeployment.name,
+    world.retries - retriesBefore,
+    answered,
+    fmt::format("{:.3f} times",
+                1 + static_cast<double>(world.retries - retriesBefore) /
+                      static_cast<double>(answered)),
+    world.batches - before);
+}
+
+void
+MeasureLosingAnOwner(const Deployment& aDeployment)
+{
+  std::vector<int64_t> gaps;
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    Fault kill{ FaultKind::KillOwner, 500, 0, 0 };
+    PlanResult result = RunPlan({ seed, { kill } }, OptionsOf(aDeployment));
+    gaps.push_back(result.writeGap.ms);
+  }
+  std::sort(gaps.begin(), gaps.end());
+  fmt::print("gap_writes_losing_owner_{} {} ms median, {} ms longest\n",
+             aDeployment.name,
+             gaps[gaps.size() / 2],
+             gaps.back());
+}
+
+} // namespace
+
+int
+main()
+{
+  for (const Deployment& deployment : kDeployments) {
+    MeasureReplicaShare(deployment, "no_fault", {});
+    MeasureReplicaShare(deployment,
+                        "stalled_replica",
+                        { { FaultKind::StallReplica, 100, 3500, 0 } });
+    MeasureReplicaShare(
+      deployment, "failover", { { FaultKind::KillPrimary, 1000, 0, 0 } });
+    MeasureOverload(deployment);
+    MeasureRetries(deployment);
+    MeasureLosingAnOwner(deployment);
+  }
+  return 0;
+}
--- a/test/engine-test.cc
+++ b/test/engine-test.cc
@@ -389,6 +389,27 @@
   }
 }
 
+Test(silence, leaves_no_claim_behind)
+{
+  // Connections go silent in the middle of a write: the upstream still has its
+  // transaction open, and the record in it.
+  for (int64_t offset = 0; offset < 25; ++offset) {
+    World world(Options(static_cast<uint32_t>(offset) + 1));
+    size_t owner = world.FirstOwner();
+    Outcome outcome = Outcome::Unknown;
+    world.Ask(0, MakeWrite("warm", "warm"), [](const Answer&) {});
+    world.RunFor(Millis(300));
+    world.Ask(0, MakeWrite("id", "key"), [&](const Answer& aAnswer) {
+      outcome = aAnswer.outcome;
+    });
+    world.RunFor(Millis(offset));
+    world.SilenceConnections(owner, 0);
+    world.RunFor(Seconds(2));
+    cr_assert(outcome == Outcome::Ok, "silent after %ld ms", offset);
+    cr_assert_str_eq(world.Value(0, "rows", "key").c_str(), "v");
+  }
+}
+
 Test(reads, wait_for_a_replica_before_they_use_the_primary)
 {
   World world(Options(1));
--- a/test/fakes/history.cc
+++ b/test/fakes/history.cc
@@ -189,11 +189,27 @@
   request.statement = { "SELECT value FROM counters WHERE key = $1",
                         { this->sessions[target].name } };
   Time asked = this->world.Now();
+  bool isOracles = isTolerant && this->options.countsOracle &&
+                   this->HasTrulyFreshReplica(session);
+  this->oracleReads += isOracles ? 1 : 0;
   this->world.Ask(this->AnyEntry(), request, [=](const Answer& aAnswer) {
     this->ReadAnswered(aSession, target, asked, isTolerant, aAnswer);
   });
 }
 
+bool
+History::HasTrulyFreshReplica(const Session& aSession) const
+{
+  for (size_t i = 0; i < this->world.config.upstreams.size(); ++i) {
+    auto age = this->world.TrueAge(i);
+    if (age && *age <= this->options.maxAge &&
+        this->world.Visible(i).Covers(aSession.token)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 History::ReadAnswered(size_t aSession,
                       size_t aTarget,
@@ -202,6 +218,7 @@
                       const Answer& aAnswer)
 {
   Session& session = this->sessions[aSession];
+  this->tolerantReads += aTolerant ? 1 : 0;
   if (aAnswer.outcome != Outcome::Ok) {
     ++this->readsRefused;
     this->Again(aSession);
@@ -209,6 +226,8 @@
   }
   ++this->readsOk;
   this->replicaReads += aAnswer.source == Source::Replica ? 1 : 0;
+  bool isReplicas = aTolerant && aAnswer.source == Source::Replica;
+  this->tolerantReplicaReads += isReplicas ? 1 : 0;
   int64_t value = NumberIn(aAnswer);
   const Session& target = this->sessions[aTarget];
   // Another session's row may not have been there yet.
--- a/test/fakes/history.h
+++ b/test/fakes/history.h
@@ -18,6 +18,7 @@
   Duration timeout = Seconds(2);
   bool loseAnswers = false; // now and then a caller never sees its answer
   int writePercent = 40;
+  bool countsOracle = false; // ask the world what a perfect router could do
 };
 
 /**
@@ -43,6 +44,9 @@
   uint64_t readsOk = 0;
   uint64_t replicaReads = 0;
   uint64_t readsRefused = 0;
+  uint64_t tolerantReads = 0;
+  uint64_t tolerantReplicaReads = 0;
+  uint64_t oracleReads = 0; // for which a replica truly was fresh enough
   Duration longestWriteGap;
   Duration longestReadGap;
 
@@ -72,6 +76,7 @@
                     bool aTolerant,
                     const Answer& aAnswer);
   void Again(size_t aSession);
+  bool HasTrulyFreshReplica(const Session& aSession) const;
   void Violated(const std::string& aWhat);
   size_t AnyEntry();
   Request MakeRequest(const Session& aSession, Operation aOperation) const;
--- a/test/fakes/plan.cc
+++ b/test/fakes/plan.cc
@@ -126,6 +126,17 @@
   return text;
 }
 
+void
+PlanResult::Add(const PlanResult& aOther)
+{
+  this->violations.insert(
+    this->violations.end(), aOther.violations.begin(), aOther.violations.end());
+  this->readsRefused += aOther.readsRefused;
+  this->tolerantReads += aOther.tolerantReads;
+  this->tolerantReplicaReads += aOther.tolerantReplicaReads;
+  this->oracleReads += aOther.oracleReads;
+}
+
 PlanResult
 RunPlan(const Plan& aPlan, PlanOptions aOptions)
 {
@@ -150,6 +161,10 @@
   result.replicaReads = history.replicaReads;
   result.notRun = history.writesNotRun;
   result.unknown = history.writesUnknown;
+  result.readsRefused = history.readsRefused;
+  result.tolerantReads = history.tolerantReads;
+  result.tolerantReplicaReads = history.tolerantReplicaReads;
+  result.oracleReads = history.oracleReads;
   return result;
 }
 
--- a/test/fakes/plan.h
+++ b/test/fakes/plan.h
@@ -73,7 +73,13 @@
   uint64_t replicaReads = 0;
   uint64_t notRun = 0;
   uint64_t unknown = 0;
+  uint64_t readsRefused = 0;
+  uint64_t tolerantReads = 0;
+  uint64_t tolerantReplicaReads = 0;
+  uint64_t oracleReads = 0;
 
+  /** Adds the counts and the violations of another run. */
+  void Add(const PlanResult& aOther);
   std::string ToString() const;
 };
 
--- a/test/fakes/world.cc
+++ b/test/fakes/world.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration kBeat = Millis(50);
+constexpr Duration kIdleInTransaction = Seconds(6);
 constexpr Duration kEntryTick = Millis(20);
 constexpr char kHostPrefix[] = "host-";
 
@@ -464,6 +465,7 @@
     this->owners[aOwner].engine->Connections().Use(upstream).busy;
   this->mostBusy = std::max(this->mostBusy, running);
   this->lastWorkStarted[upstream] = this->now;
+  ++this->batches;
   this->After(this->Latency() + this->options.service, [=] {
     if (!this->Reaches(aOwner, upstream) || session->silent) {
       return;
@@ -509,21 +511,38 @@
   }
   auto session = found->second;
   this->owners[aOwner].sessions.erase(found);
-  // What is on its way may still arrive before the end of the connection.
-  this->After(this->Latency() + Millis(40), [=] {
-    Upstream& target = this->upstreams[session->upstream];
-    session->open = false;
-    if (target.alive && target.incarnation == session->incarnation) {
-      target.database->RollBack(session->transaction);
-    }
-  });
+  // What is on its way may still arrive before the end of the connection. Over
+  // a silent one the end itself never arrives: the upstream keeps the session
+  // until its own limit for idle transactions.
+  Duration until = session->silent || !this->Reaches(aOwner, session->upstream)
+                     ? kIdleInTransaction
+                     : this->Latency() + Millis(40);
+  this->After(until, [=] { this->EndSession(session); });
+  // The same order as the pool gives over its other connection.
+  this->Admin(
+    aOwner,
+    session->upstream,
+    StatusSql(),
+    [](const auto*) {},
+    [=] { this->EndSession(session); });
+}
+
+void
+World::EndSession(const std::shared_ptr<FakeSession>& aSession)
+{
+  Upstream& target = this->upstreams[aSession->upstream];
+  aSession->open = false;
+  if (target.alive && target.incarnation == aSession->incarnation) {
+    target.database->RollBack(aSession->transaction);
+  }
 }
 
 void
 World::Admin(size_t aOwner,
              size_t aUpstream,
              const Statement& aStatement,
-             std::function<void(const standin::Outcome*)> aDone)
+             std::function<void(const standin::Outcome*)> aDone,
+             std::function<void()> aThere)
 {
   auto& silent = this->owners[aOwner].adminSilent[aUpstream];
   if (!silent) {
@@ -542,6 +561,9 @@
       if (!this->upstreams[aUpstream].alive) {
         return;
       }
+      if (aThere) {
+        aThere();
+      }
       standin::Database& database = *this->upstreams[aUpstream].database;
       standin::Transaction transaction;
       auto outcome = database.Execute(transaction, aStatement, this->now);
@@ -800,6 +822,21 @@
   return IndexOf(RankOwners(this->config.name, hosts.hosts).front());
 }
 
+std::optional<Duration>
+World::TrueAge(size_t aUpstream) const
+{
+  auto primary = this->TruePrimary();
+  const Upstream& replica = this->upstreams[aUpstream];
+  bool isReplica = replica.alive && replica.linked &&
+                   replica.database->CurrentRole() == Role::Replica;
+  if (!primary || !isReplica) {
+    return std::nullopt;
+  }
+  Position shown = replica.database->Status(this->now).replayed;
+  const auto& committed = this->upstreams[*primary].committedAt;
+  return shown < committed.size() ? this->now - committed[shown] : Duration{};
+}
+
 bool
 World::IsWhole() const
 {
--- a/test/fakes/world.h
+++ b/test/fakes/world.h
@@ -82,6 +82,14 @@
 
   size_t Owners() const { return this->owners.size(); }
 
+  /** How old the data of a replica really is; unset while it is no replica. */
+  std::optional<Duration> TrueAge(size_t aUpstream) const;
+  CopyPoint Visible(size_t aUpstream) const
+  {
+    return this->upstreams[aUpstream].database->Status(this->now).Visible();
+  }
+  uint64_t batches = 0; // started at any upstream
+
   /** Every upstream is up, and every replica holds all of the log. */
   bool IsWhole() const;
 
@@ -164,10 +172,12 @@
   void OpenConnectionFor(size_t aOwner, const OpenConnection& aAction);
   void RunBatchFor(size_t aOwner, const RunBatch& aAction);
   void CloseConnectionFor(size_t aOwner, ConnectionId aConnection);
+  void EndSession(const std::shared_ptr<FakeSession>& aSession);
   void Admin(size_t aOwner,
              size_t aUpstream,
              const Statement& aStatement,
-             std::function<void(const standin::Outcome*)> aDone);
+             std::function<void(const standin::Outcome*)> aDone,
+             std::function<void()> aThere = {});
   void ForwardTo(size_t aEntry, const ForwardRequest& aAction);
   void ConnectTo(size_t aEntry, const std::string& aHost);
   void LinkDown(size_t aEntry, size_t aOwner);
--- a/test/standin/database.cc
+++ b/test/standin/database.cc
@@ -299,22 +299,12 @@
   Term asked = std::strtoull(Parameter(aStatement, 0).c_str(), nullptr, 10);
   if (aName == "marigoldpitch_status") {
     UpstreamStatus status = this->Status(aNow);
-    return OneRow({ "role",
-                    "term",
-                    "last_term",
-                    "term_start",
-                    "received",
-                    "replayed",
-                    "heard_ms",
-                    "leaving" },
-                  { kRoleNames.TextOf(status.role),
-                    std::to_string(status.term),
-                    std::to_string(status.lastTerm),
-                    std::to_string(status.termStart),
-                    std::to_string(status.received),
-                    std::to_string(status.replayed),
-                    std::to_string(status.heard.ms),
-                    status.leaving ? "1" : "0" });
+    std::ostringstream state;
+    state << kRoleNames.NameOf(status.role) << ' ' << status.term << ' '
+          << status.lastTerm << ' ' << status.termStart << ' '
+          << status.received << ' ' << status.replayed << ' ' << status.heard.ms
+          << ' ' << (status.leaving ? 1 : 0);
+    return OneRow({ "state" }, { state.str() });
   }
   if (aName == "marigoldpitch_adopt_term") {
     return this->AdoptTerm(asked);
--- a/test/standin/pg-session.cc
+++ b/test/standin/pg-session.cc
@@ -48,10 +48,12 @@
 PgSession::PgSession(Loop& aLoop,
                      Database& aDatabase,
                      Gone aGone,
+                     int aNumber,
                      bool aRefused)
   : loop(aLoop)
   , database(aDatabase)
   , gone(std::move(aGone))
+  , number(aNumber)
   , refused(aRefused)
 {
 }
@@ -108,6 +110,12 @@
   if (this->input.size() < length) {
     return false;
   }
+  static const std::string kIdleOption = "idle_in_transaction_session_timeout=";
+  size_t option = this->input.find(kIdleOption);
+  if (option < length) {
+    this->idleLimit =
+      Millis(std::atoll(this->input.c_str() + option + kIdleOption.size()));
+  }
   this->input.erase(0, length);
   this->started = true;
   if (this->refused) {
@@ -118,7 +126,7 @@
   this->Put('R', Int(0, 4));
   this->Put('S', Text("server_version") + Text("15.0"));
   this->Put('S', Text("client_encoding") + Text("UTF8"));
-  this->Put('K', Int(1, 4) + Int(1, 4));
+  this->Put('K', Int(static_cast<uint32_t>(this->number), 4) + Int(1, 4));
   this->Put('Z', "I");
   this->Flush();
   return true;
@@ -203,10 +211,26 @@
   this->Put('C', Text(outcome.tag));
 }
 
+void
+PgSession::WatchIdle()
+{
+  this->loop.Cancel(std::exchange(this->idleTimer, 0));
+  if (!this->transaction.open || this->idleLimit.ms == 0) {
+    return;
+  }
+  std::weak_ptr<PgSession> self = this->shared_from_this();
+  this->idleTimer = this->loop.After(this->idleLimit, [self] {
+    if (auto session = self.lock()) {
+      session->Terminate();
+    }
+  });
+}
+
 void
 PgSession::Sync()
 {
   this->skipping = false;
+  this->WatchIdle();
   this->Put('Z',
             this->transaction.aborted ? "E"
             : this->transaction.open  ? "T"
--- a/test/standin/pg-session.h
+++ b/test/standin/pg-session.h
@@ -17,11 +17,22 @@
 public:
   using Gone = std::function<void(PgSession&)>;
 
-  PgSession(Loop& aLoop, Database& aDatabase, Gone aGone, bool aRefused);
+  PgSession(Loop& aLoop,
+            Database& aDatabase,
+            Gone aGone,
+            int aNumber,
+            bool aRefused);
   ~PgSession();
 
   void Start(h2o_socket_t* aSocket);
 
+  /** Ends the session as another one ordered, or its idle time is over. */
+  void Terminate() { this->Close(); }
+  int Number() const { return this->number; }
+
+  /** Called for `pg_terminate_backend`. */
+  std::function<void(int)> onTerminate;
+
   /** Called when something was committed. */
   std::function<void()> onWork;
 
@@ -35,6 +46,7 @@
   void TakeBind(std::string_view aBody);
   void ExecuteStatement();
   void Sync();
+  void WatchIdle();
   void Put(char aType, const std::string& aBody);
   void PutError(const std::string& aState, const std::string& aMessage);
   void PutRows(const Rows& aRows);
@@ -43,6 +55,9 @@
   Loop& loop;
   Database& database;
   Gone gone;
+  int number;
+  Duration idleLimit; // in a transaction; 0 for none
+  TimerId idleTimer = 0;
   bool refused;
   h2o_socket_t* socket = nullptr;
   bool started = false;
--- a/test/standin/upstream.cc
+++ b/test/standin/upstream.cc
@@ -35,16 +35,30 @@
       [this](PgSession& aGone) {
         this->sessions.erase(aGone.shared_from_this());
       },
+      ++this->lastNumber,
       isFull);
+    session->onTerminate = [this](int aNumber) { this->Terminate(aNumber); };
     session->onWork = [this] { this->replication.Step(); };
     this->sessions.insert(session);
     session->Start(aSocket);
   }
 
 private:
+  void Terminate(int aNumber)
+  {
+    for (const auto& session : this->sessions) {
+      if (session->Number() == aNumber) {
+        auto ended = session;
+        ended->Terminate();
+        return;
+      }
+    }
+  }
+
   Loop& loop;
   Database& database;
   Replication& replication;
+  int lastNumber = 0;
   std::set<std::shared_ptr<PgSession>> sessions;
 };
 
