--- a/src/load.cc
+++ b/src/load.cc
@@ -60,6 +60,7 @@
   Duration pause = Millis(5); // of a session between two requests
   uint32_t seed = 1;
   bool quiet = false;
+  bool readsOnly = false; // after one write of each session
 };
 
 /** Longest time between two correct answers of one kind. */
@@ -234,7 +235,7 @@
     , ledger(aLedger)
     , random(aPlan.seed * 1000 + static_cast<uint32_t>(aIndex))
     , name(fmt::format("load-{}-{}", aPlan.seed, aIndex))
-    , isReader(aIndex % kSessionsPerReader == 0)
+    , isReader(aPlan.readsOnly || aIndex % kSessionsPerReader == 0)
   {
   }
 
@@ -249,6 +250,10 @@
 private:
   void Next()
   {
+    if (this->plan.pause.ms == 0) {
+      this->TakeStep();
+      return;
+    }
     this->loop.After(this->plan.pause, [this] { this->TakeStep(); });
   }
 
@@ -770,6 +775,7 @@
   plan.seed = static_cast<uint32_t>(std::atoll(aLine.Get("seed", "1").c_str()));
   plan.pause = Millis(std::atoll(aLine.Get("pause-ms", "5").c_str()));
   plan.quiet = aLine.Has("quiet");
+  plan.readsOnly = aLine.Has("reads-only");
   if (plan.length.ms <= 0 || plan.sessions == 0) {
     return Error{ ErrorCode::BadSettings,
                   "command line",
@@ -801,6 +807,7 @@
       { "sessions", "N", "sessions at once; default: 16" },
       { "pause-ms", "N", "a session's pause between requests; default: 5" },
       { "seed", "N", "seed of the workload; default: 1" },
+      { "reads-only", "", "only reads, after one write of each session" },
       { "quiet", "", "no progress" } });
   if (!line) {
     return fail(line.error(), ExitCode::Usage);
