--- a/src/protocol/burn-report.cc
+++ b/src/protocol/burn-report.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace marigoldpitch {
 
@@ -73,7 +74,7 @@
   std::string title;
   std::string unit;
   std::vector<double> values; // one for each stretch between two samples
-  double objective = 0;
+  std::optional<double> objective;
 };
 
 constexpr double kPlotWidth = 720;
@@ -83,7 +84,7 @@
 std::string
 Plot(const Curve& aCurve)
 {
-  double top = std::max(aCurve.objective, 1e-9);
+  double top = std::max(aCurve.objective.value_or(0), 1e-9);
   for (double value : aCurve.values) {
     top = std::max(top, value);
   }
@@ -99,26 +100,30 @@
                                static_cast<double>(last);
     points += fmt::format("{:.1f},{:.1f} ", x, yOf(aCurve.values[i]));
   }
-  double objectiveY = yOf(aCurve.objective);
+  std::string caption =
+    fmt::format("top of the scale: {:.2f} {}", top, aCurve.unit);
+  std::string objective;
+  if (aCurve.objective) {
+    caption += fmt::format(
+      "; dashed: objective, {:.2f} {}", *aCurve.objective, aCurve.unit);
+    objective = fmt::format("<line class=\"objective\" x1=\"{0}\" x2=\"{1}\" "
+                            "y1=\"{2:.1f}\" y2=\"{2:.1f}\"/>\n",
+                            kPlotMargin,
+                            kPlotWidth - kPlotMargin,
+                            yOf(*aCurve.objective));
+  }
   return fmt::format(
     "<h2>{0}</h2>\n"
     "<svg viewBox=\"0 0 {1} {2}\" role=\"img\" aria-label=\"{0}\">\n"
-    "<line class=\"objective\" x1=\"{3}\" x2=\"{4}\" y1=\"{5:.1f}\" "
-    "y2=\"{5:.1f}\"/>\n"
-    "<polyline points=\"{6}\"/>\n"
-    "<text x=\"{3}\" y=\"14\">top of the scale: {7:.2f} {8}; dashed: "
-    "objective, {9:.2f} {8}</text>\n"
+    "{3}<polyline points=\"{4}\"/>\n<text x=\"{5}\" y=\"14\">{6}</text>\n"
     "</svg>\n",
     aCurve.title,
     kPlotWidth,
     kPlotHeight,
-    kPlotMargin,
-    kPlotWidth - kPlotMargin,
-    objectiveY,
+    objective,
     points,
-    top,
-    aCurve.unit,
-    aCurve.objective);
+    kPlotMargin,
+    caption);
 }
 
 std::vector<Curve>
@@ -130,7 +135,7 @@
                "%",
                {},
                aObjectives.replicaShare * 100 };
-  Curve rate{ "Requests answered", "a second", {}, 0 };
+  Curve rate{ "Requests answered", "a second", {}, std::nullopt };
   for (size_t i = 1; i < aSamples.size(); ++i) {
     std::vector<BurnSample> pair{ aSamples[i - 1], aSamples[i] };
     Duration span = aSamples[i].at - aSamples[i - 1].at;
--- a/test/bench/decisions-bench.cc
+++ b/test/bench/decisions-bench.cc
@@ -1,6 +1,7 @@
 #include "marigoldpitch/coordination/entry-engine.h"
 #include "marigoldpitch/coordination/group-engine.h"
 #include "marigoldpitch/coordination/spread.h"
+#include "marigoldpitch/protocol/documents.h"
 #include "marigoldpitch/transport/clock.h"
 
 #include <fmt/format.h>
@@ -244,6 +245,39 @@
              (ReadProcessMicros() - start) * 1000 / kForwards);
 }
 
+void
+MeasureConfiguration()
+{
+  constexpr int kConfiguredGroups = 2000;
+  std::string text = "{\"groups\":[";
+  for (int i = 0; i < kConfiguredGroups; ++i) {
+    text += i == 0 ? "" : ",";
+    std::string name = "group-" + std::to_string(i);
+    text += "{\"name\":\"" + name + "\",\"database\":\"" + name +
+            "\",\"user\":\"marigoldpitch\",\"slots\":2,"
+            "\"connections\":16,\"upstreams\":[";
+    for (int upstream = 0; upstream < 3; ++upstream) {
+      text += upstream == 0 ? "" : ",";
+      text += "{\"name\":\"upstream-" + std::to_string(upstream) +
+              "\",\"zone\":\"zone-" + std::to_string(upstream) +
+              "\",\"address\":\"10.1.2.3\",\"port\":5432}";
+    }
+    text += "],\"services\":[{\"name\":\"payment\",\"priority\":"
+            "\"critical\",\"timeout_ms\":3000},{\"name\":\"stock\","
+            "\"max_age_ms\":5000,\"timeout_ms\":1000}]}";
+  }
+  text += "]}";
+  fmt::print("configured_group_text {} bytes\n",
+             text.size() / kConfiguredGroups);
+  double before = Bytes();
+  int64_t start = ReadProcessMicros();
+  auto config = ParseConfiguration(text, 1, "bench");
+  int64_t took = ReadProcessMicros() - start;
+  fmt::print("configured_group_memory {:.0f} bytes\n",
+             (Bytes() - before) / kConfiguredGroups);
+  fmt::print("configured_group_parse {} us\n", took / kConfiguredGroups);
+}
+
 } // namespace
 
 int
@@ -254,5 +288,6 @@
   MeasureSessions();
   MeasureGroups();
   MeasureHosts();
+  MeasureConfiguration();
   return 0;
 }
--- a/test/engine-test.cc
+++ b/test/engine-test.cc
@@ -75,6 +75,38 @@
   }));
 }
 
+Test(mutants, mixed_transactions_are_found)
+{
+  size_t found = 0;
+  for (uint32_t seed = 1; seed <= 20; ++seed) {
+    WorldOptions options = Options(seed);
+    options.sharesTransactions = true;
+    World world(options);
+    Transactions callers(world, 5, true);
+    callers.Start();
+    world.RunFor(Seconds(3));
+    callers.Stop();
+    world.RunFor(Seconds(8));
+    callers.Check();
+    found += callers.violations.empty() ? 0 : 1;
+  }
+  printf("found by the check in %zu of 20 seeds\n", found);
+  cr_assert_gt(found, 0u);
+}
+
+Test(mutants, swapped_answers_are_found)
+{
+  size_t found = 0;
+  for (uint32_t seed = 1; seed <= 20; ++seed) {
+    PlanOptions options;
+    options.world.swapsAnswers = true;
+    options.history.sessions = 20;
+    found += RunPlan({ seed, {} }, options).violations.empty() ? 0 : 1;
+  }
+  printf("found by the check in %zu of 20 seeds\n", found);
+  cr_assert_gt(found, 0u);
+}
+
 Test(transactions, an_idle_one_is_rolled_back)
 {
   World world(Options(1));
@@ -324,6 +356,33 @@
   CheckLeaving(LeavingSource::Configuration, 1);
 }
 
+Test(mutants, an_upstream_that_nobody_calls_leaving_is_found)
+{
+  World world(Options(1));
+  History history(world, {});
+  history.Start();
+  Time told = world.Now();
+  world.RunFor(Seconds(4));
+  for (size_t i = 0; i < 3; ++i) {
+    cr_assert_gt((world.lastWorkStarted[i] - told).ms, 3000);
+  }
+}
+
+Test(mutants, a_kill_without_draining_is_found)
+{
+  size_t found = 0;
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    World world(Options(seed));
+    Transactions callers(world, 3, false);
+    callers.Start();
+    world.KillOwner(world.FirstOwner());
+    world.RunFor(Seconds(2));
+    found += callers.cut != 0 ? 1 : 0;
+  }
+  printf("found by the check in %zu of %u seeds\n", found, kSeeds);
+  cr_assert_gt(found, 0u);
+}
+
 Test(draining, cuts_off_no_request)
 {
   for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
--- a/test/failover-test.cc
+++ b/test/failover-test.cc
@@ -49,6 +49,7 @@
 {
   std::vector<int64_t> writes;
   std::vector<int64_t> reads;
+  std::vector<int64_t> quietReads; // the same without a failover
   for (uint32_t seed = 1; seed <= kRuns; ++seed) {
     Fault kill{ FaultKind::KillPrimary, 500 + seed * 7 % 1000, 0, 0 };
     PlanResult result = RunPlan({ seed, { kill } }, OptionsOf(aDeployment));
@@ -59,6 +60,8 @@
     cr_assert_eq(result.promotions, 1u, "seed %u", seed);
     writes.push_back(result.writeGap.ms);
     reads.push_back(result.readGap.ms);
+    PlanResult quiet = RunPlan({ seed, {} }, OptionsOf(aDeployment));
+    quietReads.push_back(quiet.readGap.ms);
   }
   printf(
     "%s_gap_writes_median %ld ms\n", aDeployment.name, Percentile(writes, 50));
@@ -67,6 +70,12 @@
   printf(
     "%s_gap_reads_median %ld ms\n", aDeployment.name, Percentile(reads, 50));
   printf("%s_gap_reads_p99 %ld ms\n", aDeployment.name, Percentile(reads, 99));
+  printf("%s_gap_reads_without_failover_median %ld ms\n",
+         aDeployment.name,
+         Percentile(quietReads, 50));
+  printf("%s_gap_reads_without_failover_p99 %ld ms\n",
+         aDeployment.name,
+         Percentile(quietReads, 99));
   cr_assert_leq(Percentile(writes, 99), kWriteGapTarget.ms);
 }
 
--- a/test/fakes/world.cc
+++ b/test/fakes/world.cc
@@ -260,8 +260,10 @@
       this->After(this->Latency(), [=, answer = aAnswer] {
         if (isCarried()) {
           this->StepEntry(aEntry, OwnerHeard{ aAction.host });
-          this->StepEntry(
-            aEntry, OwnerAnswered{ aAction.host, aAction.number, answer });
+          bool isSwapped = this->options.swapsAnswers && this->Random(50) == 0;
+          uint64_t number = aAction.number + (isSwapped ? 1 : 0);
+          this->StepEntry(aEntry,
+                          OwnerAnswered{ aAction.host, number, answer });
         }
       });
     };
@@ -430,6 +432,12 @@
   auto session = std::make_shared<FakeSession>();
   session->upstream = aAction.upstream;
   session->incarnation = this->upstreams[aAction.upstream].incarnation;
+  session->transaction = std::make_shared<standin::Transaction>();
+  if (this->options.sharesTransactions) {
+    auto& shared = this->upstreams[aAction.upstream].shared;
+    shared = shared ? shared : session->transaction;
+    session->transaction = shared;
+  }
   this->owners[aOwner].sessions[aAction.connection] = session;
   auto open = static_cast<uint32_t>(
     this->owners[aOwner].engine->Connections().Use(aAction.upstream).open);
@@ -483,7 +491,7 @@
         result.skipped = true;
         if (!isSkipping) {
           result = ToResult(target.database->Execute(
-            session->transaction, ToSql(step), this->now));
+            *session->transaction, ToSql(step), this->now));
           isSkipping = !result.done;
         }
         results.push_back(result);
@@ -533,7 +541,7 @@
   Upstream& target = this->upstreams[aSession->upstream];
   aSession->open = false;
   if (target.alive && target.incarnation == aSession->incarnation) {
-    target.database->RollBack(aSession->transaction);
+    target.database->RollBack(*aSession->transaction);
   }
 }
 
--- a/test/fakes/world.h
+++ b/test/fakes/world.h
@@ -34,6 +34,10 @@
   Duration service = Millis(2);      // of one batch
   Duration longestLag = Millis(100); // replicas lag up to this, unpredictably
   std::function<Policies(const GroupConfig&)> policies = MakeDefaultPolicies;
+
+  // Mutants of the world itself, to show that the checks find them.
+  bool sharesTransactions = false; // connections of an upstream share one
+  bool swapsAnswers = false;       // some answers go to another request
 };
 
 class World
@@ -120,7 +124,7 @@
     uint64_t incarnation = 0;
     bool silent = false;
     bool open = false;
-    standin::Transaction transaction;
+    std::shared_ptr<standin::Transaction> transaction;
   };
 
   struct Upstream
@@ -134,6 +138,7 @@
     bool linked = false;
     Time linkedAt = kLongAgo;
     std::deque<Time> committedAt; // of each entry of the log
+    std::shared_ptr<standin::Transaction> shared;
   };
 
   struct Owner
--- a/test/guarantees-test.cc
+++ b/test/guarantees-test.cc
@@ -221,20 +221,26 @@
 {
   std::vector<Fault> faults{ At(FaultKind::CutPrimaryFromReplicas, 500, 2000),
                              At(FaultKind::KillPrimary, 900) };
-  cr_assert_gt(FoundBy(faults, WithoutConfirmation(), 20), 0u);
+  size_t found = FoundBy(faults, WithoutConfirmation(), 20);
+  printf("found by the check in %zu of 20 seeds\n", found);
+  cr_assert_gt(found, 0u);
   cr_assert_eq(FoundBy(faults, {}, 20), 0u);
 }
 
 Test(mutants, reads_without_tokens_are_found)
 {
-  cr_assert_gt(FoundBy({}, WithRouting<ForgetfulRouting>(), 20), 0u);
+  size_t found = FoundBy({}, WithRouting<ForgetfulRouting>(), 20);
+  printf("found by the check in %zu of 20 seeds\n", found);
+  cr_assert_gt(found, 0u);
   cr_assert_eq(FoundBy({}, {}, 20), 0u);
 }
 
 Test(mutants, reads_without_age_are_found)
 {
   std::vector<Fault> faults{ At(FaultKind::StallReplica, 100, 3500) };
-  cr_assert_gt(FoundBy(faults, WithRouting<AgelessRouting>(), 20), 0u);
+  size_t found = FoundBy(faults, WithRouting<AgelessRouting>(), 20);
+  printf("found by the check in %zu of 20 seeds\n", found);
+  cr_assert_gt(found, 0u);
   cr_assert_eq(FoundBy(faults, {}, 20), 0u);
 }
 
@@ -249,6 +255,8 @@
       aWorld.DatabaseOf(i).knobs.uniqueRecords = false;
     }
   };
-  cr_assert_gt(FoundBy(faults, mutant, 20), 0u);
+  size_t found = FoundBy(faults, mutant, 20);
+  printf("found by the check in %zu of 20 seeds\n", found);
+  cr_assert_gt(found, 0u);
   cr_assert_eq(FoundBy(faults, LosingAnswers(), 20), 0u);
 }
--- a/test/spread-test.cc
+++ b/test/spread-test.cc
@@ -118,6 +118,7 @@
   HostList hosts;
   Time now{ 0 };
   bool storeDown = false;
+  bool takesAnyRevision = false; // a mutant: whatever comes is in force
   uint64_t storeCalls = 0;
   uint64_t messages = 0;
 
@@ -186,6 +187,10 @@
                   [=] { this->Step(aName, aEvent); });
       return;
     }
+    const auto* seen = std::get_if<DocumentSeen>(&aEvent);
+    if (this->takesAnyRevision && seen != nullptr) {
+      this->Perform(aName, daemon, PutInForce{ seen->document });
+    }
     for (const SpreadAction& action :
          daemon.spread->Handle(this->now, aEvent)) {
       this->Perform(aName, daemon, action);
@@ -326,6 +331,24 @@
   }));
 }
 
+Test(mutants, a_daemon_that_takes_any_revision_is_found)
+{
+  Fleet fleet(10, 3);
+  fleet.takesAnyRevision = true;
+  fleet.RunFor(Seconds(1));
+  // Two changes on their way at once, the first one by a slow daemon.
+  fleet.Put(1);
+  for (auto& [name, daemon] : fleet.daemons) {
+    if (name < "host-5") {
+      daemon.frozenUntil = fleet.now + Seconds(2);
+    }
+  }
+  fleet.RunFor(Millis(10));
+  fleet.Put(2);
+  fleet.RunFor(Seconds(10));
+  cr_assert(fleet.AnyReverted());
+}
+
 namespace {
 
 /** The store's side of a reservation, with its faults. */
