Never send a statement of a transaction twice

Cause: found by reading the entry: after a lost link it sent all that was open again, also a statement inside a transaction, which has no record of its own and so ran twice in the transaction that was still alive. Change: a statement that was sent before is replaced by a roll back of its transaction and answered as a conflict. A transaction that its owner does not know is lost at once instead of being offered to the same owner again and again. Conclusion: a lost link costs the transaction and never its consistency.

--- a/include/marigoldpitch/coordination/entry-engine.h
+++ b/include/marigoldpitch/coordination/entry-engine.h
@@ -171,11 +171,12 @@
     Request request;
     Time arrived;
     Time deadline;
-    std::string host;            // where it is, or waits to go
-    bool isSent = false;         // to `host`
-    bool wasSent = false;        // to any host
-    bool triedOwner = false;     // connected anew for its transaction
-    std::set<std::string> tried; // owners that told us to try the next
+    std::string host;             // where it is, or waits to go
+    bool isSent = false;          // to `host`
+    bool wasSent = false;         // to any host
+    bool triedOwner = false;      // connected anew for its transaction
+    bool isStatementLost = false; // a roll back stands in for a statement
+    std::set<std::string> tried;  // owners that told us to try the next
   };
 
   struct Owner
--- a/include/marigoldpitch/coordination/group-engine.h
+++ b/include/marigoldpitch/coordination/group-engine.h
@@ -25,10 +25,10 @@
 {
   Duration probePrimary = Millis(100);
   Duration probeReplica = Millis(250);
-  Duration probeLimit = Millis(150);   // an open question counts as failed
-  Duration batchLimit = Millis(1000);  // a silent batch loses its connection
-  Duration pauseNoticed = Millis(200); // a gap between ticks: we were paused
-  Duration contentionDelay = Millis(5);
+  Duration probeLimit = Millis(150);    // an open question counts as failed
+  Duration batchLimit = Millis(1000);   // a silent batch loses its connection
+  Duration pauseNoticed = Millis(200);  // a gap between ticks: we were paused
+  Duration contentionDelay = Millis(5); // doubled with each further wait
   int mostContentionDoublings = 5;
   Duration silentBatch = Millis(200); // left once old connections are silent
 };
@@ -129,7 +129,6 @@
   void Finish(Work& aWork, Outcome aOutcome, std::string aMessage);
   void Hold(Work& aWork, Answer aAnswer, const UpstreamStatus& aStatus);
   void FinishNotRun(Work& aWork, std::string aMessage);
-  void UndoAndRetry(Work& aWork);
 
   // group-reads.cc
   ReadNeed NeedOf(const Work& aWork) const;
@@ -145,6 +144,7 @@
   void ResolveDone(Work& aWork, const BatchResult& aResult);
   void ReadRecordAfterUndo(Work& aWork);
   void Undo(Work& aWork, Answer aAnswer);
+  void UndoAndRetry(Work& aWork);
   void WaitForOther(Work& aWork);
 
   // group-transactions.cc
--- a/src/coordination/entry-engine.cc
+++ b/src/coordination/entry-engine.cc
@@ -214,6 +214,12 @@
 EntryEngine::Send(uint64_t aNumber)
 {
   Pending& pending = this->pending[aNumber];
+  // A statement has no record of its own: sent twice it could run twice. Its
+  // transaction ends instead.
+  if (pending.wasSent && pending.request.operation == Operation::Statement) {
+    pending.request.operation = Operation::RollBack;
+    pending.isStatementLost = true;
+  }
   Request request = pending.request;
   request.timeout = std::max(pending.deadline - this->now, Millis(1));
   // What went out before may run there: only the record can deny it now.
@@ -239,6 +245,13 @@
   Pending& pending = found->second;
   bool isFromHere = pending.host == aEvent.host;
   this->owners[aEvent.host].sent.erase(aEvent.number);
+  bool isLost =
+    pending.isStatementLost ||
+    (aEvent.answer.tryNext && detail::IsTransactional(pending.request));
+  if (isLost) {
+    this->LoseTransaction(aEvent.number);
+    return;
+  }
   if (aEvent.answer.tryNext) {
     if (isFromHere) {
       pending.tried.insert(aEvent.host);
@@ -330,10 +343,11 @@
     this->Place(aNumber);
     return;
   }
-  bool isRollBack = pending.request.operation == Operation::RollBack;
+  bool isRollBack = pending.request.operation == Operation::RollBack &&
+                    !pending.isStatementLost;
   this->Finish(aNumber,
                MakeAnswer(isRollBack ? Outcome::Ok : Outcome::Conflict,
-                          "the transaction's owner is gone: it rolls back"));
+                          "the transaction lost its owner: it rolls back"));
 }
 
 void
--- a/test/engine-test.cc
+++ b/test/engine-test.cc
@@ -55,7 +55,7 @@
     World world(Options(*rc::gen::inRange<uint32_t>(1, 100000)));
     Transactions callers(world, 5, true);
     callers.Start();
-    auto kind = *rc::gen::inRange(0, 5);
+    auto kind = *rc::gen::inRange(0, 6);
     size_t owner = world.FirstOwner();
     if (kind == 1) {
       world.KillOwner(owner);
@@ -66,6 +66,10 @@
     } else if (kind == 4) {
       world.FreezeUpstream(0, Millis(*rc::gen::inRange<int64_t>(50, 2000)));
     }
+    for (int i = 0; kind == 5 && i < 10; ++i) {
+      world.SilenceLink(static_cast<size_t>(i) % 2, owner);
+      world.RunFor(Millis(*rc::gen::inRange<int64_t>(50, 700)));
+    }
     world.RunFor(Seconds(3));
     callers.Stop();
     world.RunFor(Seconds(8));
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -212,6 +212,39 @@
   cr_assert(forward.has_value());
 }
 
+Test(entry, a_statement_of_a_transaction_is_not_sent_twice)
+{
+  Entry entry;
+  Request statement = Entry::Write();
+  statement.operation = Operation::Statement;
+  statement.transaction = entry.ranks[0] + "~abc/7";
+  ForwardRequest first = entry.Forward(statement);
+  entry.Step(OwnerLost{ entry.ranks[0] }); // connects anew
+  auto again =
+    Entry::Only<ForwardRequest>(entry.Step(OwnerConnected{ entry.ranks[0] }));
+  cr_assert(again->request.operation == Operation::RollBack,
+            "it may have run: the transaction ends");
+  auto answer = Entry::Only<AnswerCaller>(
+    entry.Step(OwnerAnswered{ entry.ranks[0], first.number, Answer{} }));
+  cr_assert(answer->answer.outcome == Outcome::Conflict);
+}
+
+Test(entry, a_transaction_is_not_offered_to_the_next_owner)
+{
+  Entry entry;
+  Request statement = Entry::Write();
+  statement.operation = Operation::Statement;
+  statement.transaction = entry.ranks[0] + "~abc/7";
+  ForwardRequest sent = entry.Forward(statement);
+  Answer elsewhere = MakeAnswer(Outcome::NotRun, "unknown here");
+  elsewhere.tryNext = true;
+  EntryActions actions =
+    entry.Step(OwnerAnswered{ entry.ranks[0], sent.number, elsewhere });
+  cr_assert(!Entry::Only<ForwardRequest>(actions).has_value());
+  cr_assert(Entry::Only<AnswerCaller>(actions)->answer.outcome ==
+            Outcome::Conflict);
+}
+
 Test(entry, a_draining_owner_gets_no_new_work)
 {
   Entry entry;
