Keep each session's request ids apart

Cause: found by reading: a request id was looked up without its session, so a second caller with the same id got the first one's answer, rows included. Failing first: an_id_belongs_to_its_session. Conclusion: each caller gets the answer to its own request alone.

--- a/include/marigoldpitch/coordination/upstream-call.h
+++ b/include/marigoldpitch/coordination/upstream-call.h
@@ -42,9 +42,9 @@
 struct Step
 {
   StepKind kind = StepKind::Status;
-  Statement statement;   // of User
-  std::string requestId; // of the record steps
-  Rows result;           // of StoreResult
+  Statement statement; // of User
+  std::string record;  // name of the record, of the record steps
+  Rows result;         // of StoreResult
 };
 
 using Batch = std::vector<Step>;
--- a/include/marigoldpitch/coordination/work-queue.h
+++ b/include/marigoldpitch/coordination/work-queue.h
@@ -87,8 +87,8 @@
   Work& Add(RequestHandle aHandle, const Request& aRequest, Time aNow);
   Work* Find(WorkId aId);
 
-  /** Unfinished work with this request id. */
-  Work* FindByRequestId(const std::string& aRequestId);
+  /** Unfinished work with the same id and session; none without an id. */
+  Work* FindSame(const Request& aRequest);
 
   /** Unfinished work whose batch runs on the connection. */
   Work* FindByConnection(ConnectionId aConnection);
@@ -131,7 +131,7 @@
   WorkId lastId = 0;
   std::unordered_map<WorkId, Work> works;
   std::array<Order, kLaneNames.Size()> order;
-  std::unordered_map<std::string, WorkId> byRequestId;
+  std::unordered_map<std::string, WorkId> byRecord;
   std::unordered_map<ConnectionId, WorkId> byConnection;
   std::array<std::array<size_t, kPriorityNames.Size()>, kLaneNames.Size()>
     queuedBy{};
--- a/include/marigoldpitch/state/request.h
+++ b/include/marigoldpitch/state/request.h
@@ -125,6 +125,13 @@
   std::optional<Duration> age;
 };
 
+/**
+ * The name of a request's record: its id within its session, so that two
+ * callers who happen on one id do not get each other's answers.
+ */
+std::string
+RecordName(const Request& aRequest);
+
 /** An answer without rows. */
 Answer
 MakeAnswer(Outcome aOutcome, std::string aMessage);
--- a/src/coordination/group-engine.cc
+++ b/src/coordination/group-engine.cc
@@ -118,7 +118,7 @@
     this->Emit(SendAnswer{ aEvent.handle, *refusal });
     return;
   }
-  if (Work* same = this->queue.FindByRequestId(request.requestId)) {
+  if (Work* same = this->queue.FindSame(request)) {
     same->handles.push_back(aEvent.handle);
     same->request.firstAttempt = false;
     if (same->abandoned) {
--- a/src/coordination/group-transactions.cc
+++ b/src/coordination/group-transactions.cc
@@ -38,10 +38,10 @@
   if (request.operation == Operation::Commit) {
     Step claim;
     claim.kind = StepKind::ClaimRecord;
-    claim.requestId = request.requestId;
+    claim.record = RecordName(request);
     Step store;
     store.kind = StepKind::StoreResult;
-    store.requestId = request.requestId;
+    store.record = RecordName(request);
     Step commit;
     commit.kind = StepKind::Commit;
     Step status;
--- a/src/coordination/group-writes.cc
+++ b/src/coordination/group-writes.cc
@@ -9,11 +9,11 @@
 namespace detail {
 
 Step
-MakeStep(StepKind aKind, const std::string& aRequestId = {})
+MakeStep(StepKind aKind, const std::string& aRecord = {})
 {
   Step step;
   step.kind = aKind;
-  step.requestId = aRequestId;
+  step.record = aRecord;
   return step;
 }
 
@@ -79,12 +79,13 @@
   }
   Step user = detail::MakeStep(StepKind::User);
   user.statement = aWork.request.statement;
-  this->Run(aWork,
-            *connection,
-            WorkPhase::Claiming,
-            { detail::MakeStep(StepKind::Begin),
-              detail::MakeStep(StepKind::ClaimRecord, aWork.request.requestId),
-              user });
+  this->Run(
+    aWork,
+    *connection,
+    WorkPhase::Claiming,
+    { detail::MakeStep(StepKind::Begin),
+      detail::MakeStep(StepKind::ClaimRecord, RecordName(aWork.request)),
+      user });
 }
 
 void
@@ -116,7 +117,8 @@
     return;
   }
   aWork.rows = aResult.steps.back().rows;
-  Step store = detail::MakeStep(StepKind::StoreResult, aWork.request.requestId);
+  Step store =
+    detail::MakeStep(StepKind::StoreResult, RecordName(aWork.request));
   store.result = aWork.rows;
   this->Run(aWork,
             aWork.connection,
@@ -163,12 +165,12 @@
 void
 GroupEngine::StartResolve(Work& aWork, ConnectionId aConnection)
 {
-  const std::string& id = aWork.request.requestId;
+  std::string record = RecordName(aWork.request);
   this->Run(aWork,
             aConnection,
             WorkPhase::Resolving,
             { detail::MakeStep(StepKind::Begin),
-              detail::MakeStep(StepKind::Tombstone, id),
+              detail::MakeStep(StepKind::Tombstone, record),
               detail::MakeStep(StepKind::Commit),
               detail::MakeStep(StepKind::Status) });
 }
@@ -180,7 +182,7 @@
             aWork.connection,
             WorkPhase::Resolving,
             { detail::MakeStep(StepKind::RollBack),
-              detail::MakeStep(StepKind::ReadRecord, aWork.request.requestId),
+              detail::MakeStep(StepKind::ReadRecord, RecordName(aWork.request)),
               detail::MakeStep(StepKind::Status) });
 }
 
--- a/src/coordination/work-queue.cc
+++ b/src/coordination/work-queue.cc
@@ -15,7 +15,7 @@
   work.lane = LaneOf(aRequest);
   this->Enqueue(work);
   if (!aRequest.requestId.empty()) {
-    this->byRequestId[aRequest.requestId] = id;
+    this->byRecord[RecordName(aRequest)] = id;
   }
   return work;
 }
@@ -28,10 +28,10 @@
 }
 
 Work*
-WorkQueue::FindByRequestId(const std::string& aRequestId)
+WorkQueue::FindSame(const Request& aRequest)
 {
-  auto found = this->byRequestId.find(aRequestId);
-  return found == this->byRequestId.end() ? nullptr : this->Find(found->second);
+  auto found = this->byRecord.find(RecordName(aRequest));
+  return found == this->byRecord.end() ? nullptr : this->Find(found->second);
 }
 
 Work*
@@ -76,9 +76,9 @@
   }
   this->Release(*work);
   this->Dequeue(*work);
-  auto named = this->byRequestId.find(work->request.requestId);
-  if (named != this->byRequestId.end() && named->second == aId) {
-    this->byRequestId.erase(named);
+  auto named = this->byRecord.find(RecordName(work->request));
+  if (named != this->byRecord.end() && named->second == aId) {
+    this->byRecord.erase(named);
   }
   this->works.erase(aId);
 }
--- a/src/ctl.cc
+++ b/src/ctl.cc
@@ -406,14 +406,15 @@
   ExitCode Resolve()
   {
     auto entry = ParseEndpoint(this->line.Get("entry"));
-    if (!entry || this->line.words.size() != 2) {
+    if (!entry || this->line.words.size() != 2 || !this->line.Has("session")) {
       return this->Fail(
         ExitCode::Usage,
-        "resolve takes a request id, --entry IP:PORT and --group NAME");
+        "resolve takes a request id, --entry IP:PORT, --group NAME and "
+        "--session NAME");
     }
     v1::ResolveRequest request;
     request.mutable_context()->set_group(this->line.Get("group"));
-    request.mutable_context()->set_session("marigoldpitch-ctl");
+    request.mutable_context()->set_session(this->line.Get("session"));
     request.set_request_id(this->line.words[1]);
     auto reply = this->http.Post(entry.value(),
                                  kRpcMethodNames.TextOf(RpcMethod::Resolve),
@@ -464,6 +465,7 @@
     { "wait-ms", "N", "how long apply waits for all hosts; default: 4000" },
     { "entry", "IP:PORT", "an entry's callers' port, for resolve" },
     { "group", "NAME", "database group, for resolve" },
+    { "session", "NAME", "the request's session, for resolve" },
     { "json", "", "print JSON" }
   };
   auto body = [](Loop& aLoop, const CommandLine& aLine) {
--- a/src/protocol/upstream-sql.cc
+++ b/src/protocol/upstream-sql.cc
@@ -112,16 +112,16 @@
       return aStep.statement;
     case StepKind::ClaimRecord:
       return detail::Call(detail::kInsertRecord,
-                          { aStep.requestId, EncodeRecord({ true, {} }) });
+                          { aStep.record, EncodeRecord({ true, {} }) });
     case StepKind::Tombstone:
       return detail::Call(detail::kInsertRecord,
-                          { aStep.requestId, EncodeRecord({ false, {} }) });
+                          { aStep.record, EncodeRecord({ false, {} }) });
     case StepKind::ReadRecord:
-      return detail::Call(detail::kReadRecord, { aStep.requestId });
+      return detail::Call(detail::kReadRecord, { aStep.record });
     case StepKind::StoreResult:
       return detail::Call(
         detail::kUpdateRecord,
-        { aStep.requestId, EncodeRecord({ true, aStep.result }) });
+        { aStep.record, EncodeRecord({ true, aStep.result }) });
     case StepKind::Commit:
       return detail::Call("COMMIT", {});
     case StepKind::RollBack:
--- a/test/engine-test.cc
+++ b/test/engine-test.cc
@@ -229,6 +229,27 @@
   }
 }
 
+Test(requests, an_id_belongs_to_its_session)
+{
+  // Two callers that happen on one id each get their own answer.
+  World world(Options(1));
+  std::vector<Answer> answers;
+  Request mine = MakeWrite("same", "mine");
+  Request theirs = MakeWrite("same", "theirs");
+  theirs.session = "t";
+  for (const Request& request : { mine, theirs }) {
+    world.AskOwner(
+      0, request, [&](const Answer& aAnswer) { answers.push_back(aAnswer); });
+  }
+  world.RunFor(Millis(300));
+  cr_assert_eq(answers.size(), 2u);
+  for (const Answer& answer : answers) {
+    cr_assert(answer.outcome == Outcome::Ok && !answer.replayed);
+  }
+  cr_assert_str_eq(world.Value(0, "rows", "mine").c_str(), "v");
+  cr_assert_str_eq(world.Value(0, "rows", "theirs").c_str(), "v");
+}
+
 Test(requests, a_refusal_of_a_resend_is_not_called_not_run)
 {
   World world(Options(1));
