Hold goodput under overload with a test

Cause: the collapse at twice the capacity was found by a measurement alone. Change: overload-test finds the capacity and holds goodput at 2 and 4 times it against the target of 95 percent of the peak; the same check must find a queue without admission. Conclusion: the fault has its test.

--- /dev/null
+++ b/test/overload-test.cc
@@ -0,0 +1,40 @@
+#include "fakes/overload.h"
+
+#include <criterion/criterion.h>
+
+// Goodput over the capacity, on the fake clock.
+
+using namespace marigoldpitch;
+using namespace marigoldpitch::fakes;
+
+namespace {
+
+constexpr double kGoodputTarget = 0.95; // of the peak
+
+void
+CheckGoodput(const Deployment& aDeployment)
+{
+  double capacity = FindCapacity(aDeployment);
+  double most = capacity * static_cast<double>(kOverloadLength.ms);
+  for (double load : { 2.0, 4.0 }) {
+    auto ours = RunOverload(aDeployment, capacity * load, false);
+    auto fifo = RunOverload(aDeployment, capacity * load, true);
+    double share = static_cast<double>(ours.good) / most;
+    cr_assert_geq(share, kGoodputTarget, "%s at %g", aDeployment.name, load);
+    cr_assert_lt(static_cast<double>(fifo.good) / most,
+                 kGoodputTarget,
+                 "the check must find a queue without admission");
+  }
+}
+
+} // namespace
+
+Test(overload, goodput_holds_in_addis_ababa)
+{
+  CheckGoodput(kAddisAbaba);
+}
+
+Test(overload, goodput_holds_in_brittany)
+{
+  CheckGoodput(kBrittany);
+}
