Say four more things once

Cause: reading the whole change again: the look-up of an outbound link stood twice, an error code and a field of the queue's load were read by nobody, the stand-in's promotion took a time that it did not use, and tests of transactions and mutants repeated their set-up. Change: one look-up; the unused parts are gone; BeginAt, StatementAt and WithMutant in the tests. Conclusion: behaviour is the same.

--- a/include/marigoldpitch/coordination/entry-engine.h
+++ b/include/marigoldpitch/coordination/entry-engine.h
@@ -162,7 +162,7 @@
   EntryActions Handle(Time aNow, const EntryEvent& aEvent);
 
   size_t Unfinished() const { return this->pending.size(); }
-  const std::map<std::string, OwnerState> OwnerStates() const;
+  std::map<std::string, OwnerState> OwnerStates() const;
 
 private:
   struct Pending
--- a/include/marigoldpitch/coordination/policies.h
+++ b/include/marigoldpitch/coordination/policies.h
@@ -96,7 +96,6 @@
 struct QueueLoad
 {
   size_t ahead = 0;     // queued work that goes before it
-  size_t queued = 0;    // all queued work
   size_t slots = 0;     // slots of the upstreams that can serve it
   double serviceMs = 1; // usual time of one statement
 };
--- a/include/marigoldpitch/state/error.h
+++ b/include/marigoldpitch/state/error.h
@@ -20,7 +20,6 @@
   BadConfiguration,
   TooLarge,
   UnknownMethod,
-  UnknownGroup,
   Io,
   Timeout,
   Conflict,
@@ -28,14 +27,13 @@
   Refused,
 };
 
-constexpr NameTable<ErrorCode, 12> kErrorCodeNames{ {
+constexpr NameTable<ErrorCode, 11> kErrorCodeNames{ {
   { ErrorCode::BadFrame, "bad-frame" },
   { ErrorCode::BadMessage, "bad-message" },
   { ErrorCode::BadSettings, "bad-settings" },
   { ErrorCode::BadConfiguration, "bad-configuration" },
   { ErrorCode::TooLarge, "too-large" },
   { ErrorCode::UnknownMethod, "unknown-method" },
-  { ErrorCode::UnknownGroup, "unknown-group" },
   { ErrorCode::Io, "io" },
   { ErrorCode::Timeout, "timeout" },
   { ErrorCode::Conflict, "conflict" },
--- a/include/marigoldpitch/transport/peer-network.h
+++ b/include/marigoldpitch/transport/peer-network.h
@@ -79,7 +79,7 @@
               PeerListener& aListener);
 
   Peer* Find(const FrameLink& aLink);
-  Peer* FindOutbound(const std::string& aPeer);
+  const Peer* FindOutbound(const std::string& aPeer) const;
   void Add(std::shared_ptr<FrameLink> aLink, std::string aName, bool aOutbound);
   void Remove(LinkId aId);
   void TakeHello(LinkId aId, const HelloFrame& aHello);
--- a/src/coordination/entry-engine.cc
+++ b/src/coordination/entry-engine.cc
@@ -48,7 +48,7 @@
   return std::move(this->actions);
 }
 
-const std::map<std::string, OwnerState>
+std::map<std::string, OwnerState>
 EntryEngine::OwnerStates() const
 {
   std::map<std::string, OwnerState> states;
--- a/src/coordination/group-engine.cc
+++ b/src/coordination/group-engine.cc
@@ -175,7 +175,6 @@
   Lane lane = WorkQueue::LaneOf(aRequest);
   QueueLoad load;
   load.ahead = this->queue.Ahead(lane, aRequest.priority);
-  load.queued = this->queue.Queued();
   load.slots = this->SlotsFor(lane);
   load.serviceMs = this->ServiceOf(lane);
   return this->policies.admission->Admits(load, aRequest.timeout);
--- a/src/transport/peer-network.cc
+++ b/src/transport/peer-network.cc
@@ -61,10 +61,10 @@
   return found == this->byLink.end() ? nullptr : &this->peers[found->second];
 }
 
-PeerNetwork::Peer*
-PeerNetwork::FindOutbound(const std::string& aPeer)
+const PeerNetwork::Peer*
+PeerNetwork::FindOutbound(const std::string& aPeer) const
 {
-  for (auto& [id, peer] : this->peers) {
+  for (const auto& [id, peer] : this->peers) {
     if (peer.outbound && peer.name == aPeer) {
       return &peer;
     }
@@ -75,7 +75,7 @@
 void
 PeerNetwork::Connect(const std::string& aPeer, const Endpoint& aEndpoint)
 {
-  if (Peer* peer = this->FindOutbound(aPeer)) {
+  if (const Peer* peer = this->FindOutbound(aPeer)) {
     // Whoever asks again still wants to hear of it.
     if (peer->up) {
       LinkId id = peer->id;
@@ -100,18 +100,13 @@
 bool
 PeerNetwork::HasLinkTo(const std::string& aPeer) const
 {
-  for (const auto& [id, peer] : this->peers) {
-    if (peer.outbound && peer.name == aPeer) {
-      return true;
-    }
-  }
-  return false;
+  return this->FindOutbound(aPeer) != nullptr;
 }
 
 void
 PeerNetwork::Drop(const std::string& aPeer)
 {
-  Peer* peer = this->FindOutbound(aPeer);
+  const Peer* peer = this->FindOutbound(aPeer);
   if (peer != nullptr) {
     peer->link->Close();
     this->Remove(peer->id);
@@ -121,7 +116,7 @@
 void
 PeerNetwork::SendTo(const std::string& aPeer, const Frame& aFrame)
 {
-  Peer* outbound = this->FindOutbound(aPeer);
+  const Peer* outbound = this->FindOutbound(aPeer);
   if (outbound != nullptr && outbound->up) {
     outbound->link->Send(EncodeFrame(aFrame));
     return;
--- a/test/engine-test.cc
+++ b/test/engine-test.cc
@@ -36,6 +36,37 @@
   return request;
 }
 
+/** Begins a transaction at the first owner and returns its name. */
+std::string
+BeginAt(World& aWorld, const std::string& aSession)
+{
+  Request begin;
+  begin.operation = Operation::Begin;
+  begin.session = aSession;
+  std::string id;
+  aWorld.AskOwner(
+    0, begin, [&](const Answer& aAnswer) { id = aAnswer.transaction; });
+  aWorld.RunFor(Millis(100));
+  return id;
+}
+
+Outcome
+StatementAt(World& aWorld,
+            const std::string& aSession,
+            const std::string& aTransaction)
+{
+  Request statement;
+  statement.operation = Operation::Statement;
+  statement.session = aSession;
+  statement.transaction = aTransaction;
+  statement.statement = { "SELECT count FROM rows", {} };
+  Outcome outcome = Outcome::Ok;
+  aWorld.AskOwner(
+    0, statement, [&](const Answer& aAnswer) { outcome = aAnswer.outcome; });
+  aWorld.RunFor(Millis(100));
+  return outcome;
+}
+
 Request
 MakeRead(const std::string& aKey, std::optional<Duration> aMaxAge)
 {
@@ -114,48 +145,19 @@
 Test(transactions, an_idle_one_is_rolled_back)
 {
   World world(Options(1));
-  Request begin;
-  begin.operation = Operation::Begin;
-  begin.session = "s";
-  std::string id;
-  world.AskOwner(
-    0, begin, [&](const Answer& aAnswer) { id = aAnswer.transaction; });
-  world.RunFor(Millis(100));
+  std::string id = BeginAt(world, "s");
   cr_assert(!id.empty());
   cr_assert_eq(world.EngineOf(0).OpenTransactions(), 1u);
   world.RunFor(world.config.transactionIdle + Millis(200));
   cr_assert_eq(world.EngineOf(0).OpenTransactions(), 0u);
-  Request statement = begin;
-  statement.operation = Operation::Statement;
-  statement.transaction = id;
-  statement.statement = { "SELECT count FROM rows", {} };
-  Outcome outcome = Outcome::Ok;
-  world.AskOwner(
-    0, statement, [&](const Answer& aAnswer) { outcome = aAnswer.outcome; });
-  world.RunFor(Millis(100));
-  cr_assert(outcome == Outcome::NotRun);
+  cr_assert(StatementAt(world, "s", id) == Outcome::NotRun);
 }
 
 Test(transactions, belong_to_their_session)
 {
   World world(Options(1));
-  Request begin;
-  begin.operation = Operation::Begin;
-  begin.session = "mine";
-  std::string id;
-  world.AskOwner(
-    0, begin, [&](const Answer& aAnswer) { id = aAnswer.transaction; });
-  world.RunFor(Millis(100));
-  Request statement;
-  statement.operation = Operation::Statement;
-  statement.session = "theirs";
-  statement.transaction = id;
-  statement.statement = { "SELECT count FROM rows", {} };
-  Outcome outcome = Outcome::Ok;
-  world.AskOwner(
-    0, statement, [&](const Answer& aAnswer) { outcome = aAnswer.outcome; });
-  world.RunFor(Millis(100));
-  cr_assert(outcome == Outcome::Invalid);
+  std::string id = BeginAt(world, "mine");
+  cr_assert(StatementAt(world, "theirs", id) == Outcome::Invalid);
 }
 
 Test(transactions, cannot_starve_the_rest)
--- a/test/guarantees-test.cc
+++ b/test/guarantees-test.cc
@@ -191,29 +191,33 @@
   std::unique_ptr<RoutingPolicy> inner = MakeFreshReplicaRouting();
 };
 
-template<typename P>
+/** The default policies but for one. */
 PlanOptions
-WithRouting()
+WithMutant(std::function<void(Policies&)> aReplace)
 {
   PlanOptions options;
-  options.world.policies = [](const GroupConfig& aConfig) {
+  options.world.policies = [aReplace](const GroupConfig& aConfig) {
     Policies policies = MakeDefaultPolicies(aConfig);
-    policies.routing = std::make_unique<P>();
+    aReplace(policies);
     return policies;
   };
   return options;
 }
 
+template<typename P>
+PlanOptions
+WithRouting()
+{
+  return WithMutant(
+    [](Policies& aPolicies) { aPolicies.routing = std::make_unique<P>(); });
+}
+
 PlanOptions
 WithoutConfirmation()
 {
-  PlanOptions options;
-  options.world.policies = [](const GroupConfig& aConfig) {
-    Policies policies = MakeDefaultPolicies(aConfig);
-    policies.confirmation = std::make_unique<NoConfirmation>();
-    return policies;
-  };
-  return options;
+  return WithMutant([](Policies& aPolicies) {
+    aPolicies.confirmation = std::make_unique<NoConfirmation>();
+  });
 }
 
 Fault
--- a/test/standin/database.cc
+++ b/test/standin/database.cc
@@ -313,7 +313,7 @@
     return this->AdoptTerm(asked);
   }
   if (aName == "marigoldpitch_promote") {
-    return this->Promote(asked, aNow);
+    return this->Promote(asked);
   }
   if (aName == "marigoldpitch_follow") {
     return this->Follow(aStatement);
@@ -340,7 +340,7 @@
 }
 
 Outcome
-Database::Promote(Term aTerm, Time)
+Database::Promote(Term aTerm)
 {
   if (aTerm != this->term || this->role != Role::Detached) {
     return Fail("MP001", std::to_string(this->term));
--- a/test/standin/database.h
+++ b/test/standin/database.h
@@ -123,7 +123,7 @@
                 const Statement& aStatement);
   Outcome Commit(Transaction& aTransaction);
   Outcome AdoptTerm(Term aTerm);
-  Outcome Promote(Term aTerm, Time aNow);
+  Outcome Promote(Term aTerm);
   Outcome Follow(const Statement& aStatement);
   Outcome SetKnob(const std::string& aName, const std::string& aValue);
   std::optional<std::string> Value(const Transaction& aTransaction,
