--- /dev/null
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -0,0 +1,206 @@
+#ifndef MARIGOLDPITCH_COORDINATION_PROXY_ENGINE_H
+#define MARIGOLDPITCH_COORDINATION_PROXY_ENGINE_H
+
+#include "marigoldpitch/coordination/policies.h"
+#include "marigoldpitch/coordination/promotion.h"
+#include "marigoldpitch/coordination/proxy-session.h"
+
+#include <memory>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+/** The decisions of a proxy that goes to upstreams itself. */
+namespace marigoldpitch {
+
+struct ProxyOptions
+{
+  std::string zone;
+  std::unique_ptr<AdmissionPolicy> admission = MakeDeadlineAdmission();
+};
+
+/** One service as a proxy sees it. */
+struct ProxyService
+{
+  explicit ProxyService(ConnectionId aFirstId)
+    : connections(0, 1, 1, aFirstId)
+  {
+  }
+
+  // Priority, deadline, caller: the most urgent first.
+  using QueueKey = std::tuple<int, int64_t, CallerId>;
+
+  std::string name;
+  ServiceLimits config;
+  ServiceView view;
+  ConnectionTable connections;
+  Promotion promotion;
+  std::set<QueueKey> queue;
+  uint32_t share = 1; // connections that this host may open to one upstream
+  double serviceMs = 10;
+  Time primaryWantedAt = kLongAgo; // by a caller
+  bool proofOpen = false;
+  std::map<UpstreamIndex, AskUpstream> wanted; // no connection was free
+};
+
+/**
+ * Decides for all sessions of one host: (now, event) in, actions out. Times
+ * count pauses of the host.
+ */
+class ProxyEngine
+{
+public:
+  explicit ProxyEngine(ProxyOptions aOptions)
+    : options(std::move(aOptions))
+  {
+  }
+
+  ProxyActions Handle(Time aNow, const ProxyEvent& aEvent);
+
+  /** Whether new callers may be sent here. */
+  bool IsReady() const;
+
+  /** Whether the process may end: it drains and nothing is open. */
+  bool IsDrained() const
+  {
+    return this->IsDraining() && this->sessions.empty();
+  }
+  bool IsDraining() const { return this->drainSince != kNever; }
+  size_t Sessions() const { return this->sessions.size(); }
+  uint64_t ConfigVersion() const { return this->config.version; }
+  const std::map<std::string, ProxyService>& Services() const
+  {
+    return this->services;
+  }
+
+private:
+  // proxy-engine.cc: what the operator, the registry and callers say.
+  void On(const SessionOpened& aEvent);
+  void On(const SessionClosed& aEvent);
+  void On(const StatementArrived& aEvent);
+  void On(const NonsenseArrived& aEvent);
+  void On(const ConfigArrived& aEvent);
+  void On(const RegistryRead& aEvent);
+  void On(const HostsCounted& aEvent);
+  void On(const ProxyDrainRequested& aEvent);
+  void On(const ProxyTick& aEvent);
+  ProxyService& ServiceOf(const std::string& aName);
+  void ShareConnections(ProxyService& aService);
+  void DrainSessions();
+
+  // proxy-sessions.cc: statements that the proxy answers, and their end.
+  void Take(CallerSession& aSession, const StatementArrived& aEvent);
+  void TakeNext(CallerSession& aSession);
+  void Begin(CallerSession& aSession, bool aReadOnly);
+  void SetValue(CallerSession& aSession, const SessionStatement& aStatement);
+  void RollBack(CallerSession& aSession);
+  void Answer(CallerSession& aSession, StatementReply aReply);
+  void Refuse(CallerSession& aSession,
+              RefusalCode aCode,
+              const std::string& aText);
+  void FailTransaction(CallerSession& aSession);
+  void LeaveTransaction(CallerSession& aSession);
+  void ExpireTransactions();
+  const DatabaseRoute* RouteOf(const std::string& aDatabase) const;
+
+  // proxy-dispatch.cc: which statement goes to which upstream, and when.
+  void Submit(CallerSession& aSession, const StatementArrived& aEvent);
+  bool Admits(const ProxyService& aService,
+              const PendingStatement& aPending) const;
+  void Enqueue(CallerSession& aSession);
+  void Dequeue(CallerSession& aSession);
+  void Requeue(CallerSession& aSession, Duration aPause);
+  void Dispatch(ProxyService& aService);
+  bool Place(ProxyService& aService, CallerSession& aSession);
+  bool HasRoomForTransaction(const ProxyService& aService,
+                             UpstreamIndex aUpstream) const;
+  double CostOf(const ProxyService& aService, UpstreamIndex aUpstream) const;
+  std::optional<LogPoint> PointFor(const ProxyService& aService,
+                                   const CallerSession& aSession) const;
+  std::optional<UpstreamIndex> Choose(ProxyService& aService,
+                                      const CallerSession& aSession,
+                                      const std::optional<LogPoint>& aAfter);
+  bool MayServe(const ProxyService& aService,
+                const CallerSession& aSession,
+                UpstreamIndex aUpstream,
+                const std::optional<LogPoint>& aAfter) const;
+  std::optional<ConnectionId> FindLink(const ProxyService& aService,
+                                       UpstreamIndex aUpstream,
+                                       const CallerSession& aSession) const;
+  void Open(ProxyService& aService, UpstreamIndex aUpstream);
+  void Assign(ProxyService& aService,
+              CallerSession& aSession,
+              ConnectionId aConnection);
+  void PutValues(ProxyLink& aLink, CallerSession& aSession);
+  void SendNext(ProxyLink& aLink, CallerSession& aSession);
+
+  // proxy-answers.cc: what upstreams answer, or fail to.
+  void On(const LinkOpened& aEvent);
+  void On(const LinkLost& aEvent);
+  void On(const LinkAnswered& aEvent);
+  void Answered(ProxyLink& aLink, const StatementReply& aReply);
+  void PreludeAnswered(ProxyLink& aLink,
+                       CallerSession& aSession,
+                       const StatementReply& aReply);
+  void BeginAnswered(ProxyLink& aLink,
+                     CallerSession& aSession,
+                     const StatementReply& aReply);
+  void StatementAnswered(ProxyLink& aLink,
+                         CallerSession& aSession,
+                         const StatementReply& aReply);
+  void Succeeded(ProxyLink& aLink,
+                 CallerSession& aSession,
+                 const StatementReply& aReply);
+  void Refused(ProxyLink& aLink,
+               CallerSession& aSession,
+               const StatementReply& aReply);
+  void NoteRefusal(ProxyLink& aLink,
+                   CallerSession& aSession,
+                   const Refusal& aRefusal);
+  void LostAnswer(CallerSession& aSession, UpstreamIndex aUpstream);
+  void AbortTransaction(CallerSession& aSession, const std::string& aWhy);
+  void Release(ProxyLink& aLink, SessionState aState);
+  void Lose(ConnectionId aConnection, bool aIsUpstreamAtFault);
+  void Close(ConnectionId aConnection, bool aIsUpstreamAtFault);
+  void CheckLimits();
+  void Expire(CallerSession& aSession);
+
+  // proxy-watch.cc: reports of upstreams, proofs, promotions.
+  void On(const LinkReported& aEvent);
+  void On(const DutyChanged& aEvent);
+  void On(const PromotionOrdered& aEvent);
+  void Watch(ProxyService& aService);
+  void KeepProof(ProxyService& aService);
+  void Ask(ProxyService& aService, const AskUpstream& aAsk);
+  void AskWanted(ProxyService& aService);
+  void CloseSurplus(ProxyService& aService);
+  void Perform(ProxyService& aService, const PromotionSteps& aSteps);
+  void MendLeftovers(ProxyService& aService,
+                     UpstreamIndex aUpstream,
+                     const UpstreamReport& aReport);
+  void ReportLeader(ProxyService& aService,
+                    std::optional<UpstreamIndex> aBefore,
+                    Term aTermBefore);
+
+  void Emit(ProxyAction aAction);
+  void Decide(LogEvent aEvent,
+              const std::string& aRequestId,
+              std::vector<std::pair<const char*, std::string>> aFields);
+
+  ProxyOptions options;
+  ProxyConfig config;
+  bool hasRegistry = false;
+  size_t hosts = 1;
+  bool mayAct = false;
+  std::map<std::string, ProxyService> services;
+  std::unordered_map<CallerId, CallerSession> sessions;
+  std::unordered_map<ConnectionId, ProxyLink> links;
+  Time now;
+  Time drainSince = kNever;
+  Duration grace;
+  ProxyActions actions;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- /dev/null
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -0,0 +1,126 @@
+#ifndef MARIGOLDPITCH_COORDINATION_SERVICE_VIEW_H
+#define MARIGOLDPITCH_COORDINATION_SERVICE_VIEW_H
+
+#include "marigoldpitch/coordination/statement.h"
+#include "marigoldpitch/state/connection-table.h"
+#include "marigoldpitch/state/freshness.h"
+#include "marigoldpitch/state/proxy-config.h"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+/** What one proxy knows of a service's upstreams. */
+namespace marigoldpitch {
+
+/** How long a replica's word that a primary leads may be relied on. */
+constexpr Duration kLeadershipSpan = Millis(300);
+
+struct ProxyUpstream
+{
+  RegisteredUpstream entry;
+  bool listed = true;
+  Time unlistedAt = kNever;
+  std::optional<UpstreamReport> report;
+  Time reportAsked = kLongAgo; // when the question was sent
+  bool askWanted = true;
+  bool askOpen = false;
+  Time lastAsked = kLongAgo;
+  Time lastAnswer = kLongAgo;
+  uint32_t failures = 0; // since the last answer
+  Time failingSince = kNever;
+  Time avoidUntil = kLongAgo;
+  Time fullUntil = kLongAgo; // it takes no more connections
+  LogPoint behind;           // a point that it lacked
+  Time behindUntil = kLongAgo;
+  double latencyMs = 10;
+};
+
+/**
+ * Upstreams, the primary, the proof that it leads, and the log points that a
+ * primary had at known times.
+ *
+ * Times count pauses of the host.
+ */
+class ServiceView
+{
+public:
+  /** Takes the whole registry of the service; returns the new upstreams. */
+  size_t List(const std::vector<RegisteredUpstream>& aEntries, Time aNow);
+
+  void Learn(UpstreamIndex aUpstream,
+             const UpstreamReport& aReport,
+             Time aAsked,
+             Time aNow);
+
+  /** The end of an upstream's log, as of an answer to a question. */
+  void Saw(UpstreamIndex aUpstream, const LogPoint& aEnd, Time aAsked);
+
+  /** The primary had a replica confirm a commit that was sent at `aAsked`. */
+  void Confirmed(UpstreamIndex aUpstream, Term aTerm, Time aAsked);
+
+  /** The upstream refused what only a primary does. */
+  void LostLead(UpstreamIndex aUpstream);
+
+  void Answered(UpstreamIndex aUpstream, Time aNow);
+  void Failed(UpstreamIndex aUpstream, Time aNow);
+
+  /** The known primary, whether or not it may be used yet. */
+  std::optional<UpstreamIndex> Primary() const { return this->primary; }
+  Term CurrentTerm() const { return this->term; }
+
+  /** Whether new work may be sent to the upstream. */
+  bool IsUsable(UpstreamIndex aUpstream, Time aNow) const;
+  bool IsPrimaryUsable(Time aNow) const;
+
+  /** Whether no other primary had acknowledged anything before `aTime`. */
+  bool IsLeaderProvedAt(Time aTime) const
+  {
+    return this->term != 0 && this->provedAsked + kLeadershipSpan > aTime;
+  }
+  Time ProvedAsked() const { return this->provedAsked; }
+
+  /** A point that covers all that was acknowledged before `aTime`. */
+  std::optional<LogPoint> PointSince(Time aTime) const
+  {
+    return this->samples.OldestSince(aTime);
+  }
+
+  /** Ask every upstream again: the primary is not known for sure. */
+  void AskAll();
+
+  size_t Size() const { return this->upstreams.size(); }
+  ProxyUpstream& At(UpstreamIndex aUpstream)
+  {
+    return this->upstreams[aUpstream];
+  }
+  const ProxyUpstream& At(UpstreamIndex aUpstream) const
+  {
+    return this->upstreams[aUpstream];
+  }
+
+private:
+  struct Sample
+  {
+    Time asked;
+    LogPoint point;
+  };
+
+  void SetPrimary(UpstreamIndex aUpstream, Term aTerm, Time aNow);
+  void Prove(Time aAsked);
+  void TakeProvedSamples();
+  std::optional<UpstreamIndex> Find(const std::string& aId) const;
+
+  std::vector<ProxyUpstream> upstreams;
+  std::optional<UpstreamIndex> primary;
+  Term term = 0;
+  Time usableFrom = kNever;
+  Time provedAsked = kLongAgo;
+  std::deque<Sample> unproved; // of the present term, oldest first
+  FreshnessTracker samples;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- a/include/marigoldpitch/protocol/settings.h
+++ b/include/marigoldpitch/protocol/settings.h
@@ -63,6 +63,10 @@
 bool
 IsIpNumber(const std::string& aText);
 
+/** `127.0.0.1:80`: an IP number and a port. */
+Result<Endpoint>
+ParseEndpoint(const std::string& aText);
+
 } // namespace marigoldpitch
 
 #endif
--- a/include/marigoldpitch/state/connection-table.h
+++ b/include/marigoldpitch/state/connection-table.h
@@ -57,13 +57,24 @@
 class ConnectionTable
 {
 public:
-  ConnectionTable(size_t aUpstreams, uint32_t aSlots, uint32_t aBudget)
+  /** Connections are numbered from `aFirstId` + 1. */
+  ConnectionTable(size_t aUpstreams,
+                  uint32_t aSlots,
+                  uint32_t aBudget,
+                  ConnectionId aFirstId = 0)
     : slots(aSlots)
     , budget(aBudget)
+    , lastId(aFirstId)
     , uses(aUpstreams)
   {
   }
 
+  /** Room for `aMore` further upstreams. */
+  void AddUpstreams(size_t aMore)
+  {
+    this->uses.resize(this->uses.size() + aMore);
+  }
+
   bool MayOpen(UpstreamIndex aUpstream) const;
   ConnectionId Open(UpstreamIndex aUpstream, Time aNow);
   void Opened(ConnectionId aId, Time aNow);
--- a/include/marigoldpitch/state/freshness.h
+++ b/include/marigoldpitch/state/freshness.h
@@ -39,6 +39,9 @@
   /** Unset when no sample is covered by the copy. */
   std::optional<Duration> AgeOf(const CopyPoint& aCopy, Time aNow) const;
 
+  /** The oldest sample that was asked for at `aTime` or later. */
+  std::optional<LogPoint> OldestSince(Time aTime) const;
+
   size_t Size() const { return this->samples.size(); }
 
 private:
@@ -46,6 +49,7 @@
   {
     Time asked;
     Position position;
+    Term term; // of the primary that was asked
   };
 
   Term term = 0;
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -41,6 +41,17 @@
   TransactionExpired,
   OwnerPaused,
   RequestRefused,
+  DatabaseUnknown,
+  StatementPlaced,
+  StatementRetried,
+  StatementRefused,
+  PromotionOrdered,
+  PromotionAnswered,
+  DutyChanged,
+  SettingsReloaded,
+  StrangeRecord,
+  CallerRefused,
+  LogDropped,
 };
 
 struct LogEventRow
@@ -51,7 +62,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 24> kLogEvents{ {
+constexpr std::array<LogEventRow, 35> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -85,6 +96,17 @@
     "transaction-expired" },
   { LogEvent::OwnerPaused, 503, Severity::Warning, "owner-paused" },
   { LogEvent::RequestRefused, 504, Severity::Warning, "request-refused" },
+  { LogEvent::DatabaseUnknown, 600, Severity::Warning, "database-unknown" },
+  { LogEvent::StatementPlaced, 601, Severity::Info, "statement-placed" },
+  { LogEvent::StatementRetried, 602, Severity::Info, "statement-retried" },
+  { LogEvent::StatementRefused, 603, Severity::Warning, "statement-refused" },
+  { LogEvent::PromotionOrdered, 407, Severity::Warning, "promotion-ordered" },
+  { LogEvent::PromotionAnswered, 408, Severity::Info, "promotion-answered" },
+  { LogEvent::DutyChanged, 409, Severity::Info, "duty-changed" },
+  { LogEvent::SettingsReloaded, 105, Severity::Info, "settings-reloaded" },
+  { LogEvent::StrangeRecord, 205, Severity::Warning, "strange-record" },
+  { LogEvent::CallerRefused, 604, Severity::Warning, "caller-refused" },
+  { LogEvent::LogDropped, 106, Severity::Warning, "log-dropped" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/state/time.h
+++ b/include/marigoldpitch/state/time.h
@@ -80,6 +80,7 @@
   constexpr bool operator>(Time aOther) const { return aOther < *this; }
   constexpr bool operator>=(Time aOther) const { return aOther <= *this; }
   constexpr bool operator==(Time aOther) const { return this->ms == aOther.ms; }
+  constexpr bool operator!=(Time aOther) const { return this->ms != aOther.ms; }
 };
 
 /** Later than any instant a process reaches. */
--- a/include/marigoldpitch/transport/blocking-http.h
+++ b/include/marigoldpitch/transport/blocking-http.h
@@ -15,10 +15,6 @@
 /** Calls that wait for their answer, for the operators' tools alone. */
 namespace marigoldpitch {
 
-/** `127.0.0.1:80` */
-Result<Endpoint>
-ParseEndpoint(const std::string& aText);
-
 class BlockingHttp
 {
 public:
--- a/include/marigoldpitch/transport/clock.h
+++ b/include/marigoldpitch/transport/clock.h
@@ -10,7 +10,14 @@
 Time
 ReadClock();
 
-/** The same clock in microseconds, for measurements. */
+/**
+ * The clock for what others may have done meanwhile: unlike `ReadClock` it goes
+ * on while the machine is suspended. The two are never compared.
+ */
+Time
+ReadBootClock();
+
+/** The same clock as `ReadClock` in microseconds, for measurements. */
 int64_t
 ReadClockMicros();
 
--- a/include/marigoldpitch/transport/frame-link.h
+++ b/include/marigoldpitch/transport/frame-link.h
@@ -3,7 +3,7 @@
 
 #include "marigoldpitch/protocol/frame-splitter.h"
 #include "marigoldpitch/state/config.h"
-#include "marigoldpitch/transport/loop.h"
+#include "marigoldpitch/transport/stream-link.h"
 
 #include <memory>
 #include <string>
@@ -24,7 +24,7 @@
   virtual void OnLinkDown(FrameLink& aLink, const Error& aReason) = 0;
 };
 
-class FrameLink : public std::enable_shared_from_this<FrameLink>
+class FrameLink : public StreamLink
 {
 public:
   static Result<std::shared_ptr<FrameLink>> Connect(
@@ -36,35 +36,21 @@
                                              h2o_socket_t* aSocket,
                                              size_t aMaxFrameBytes,
                                              FrameLinkListener& aListener);
-  ~FrameLink();
-  FrameLink(const FrameLink&) = delete;
-  FrameLink& operator=(const FrameLink&) = delete;
 
-  /** Queues a frame; a peer that takes too little loses its link. */
   void Send(const std::string& aFrame);
 
-  /** Closes without a further call to the listener. */
-  void Close();
-  bool IsOpen() const { return this->socket != nullptr; }
-
 private:
   FrameLink(Loop& aLoop, size_t aMaxFrameBytes, FrameLinkListener& aListener);
 
-  static void OnConnected(h2o_socket_t* aSocket, const char* aError);
-  static void OnRead(h2o_socket_t* aSocket, const char* aError);
-  static void OnWritten(h2o_socket_t* aSocket, const char* aError);
-  void Attach(h2o_socket_t* aSocket);
-  void TakeFrames();
-  void WriteQueued();
-  void Fail(const Error& aReason);
+  void OnUp() override { this->listener.OnLinkUp(*this); }
+  void OnBytes(std::string_view aBytes) override;
+  void OnDown(const Error& aReason) override
+  {
+    this->listener.OnLinkDown(*this, aReason);
+  }
 
-  Loop& loop;
   FrameLinkListener& listener;
   FrameSplitter splitter;
-  h2o_socket_t* socket = nullptr;
-  bool connected = false;
-  std::string writing;
-  std::string queued;
 };
 
 } // namespace marigoldpitch
--- a/include/marigoldpitch/transport/http-client.h
+++ b/include/marigoldpitch/transport/http-client.h
@@ -19,6 +19,17 @@
   std::string body;
 };
 
+/** One call; `headers` holds whole lines with their ends. */
+struct HttpCall
+{
+  std::string method;
+  std::string path;
+  std::string headers = {};
+  std::string contentType = "application/json";
+  std::string body = {};
+  Duration timeout = Seconds(1);
+};
+
 using HttpDone = std::function<void(Result<HttpReply>)>;
 
 class HttpClient
@@ -31,12 +42,7 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   /** Calls `aDone` once, with a timeout error at the latest. */
-  void Post(const std::string& aPath,
-            const std::string& aContentType,
-            const std::string& aBody,
-            Duration aTimeout,
-            HttpDone aDone);
-  void Get(const std::string& aPath, Duration aTimeout, HttpDone aDone);
+  void Send(const HttpCall& aCall, HttpDone aDone);
 
   struct Call; // one call on its way
 
--- a/include/marigoldpitch/transport/loop.h
+++ b/include/marigoldpitch/transport/loop.h
@@ -66,23 +66,28 @@
   bool hasPending = false;
 };
 
-/** Calls back on SIGTERM and SIGINT from within the loop. */
+/** Calls back on signals from within the loop. */
 class SignalWatch
 {
 public:
+  /** `aStop` is called on SIGTERM and SIGINT, `aReload` on SIGHUP if given. */
   static Result<std::unique_ptr<SignalWatch>> Create(
     Loop& aLoop,
-    std::function<void()> aCall);
+    std::function<void()> aStop,
+    std::function<void()> aReload = {});
   ~SignalWatch();
   SignalWatch(const SignalWatch&) = delete;
   SignalWatch& operator=(const SignalWatch&) = delete;
 
 private:
-  SignalWatch(h2o_socket_t* aSocket, std::function<void()> aCall);
+  SignalWatch(h2o_socket_t* aSocket,
+              std::function<void()> aStop,
+              std::function<void()> aReload);
   static void OnReadable(h2o_socket_t* aSocket, const char* aError);
 
   h2o_socket_t* socket;
-  std::function<void()> call;
+  std::function<void()> stop;
+  std::function<void()> reload;
 };
 
 } // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/duty-lease.cc
@@ -0,0 +1,97 @@
+#include "marigoldpitch/coordination/duty-lease.h"
+
+namespace marigoldpitch {
+
+namespace detail {
+
+// A holder acts this long after it asked for its key and found it.
+constexpr Duration kActSpan = Millis(1500);
+constexpr Duration kLongestCall = Millis(500);
+constexpr Duration kCheckInterval = Millis(500);
+constexpr Duration kTakeInterval = Millis(1000);
+
+} // namespace detail
+
+void
+DutyLease::Handle(const DutyEvent& aEvent, Time aNow)
+{
+  std::visit([&](const auto& aOne) { this->On(aOne, aNow); }, aEvent);
+}
+
+void
+DutyLease::On(const DutySeen& aEvent, Time)
+{
+  this->isFree = !aEvent.isTaken;
+}
+
+void
+DutyLease::On(const DutyTaken& aEvent, Time aNow)
+{
+  this->state = DutyState::Settling;
+  this->token = aEvent.revision;
+  this->actsFrom = aNow + detail::kActSpan + detail::kLongestCall;
+  this->provedAsked = kLongAgo;
+  this->lastCheck = kLongAgo;
+}
+
+void
+DutyLease::On(const DutyNotTaken&, Time aNow)
+{
+  if (this->state == DutyState::Taking) {
+    this->state = DutyState::Waiting;
+    this->isFree = false;
+    this->nextTake = aNow + detail::kTakeInterval;
+  }
+}
+
+void
+DutyLease::On(const DutyChecked& aEvent, Time)
+{
+  if (this->token == 0) {
+    return;
+  }
+  if (aEvent.revision != this->token) {
+    this->Lose();
+    return;
+  }
+  this->provedAsked = aEvent.asked;
+}
+
+void
+DutyLease::Lose()
+{
+  this->state = DutyState::Waiting;
+  this->token = 0;
+  this->isFree = false;
+}
+
+DutyAction
+DutyLease::Next(Time aNow)
+{
+  if (this->state == DutyState::Settling && aNow >= this->actsFrom) {
+    this->state = DutyState::Holding;
+  }
+  if (this->token != 0) {
+    if (aNow - this->lastCheck < detail::kCheckInterval) {
+      return DutyAction::None;
+    }
+    this->lastCheck = aNow;
+    return DutyAction::Check;
+  }
+  bool mayTake =
+    this->state == DutyState::Waiting && this->isFree && aNow >= this->nextTake;
+  if (!mayTake) {
+    return DutyAction::None;
+  }
+  this->state = DutyState::Taking;
+  return DutyAction::Take;
+}
+
+bool
+DutyLease::MayAct(Time aNow) const
+{
+  return this->token != 0 && aNow >= this->actsFrom &&
+         aNow - this->provedAsked < detail::kActSpan;
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/promotion.cc
@@ -0,0 +1,278 @@
+#include "marigoldpitch/coordination/promotion.h"
+
+namespace marigoldpitch {
+
+namespace detail {
+
+constexpr Duration kSilence = Millis(600);
+constexpr Duration kUnknownPrimary = Millis(1500);
+constexpr Duration kAskAgain = Millis(150);
+constexpr Duration kCatchUpLimit = Millis(400);
+constexpr Duration kOrderAgain = Millis(700);
+constexpr Duration kConfirmLimit = Seconds(3);
+constexpr Duration kAttemptLimit = Seconds(15);
+constexpr Duration kPauseBetween = Millis(500);
+
+} // namespace detail
+
+std::optional<PromotionReason>
+Promotion::Need(const ServiceView& aView, Time aNow) const
+{
+  auto primary = aView.Primary();
+  if (!primary) {
+    bool isLost = aNow - this->unknownSince >= detail::kUnknownPrimary;
+    return isLost ? std::make_optional(PromotionReason::PrimaryUnknown)
+                  : std::nullopt;
+  }
+  const ProxyUpstream& upstream = aView.At(*primary);
+  if (aNow - upstream.failingSince >= detail::kSilence) {
+    return PromotionReason::PrimarySilent;
+  }
+  if (upstream.entry.leaving) {
+    return PromotionReason::PrimaryLeaving;
+  }
+  return std::nullopt;
+}
+
+PromotionSteps
+Promotion::Step(const ServiceView& aView, bool aMayAct, Time aNow)
+{
+  PromotionSteps steps;
+  if (aView.Primary()) {
+    this->unknownSince = kNever;
+  } else if (this->unknownSince == kNever) {
+    this->unknownSince = aNow;
+  }
+  if (!this->IsRunning()) {
+    auto need = this->Need(aView, aNow);
+    bool mayStart = aMayAct && aNow >= this->nextAttempt && need &&
+                    aView.CurrentTerm() != 0 && BestReplica(aView, aNow);
+    if (!mayStart) {
+      return steps;
+    }
+    this->Start(aView, *need, aNow);
+  }
+  bool isOrdered = this->phase == PromotionPhase::Confirming;
+  if ((!aMayAct && !isOrdered) ||
+      aNow - this->startedAt > detail::kAttemptLimit) {
+    this->GiveUp(aView, steps, aNow);
+    return steps;
+  }
+  this->Advance(aView, steps, aNow);
+  return steps;
+}
+
+void
+Promotion::Start(const ServiceView& aView, PromotionReason aReason, Time aNow)
+{
+  this->reason = aReason;
+  this->term = aView.CurrentTerm() + 1;
+  this->replaced = aView.Primary();
+  this->holdsCandidate = aReason != PromotionReason::PrimaryLeaving;
+  this->candidate.reset();
+  if (!this->holdsCandidate) {
+    this->candidate = BestReplica(aView, aNow);
+  }
+  this->held.clear();
+  this->asked.clear();
+  this->phase = PromotionPhase::Holding;
+  this->phaseSince = aNow;
+  this->startedAt = aNow;
+}
+
+std::optional<UpstreamIndex>
+Promotion::BestReplica(const ServiceView& aView, Time aNow)
+{
+  std::optional<UpstreamIndex> best;
+  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+    const ProxyUpstream& upstream = aView.At(i);
+    bool isReplica = upstream.listed && aView.Primary() != i &&
+                     upstream.report && upstream.report->role == Role::Replica;
+    if (!isReplica || !aView.IsUsable(i, aNow)) {
+      continue;
+    }
+    bool isBetter = !best || aView.At(*best).report->received.IsBehind(
+                               upstream.report->received);
+    best = isBetter ? i : best;
+  }
+  return best;
+}
+
+bool
+Promotion::MustBeHeld(const ServiceView& aView, UpstreamIndex aUpstream) const
+{
+  bool isFree = !this->holdsCandidate && this->candidate == aUpstream;
+  return aView.At(aUpstream).listed && this->replaced != aUpstream && !isFree;
+}
+
+bool
+Promotion::IsEveryoneHeld(const ServiceView& aView) const
+{
+  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+    if (this->MustBeHeld(aView, i) && this->held.count(i) == 0) {
+      return false;
+    }
+  }
+  return true;
+}
+
+LogPoint
+Promotion::HighestHeld() const
+{
+  LogPoint highest;
+  for (const auto& [upstream, point] : this->held) {
+    highest = highest.IsBehind(point) ? point : highest;
+  }
+  return highest;
+}
+
+void
+Promotion::ChooseHighest(const ServiceView& aView)
+{
+  LogPoint highest = this->HighestHeld();
+  this->candidate.reset();
+  for (const auto& [upstream, point] : this->held) {
+    if (point.IsBehind(highest)) {
+      continue;
+    }
+    bool isFirst = !this->candidate || aView.At(*this->candidate).entry.leaving;
+    if (isFirst) {
+      this->candidate = upstream;
+    }
+  }
+}
+
+void
+Promotion::AskHolds(const ServiceView& aView, PromotionSteps& aSteps, Time aNow)
+{
+  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+    bool isDue =
+      this->asked.count(i) == 0 || aNow - this->asked[i] >= detail::kAskAgain;
+    if (this->MustBeHeld(aView, i) && this->held.count(i) == 0 && isDue) {
+      this->asked[i] = aNow;
+      aSteps.push_back(AskUpstream{ i, StatementKind::Hold, this->term });
+    }
+  }
+}
+
+void
+Promotion::Advance(const ServiceView& aView, PromotionSteps& aSteps, Time aNow)
+{
+  if (this->phase == PromotionPhase::Holding) {
+    if (!this->IsEveryoneHeld(aView)) {
+      this->AskHolds(aView, aSteps, aNow);
+      return;
+    }
+    if (this->holdsCandidate) {
+      this->ChooseHighest(aView);
+      if (!this->candidate) {
+        this->GiveUp(aView, aSteps, aNow);
+        return;
+      }
+      this->phase = PromotionPhase::Ordering;
+    } else {
+      this->phase = PromotionPhase::CatchingUp;
+    }
+    this->phaseSince = aNow;
+  }
+  if (this->phase == PromotionPhase::CatchingUp) {
+    const ProxyUpstream& chosen = aView.At(*this->candidate);
+    bool holdsAll = chosen.report && chosen.reportAsked >= this->phaseSince &&
+                    !chosen.report->received.IsBehind(this->HighestHeld());
+    if (holdsAll) {
+      this->phase = PromotionPhase::Ordering;
+    } else if (aNow - this->phaseSince >= detail::kCatchUpLimit) {
+      // It does not receive: hold it too and take whichever has most.
+      this->holdsCandidate = true;
+      this->phase = PromotionPhase::Holding;
+      this->phaseSince = aNow;
+      return;
+    } else {
+      aSteps.push_back(AskUpstream{ *this->candidate });
+      return;
+    }
+  }
+  if (this->phase == PromotionPhase::Ordering && aNow >= this->nextOrder) {
+    this->nextOrder = aNow + detail::kOrderAgain;
+    aSteps.push_back(OrderPromotion{ *this->candidate });
+    return;
+  }
+  if (this->phase != PromotionPhase::Confirming) {
+    return;
+  }
+  const ProxyUpstream& chosen = aView.At(*this->candidate);
+  bool leads = chosen.report && chosen.report->role == Role::Primary &&
+               chosen.report->term >= this->term;
+  if (leads) {
+    this->Finish(aView, aSteps, aNow);
+  } else if (aNow - this->phaseSince >= detail::kConfirmLimit) {
+    this->phase = PromotionPhase::Ordering;
+    this->phaseSince = aNow;
+  } else if (aNow - this->asked[*this->candidate] >= Millis(50)) {
+    this->asked[*this->candidate] = aNow;
+    aSteps.push_back(AskUpstream{ *this->candidate });
+  }
+}
+
+PromotionSteps
+Promotion::Answered(const ServiceView& aView,
+                    UpstreamIndex aUpstream,
+                    const UpstreamReport& aReport,
+                    Time aNow)
+{
+  PromotionSteps steps;
+  if (!this->IsRunning()) {
+    return steps;
+  }
+  bool isHeld = this->phase == PromotionPhase::Holding &&
+                aReport.role == Role::Replica && aReport.held >= this->term;
+  if (isHeld && this->MustBeHeld(aView, aUpstream)) {
+    this->held[aUpstream] = aReport.received;
+  }
+  this->Advance(aView, steps, aNow);
+  return steps;
+}
+
+void
+Promotion::Ordered(bool aTaken, Time aNow)
+{
+  if (this->phase != PromotionPhase::Ordering) {
+    return;
+  }
+  if (aTaken) {
+    this->phase = PromotionPhase::Confirming;
+    this->phaseSince = aNow;
+    return;
+  }
+  // The upstream does not run: begin again without its old position.
+  this->held.clear();
+  this->asked.clear();
+  this->holdsCandidate = true;
+  this->phase = PromotionPhase::Holding;
+  this->phaseSince = aNow;
+}
+
+void
+Promotion::GiveUp(const ServiceView& aView, PromotionSteps& aSteps, Time aNow)
+{
+  for (const auto& [upstream, point] : this->held) {
+    if (aView.At(upstream).listed) {
+      aSteps.push_back(AskUpstream{ upstream, StatementKind::Resume });
+    }
+  }
+  this->phase = PromotionPhase::Idle;
+  this->nextAttempt = aNow + detail::kPauseBetween;
+}
+
+void
+Promotion::Finish(const ServiceView& aView, PromotionSteps& aSteps, Time aNow)
+{
+  if (this->replaced && aView.At(*this->replaced).listed) {
+    aSteps.push_back(
+      AskUpstream{ *this->replaced, StatementKind::Demote, this->term });
+  }
+  this->phase = PromotionPhase::Idle;
+  this->nextAttempt = aNow + detail::kPauseBetween;
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/proxy-answers.cc
@@ -0,0 +1,446 @@
+#include "marigoldpitch/coordination/proxy-engine.h"
+
+namespace marigoldpitch {
+
+namespace detail {
+
+constexpr Duration kBusyPause = Millis(8);
+constexpr Duration kLeaderPause = Millis(5);
+constexpr Duration kBehindSpan = Millis(60);
+constexpr Duration kFullSpan = Millis(100);
+constexpr Duration kWrongUpstreamSpan = Seconds(1);
+constexpr uint32_t kMostFailedReads = 3;
+constexpr double kLatencyWeight = 0.1;
+
+bool
+DidNotRun(RefusalCode aCode)
+{
+  return aCode == RefusalCode::Busy || aCode == RefusalCode::NoStatement ||
+         aCode == RefusalCode::Behind || aCode == RefusalCode::ReadOnly;
+}
+
+} // namespace detail
+
+void
+ProxyEngine::On(const LinkOpened& aEvent)
+{
+  auto found = this->links.find(aEvent.connection);
+  if (found == this->links.end()) {
+    return;
+  }
+  ProxyLink& link = found->second;
+  ProxyService& service = this->ServiceOf(link.service);
+  service.connections.Opened(link.id, this->now);
+  service.view.Answered(link.upstream, this->now);
+  link.isOpening = false;
+  link.limit = kNever;
+  link.lastAnswer = this->now;
+  this->AskWanted(service);
+}
+
+void
+ProxyEngine::On(const LinkLost& aEvent)
+{
+  auto found = this->links.find(aEvent.connection);
+  if (found == this->links.end()) {
+    return;
+  }
+  ProxyLink& link = found->second;
+  ProxyUpstream& upstream =
+    this->ServiceOf(link.service).view.At(link.upstream);
+  bool isFull =
+    aEvent.refusal && aEvent.refusal->code == RefusalCode::TooManyConnections;
+  bool isOther =
+    aEvent.refusal && aEvent.refusal->code == RefusalCode::Misrouted;
+  if (isFull) {
+    upstream.fullUntil = this->now + detail::kFullSpan;
+  }
+  this->Lose(aEvent.connection, !isFull);
+  if (isOther) {
+    upstream.avoidUntil = this->now + detail::kWrongUpstreamSpan;
+  }
+}
+
+void
+ProxyEngine::On(const LinkAnswered& aEvent)
+{
+  auto found = this->links.find(aEvent.connection);
+  if (found == this->links.end()) {
+    return;
+  }
+  ProxyLink& link = found->second;
+  ServiceView& view = this->ServiceOf(link.service).view;
+  view.Answered(link.upstream, this->now);
+  link.lastAnswer = this->now;
+  if (aEvent.reply.position) {
+    view.Saw(link.upstream, *aEvent.reply.position, link.asked);
+  }
+  switch (link.use) {
+    case LinkUse::Statement:
+      this->Answered(link, aEvent.reply);
+      return;
+    case LinkUse::RollBack:
+      if (aEvent.reply.state == SessionState::Idle) {
+        this->Release(link, SessionState::Idle);
+      } else {
+        this->Close(link.id, false);
+      }
+      return;
+    case LinkUse::Orphan:
+      if (link.preludeOpen > 0) {
+        --link.preludeOpen;
+      }
+      if (link.preludeOpen == 0) {
+        this->Release(link, aEvent.reply.state);
+      }
+      return;
+    case LinkUse::Report:
+    case LinkUse::None:
+      this->Close(link.id, false); // an answer to nothing
+      return;
+  }
+}
+
+void
+ProxyEngine::Answered(ProxyLink& aLink, const StatementReply& aReply)
+{
+  CallerSession& session = this->sessions.at(aLink.caller);
+  switch (session.pending->phase) {
+    case StatementPhase::Preparing:
+      this->PreludeAnswered(aLink, session, aReply);
+      return;
+    case StatementPhase::Beginning:
+      this->BeginAnswered(aLink, session, aReply);
+      return;
+    default:
+      this->StatementAnswered(aLink, session, aReply);
+      return;
+  }
+}
+
+void
+ProxyEngine::PreludeAnswered(ProxyLink& aLink,
+                             CallerSession& aSession,
+                             const StatementReply& aReply)
+{
+  if (aReply.refusal) {
+    // What the connection holds now is not known.
+    this->Close(aLink.id, false);
+    return;
+  }
+  if (--aLink.preludeOpen == 0) {
+    this->SendNext(aLink, aSession);
+  }
+}
+
+void
+ProxyEngine::BeginAnswered(ProxyLink& aLink,
+                           CallerSession& aSession,
+                           const StatementReply& aReply)
+{
+  if (!aReply.refusal) {
+    this->SendNext(aLink, aSession);
+    return;
+  }
+  Refusal refusal = *aReply.refusal;
+  this->NoteRefusal(aLink, aSession, refusal);
+  aSession.pinned = 0;
+  this->Release(aLink, aReply.state);
+  this->Requeue(aSession,
+                refusal.code == RefusalCode::Behind ? Millis(0)
+                                                    : detail::kBusyPause);
+}
+
+void
+ProxyEngine::StatementAnswered(ProxyLink& aLink,
+                               CallerSession& aSession,
+                               const StatementReply& aReply)
+{
+  ProxyService& service = this->ServiceOf(aLink.service);
+  service.connections.FinishBatch(aLink.id, aLink.sequence, this->now);
+  aLink.limit = kNever;
+  aSession.pending->connection = 0;
+  if (aReply.refusal) {
+    this->Refused(aLink, aSession, aReply);
+  } else {
+    this->Succeeded(aLink, aSession, aReply);
+  }
+}
+
+void
+ProxyEngine::Succeeded(ProxyLink& aLink,
+                       CallerSession& aSession,
+                       const StatementReply& aReply)
+{
+  PendingStatement& pending = *aSession.pending;
+  ProxyService& service = this->ServiceOf(aLink.service);
+  ProxyUpstream& upstream = service.view.At(aLink.upstream);
+  auto took = static_cast<double>((this->now - pending.sent).ms);
+  upstream.latencyMs += (took - upstream.latencyMs) * detail::kLatencyWeight;
+  service.serviceMs += (took - service.serviceMs) * detail::kLatencyWeight;
+
+  bool isCommit = pending.statement.kind == StatementKind::Commit;
+  bool inTransaction = aSession.state == SessionState::InTransaction;
+  bool kept =
+    isCommit ? aSession.transactionWrote : pending.writes && !inTransaction;
+  if (kept && aReply.position) {
+    aSession.lastCommit = *aReply.position;
+    if (service.config.confirmedByReplica) {
+      service.view.Confirmed(
+        aLink.upstream, aReply.position->term, pending.sent);
+    }
+  }
+  if (inTransaction && pending.writes) {
+    aSession.transactionWrote = true;
+  }
+  this->Emit(ObserveLatency{ this->now - pending.arrived, pending.onReplica });
+  if (isCommit || !inTransaction) {
+    aSession.state = SessionState::Idle;
+    aSession.pinned = 0;
+    this->Release(aLink, aReply.state);
+  } else if (aReply.state != SessionState::InTransaction) {
+    // The upstream ended what we take to be open.
+    aSession.pinned = 0;
+    this->Release(aLink, aReply.state);
+    aSession.state = SessionState::Failed;
+  }
+  this->Answer(aSession, aReply);
+}
+
+void
+ProxyEngine::NoteRefusal(ProxyLink& aLink,
+                         CallerSession& aSession,
+                         const Refusal& aRefusal)
+{
+  PendingStatement& pending = *aSession.pending;
+  ProxyService& service = this->ServiceOf(aLink.service);
+  ProxyUpstream& upstream = service.view.At(aLink.upstream);
+  this->Decide(LogEvent::StatementRetried,
+               pending.requestId,
+               { { "upstream", upstream.entry.id },
+                 { "code", kRefusalCodeNames.TextOf(aRefusal.code) },
+                 { "try", std::to_string(pending.tries) } });
+  switch (aRefusal.code) {
+    case RefusalCode::Behind:
+      if (pending.after) {
+        upstream.behind = *pending.after;
+        upstream.behindUntil = this->now + detail::kBehindSpan;
+      }
+      break;
+    case RefusalCode::ReadOnly:
+      service.view.LostLead(aLink.upstream);
+      break;
+    default:
+      pending.refusedBy.insert(aLink.upstream);
+      break;
+  }
+}
+
+void
+ProxyEngine::Refused(ProxyLink& aLink,
+                     CallerSession& aSession,
+                     const StatementReply& aReply)
+{
+  PendingStatement& pending = *aSession.pending;
+  Refusal refusal = *aReply.refusal;
+  bool isCommit = pending.statement.kind == StatementKind::Commit;
+  bool inTransaction = aSession.state == SessionState::InTransaction;
+  bool isAlone = !inTransaction || pending.began;
+  bool didNotRun = detail::DidNotRun(refusal.code);
+  bool mayRepeat = didNotRun || (!pending.writes && !isCommit &&
+                                 pending.tries < detail::kMostFailedReads &&
+                                 (refusal.code == RefusalCode::Failed ||
+                                  refusal.code == RefusalCode::Timeout));
+  if (isAlone && mayRepeat) {
+    this->NoteRefusal(aLink, aSession, refusal);
+    aSession.pinned = 0;
+    if (refusal.code == RefusalCode::NoStatement) {
+      aLink.prepared.clear();
+    }
+    this->Release(aLink, aReply.state);
+    bool isBusy = refusal.code == RefusalCode::Busy;
+    this->Requeue(aSession, isBusy ? detail::kBusyPause : Millis(0));
+    return;
+  }
+  if (inTransaction && refusal.code == RefusalCode::Busy &&
+      aReply.state == SessionState::InTransaction) {
+    this->NoteRefusal(aLink, aSession, refusal);
+    this->Requeue(aSession, detail::kBusyPause);
+    return;
+  }
+  if (refusal.code == RefusalCode::ReadOnly) {
+    this->ServiceOf(aLink.service).view.LostLead(aLink.upstream);
+  }
+  aSession.pinned = 0;
+  this->Release(aLink, aReply.state);
+  if (inTransaction) {
+    aSession.state = isCommit ? SessionState::Idle : SessionState::Failed;
+  }
+  this->Refuse(aSession, refusal.code, refusal.text);
+}
+
+/** The connection that it was sent on is gone, or silent. */
+void
+ProxyEngine::LostAnswer(CallerSession& aSession, UpstreamIndex aUpstream)
+{
+  PendingStatement& pending = *aSession.pending;
+  bool isCommit = pending.statement.kind == StatementKind::Commit;
+  bool inTransaction = aSession.state == SessionState::InTransaction;
+  bool wasSent = pending.phase == StatementPhase::Running;
+  bool isMiddle = inTransaction && aSession.pinned != 0 && !pending.began;
+  aSession.pinned = 0;
+  pending.connection = 0;
+  pending.refusedBy.insert(aUpstream);
+  if (isMiddle) {
+    bool mayBeKept = isCommit && wasSent && aSession.transactionWrote;
+    aSession.state = isCommit ? SessionState::Idle : SessionState::Failed;
+    this->Refuse(aSession,
+                 mayBeKept ? RefusalCode::Unsure : RefusalCode::Aborted,
+                 "the connection was lost");
+    return;
+  }
+  if (wasSent && pending.writes && !inTransaction) {
+    this->Refuse(aSession, RefusalCode::Unsure, "the connection was lost");
+    return;
+  }
+  this->Decide(LogEvent::StatementRetried,
+               pending.requestId,
+               { { "code", "connection-lost" },
+                 { "phase", kStatementPhaseNames.TextOf(pending.phase) },
+                 { "try", std::to_string(pending.tries) } });
+  this->Requeue(aSession, Millis(0));
+}
+
+void
+ProxyEngine::Release(ProxyLink& aLink, SessionState aState)
+{
+  ProxyService& service = this->ServiceOf(aLink.service);
+  service.connections.FinishBatch(aLink.id, aLink.sequence, this->now);
+  aLink.caller = 0;
+  if (aState != SessionState::Idle) {
+    aLink.use = LinkUse::RollBack;
+    aLink.sequence = service.connections.StartBatch(aLink.id, this->now);
+    aLink.asked = this->now;
+    aLink.limit = this->now + kRollBackLimit;
+    this->Emit(AskLink{ aLink.id, "", { StatementKind::RollBack }, {} });
+    return;
+  }
+  service.connections.Unpin(aLink.id);
+  aLink.use = LinkUse::None;
+  aLink.limit = kNever;
+  this->AskWanted(service);
+}
+
+void
+ProxyEngine::Close(ConnectionId aConnection, bool aIsUpstreamAtFault)
+{
+  this->Emit(CloseLink{ aConnection });
+  this->Lose(aConnection, aIsUpstreamAtFault);
+}
+
+void
+ProxyEngine::Lose(ConnectionId aConnection, bool aIsUpstreamAtFault)
+{
+  ProxyLink link = this->links.at(aConnection);
+  this->links.erase(aConnection);
+  ProxyService& service = this->ServiceOf(link.service);
+  service.connections.Remove(aConnection);
+  ProxyUpstream& upstream = service.view.At(link.upstream);
+  if (aIsUpstreamAtFault) {
+    service.view.Failed(link.upstream, this->now);
+    this->Decide(LogEvent::ConnectionLost,
+                 "",
+                 { { "upstream", upstream.entry.id },
+                   { "use", kLinkUseNames.TextOf(link.use) },
+                   { "failures", std::to_string(upstream.failures) } });
+  }
+  if (link.use == LinkUse::Report || link.isOpening) {
+    upstream.askOpen = false;
+    service.proofOpen = false;
+    service.wanted.erase(link.upstream);
+  }
+  auto found = this->sessions.find(link.caller);
+  if (link.use != LinkUse::Statement || found == this->sessions.end()) {
+    return;
+  }
+  CallerSession& session = found->second;
+  if (session.pending && session.pending->connection == aConnection) {
+    this->LostAnswer(session, link.upstream);
+  } else if (session.pinned == aConnection) {
+    this->AbortTransaction(session, "connection-lost");
+  }
+}
+
+/** Between two statements: the next one hears of it. */
+void
+ProxyEngine::AbortTransaction(CallerSession& aSession, const std::string& aWhy)
+{
+  aSession.pinned = 0;
+  aSession.state = SessionState::Failed;
+  aSession.abortUntold = true;
+  if (aSession.pending) {
+    this->Dequeue(aSession);
+    aSession.abortUntold = false;
+    this->Refuse(aSession, RefusalCode::Aborted, aWhy);
+  }
+}
+
+void
+ProxyEngine::CheckLimits()
+{
+  std::vector<ConnectionId> silent;
+  for (const auto& [id, link] : this->links) {
+    if (link.limit <= this->now) {
+      silent.push_back(id);
+    }
+  }
+  for (ConnectionId id : silent) {
+    if (this->links.count(id) != 0) {
+      this->Close(id, true);
+    }
+  }
+  std::vector<CallerId> late;
+  for (const auto& [id, session] : this->sessions) {
+    if (session.pending && session.pending->deadline <= this->now) {
+      late.push_back(id);
+    }
+  }
+  for (CallerId id : late) {
+    this->Expire(this->sessions.at(id));
+  }
+}
+
+void
+ProxyEngine::Expire(CallerSession& aSession)
+{
+  PendingStatement& pending = *aSession.pending;
+  bool isCommit = pending.statement.kind == StatementKind::Commit;
+  bool inTransaction = aSession.state == SessionState::InTransaction;
+  bool wasSent = pending.phase == StatementPhase::Running;
+  if (pending.phase == StatementPhase::Queued) {
+    this->Dequeue(aSession);
+  }
+  if (pending.connection != 0) {
+    ProxyLink& link = this->links.at(pending.connection);
+    link.use = LinkUse::Orphan;
+    link.caller = 0;
+    link.limit = this->now + kOrphanLimit;
+    pending.connection = 0;
+    aSession.pinned = 0;
+  }
+  RefusalCode code = RefusalCode::Busy;
+  if (inTransaction) {
+    bool mayBeKept = isCommit && wasSent && aSession.transactionWrote;
+    code = mayBeKept ? RefusalCode::Unsure : RefusalCode::Aborted;
+    if (isCommit) {
+      this->LeaveTransaction(aSession);
+    } else {
+      this->FailTransaction(aSession);
+    }
+  } else if (wasSent) {
+    code = pending.writes ? RefusalCode::Unsure : RefusalCode::Timeout;
+  }
+  this->Refuse(aSession, code, "no answer in time");
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/proxy-dispatch.cc
@@ -0,0 +1,437 @@
+#include "marigoldpitch/coordination/proxy-engine.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+constexpr size_t kDispatchWindow = 64;
+// What a byte between availability zones and a read on the primary are worth,
+// in milliseconds of waiting.
+constexpr double kOtherZoneMs = 12;
+constexpr double kPrimaryMs = 15;
+constexpr double kOpeningMs = 12;
+// A read that gets no answer for this long, or for so many times the usual, is
+// sent again elsewhere.
+constexpr Duration kLeastReadLimit = Millis(200);
+constexpr double kReadLimitFactor = 6;
+constexpr Duration kPreludeLimit = Millis(300);
+constexpr Duration kOpenLimit = Millis(500);
+// A connection that was idle for longer is tested before a write.
+constexpr Duration kTestAfter = Millis(500);
+constexpr uint32_t kMostTries = 6;
+// Positions are asked for in whole milliseconds.
+constexpr Duration kClockGrain = Millis(2);
+
+} // namespace detail
+
+void
+ProxyEngine::Submit(CallerSession& aSession, const StatementArrived& aEvent)
+{
+  bool inTransaction = aSession.state == SessionState::InTransaction;
+  const DatabaseRoute* route = &aSession.route;
+  if (!inTransaction) {
+    route = this->RouteOf(aSession.database);
+  }
+  PendingStatement pending;
+  pending.requestId = aEvent.requestId;
+  pending.statement = aEvent.statement;
+  if (route == nullptr) {
+    this->Refuse(aSession, RefusalCode::NoDatabase, "no such database");
+    return;
+  }
+  if (aEvent.statement.kind == StatementKind::Execute) {
+    auto found = aSession.prepared.find(aEvent.statement.name);
+    if (found == aSession.prepared.end()) {
+      this->Refuse(aSession, RefusalCode::NoStatement, aEvent.statement.name);
+      return;
+    }
+    pending.statement.writes = found->second.writes;
+    pending.statement.shape = found->second.shape;
+  }
+  pending.route = *route;
+  pending.writes = pending.statement.writes;
+  bool readsOnly = inTransaction ? aSession.readOnly : !pending.writes;
+  pending.needsPrimary = !readsOnly || route->freshness == Freshness::Newest;
+  pending.needsProof = inTransaction || !pending.writes;
+  pending.arrived = this->now;
+  pending.deadline = this->now + route->timeout;
+  aSession.pending = pending;
+  ProxyService& service = this->ServiceOf(route->service);
+  if (pending.needsPrimary) {
+    service.primaryWantedAt = this->now;
+  }
+  if (aSession.pinned == 0 && !this->Admits(service, pending)) {
+    if (inTransaction) {
+      this->FailTransaction(aSession);
+    }
+    this->Refuse(aSession, RefusalCode::Busy, "it could not finish in time");
+    return;
+  }
+  this->Enqueue(aSession);
+}
+
+bool
+ProxyEngine::Admits(const ProxyService& aService,
+                    const PendingStatement& aPending) const
+{
+  QueueLoad load;
+  auto position =
+    aService.queue.upper_bound({ aPending.route.priority,
+                                 aPending.deadline.ms,
+                                 std::numeric_limits<CallerId>::max() });
+  load.ahead =
+    static_cast<size_t>(std::distance(aService.queue.begin(), position));
+  if (load.ahead == 0) {
+    return true;
+  }
+  for (UpstreamIndex i = 0; i < aService.view.Size(); ++i) {
+    bool serves = aPending.needsPrimary ? aService.view.Primary() == i
+                                        : aService.view.IsUsable(i, this->now);
+    load.slots += serves ? aService.share : 0;
+  }
+  load.serviceMs = aService.serviceMs;
+  return this->options.admission->Admits(load, aPending.deadline - this->now);
+}
+
+void
+ProxyEngine::Enqueue(CallerSession& aSession)
+{
+  const PendingStatement& pending = *aSession.pending;
+  this->ServiceOf(pending.route.service)
+    .queue.insert({ pending.route.priority, pending.deadline.ms, aSession.id });
+}
+
+void
+ProxyEngine::Dequeue(CallerSession& aSession)
+{
+  if (aSession.pending) {
+    const PendingStatement& pending = *aSession.pending;
+    this->ServiceOf(pending.route.service)
+      .queue.erase(
+        { pending.route.priority, pending.deadline.ms, aSession.id });
+  }
+}
+
+void
+ProxyEngine::Requeue(CallerSession& aSession, Duration aPause)
+{
+  PendingStatement& pending = *aSession.pending;
+  pending.phase = StatementPhase::Queued;
+  pending.connection = 0;
+  pending.began = false;
+  pending.notBefore = this->now + aPause;
+  if (pending.tries >= detail::kMostTries) {
+    bool inTransaction = aSession.state == SessionState::InTransaction;
+    if (inTransaction) {
+      this->FailTransaction(aSession);
+    }
+    this->Refuse(aSession,
+                 inTransaction ? RefusalCode::Aborted : RefusalCode::Busy,
+                 "no upstream takes it");
+    return;
+  }
+  this->Enqueue(aSession);
+}
+
+void
+ProxyEngine::Dispatch(ProxyService& aService)
+{
+  std::vector<CallerId> head;
+  for (const ProxyService::QueueKey& key : aService.queue) {
+    if (head.size() == detail::kDispatchWindow) {
+      break;
+    }
+    head.push_back(std::get<2>(key));
+  }
+  for (CallerId caller : head) {
+    auto found = this->sessions.find(caller);
+    bool isDue = found != this->sessions.end() && found->second.pending &&
+                 found->second.pending->phase == StatementPhase::Queued &&
+                 found->second.pending->notBefore <= this->now;
+    if (isDue && this->Place(aService, found->second)) {
+      this->Dequeue(found->second);
+    }
+  }
+}
+
+bool
+ProxyEngine::Place(ProxyService& aService, CallerSession& aSession)
+{
+  if (aSession.pinned != 0) {
+    UpstreamIndex upstream = this->links.at(aSession.pinned).upstream;
+    aSession.pending->onReplica = aService.view.Primary() != upstream;
+    this->Assign(aService, aSession, aSession.pinned);
+    return true;
+  }
+  auto after = this->PointFor(aService, aSession);
+  auto upstream = this->Choose(aService, aSession, after);
+  if (!upstream) {
+    return false;
+  }
+  auto link = this->FindLink(aService, *upstream, aSession);
+  if (!link) {
+    this->Open(aService, *upstream);
+    return false;
+  }
+  // Judged here once: the primary may change before the statement is sent.
+  aSession.pending->onReplica = aService.view.Primary() != *upstream;
+  aSession.pending->after = after;
+  this->Assign(aService, aSession, *link);
+  return true;
+}
+
+/** What a replica must hold to serve it; unset when nothing proves enough. */
+std::optional<LogPoint>
+ProxyEngine::PointFor(const ProxyService& aService,
+                      const CallerSession& aSession) const
+{
+  const PendingStatement& pending = *aSession.pending;
+  if (pending.needsPrimary) {
+    return std::nullopt;
+  }
+  bool inTransaction = aSession.state == SessionState::InTransaction;
+  Time from = inTransaction ? aSession.transactionArrived : pending.arrived;
+  auto point =
+    aService.view.PointSince(from - pending.route.maxAge + detail::kClockGrain);
+  bool seesItself = pending.route.freshness == Freshness::Session;
+  if (point && seesItself && point->IsBehind(aSession.lastCommit)) {
+    point = aSession.lastCommit;
+  }
+  return point;
+}
+
+bool
+ProxyEngine::MayServe(const ProxyService& aService,
+                      const CallerSession& aSession,
+                      UpstreamIndex aUpstream,
+                      const std::optional<LogPoint>& aAfter) const
+{
+  const PendingStatement& pending = *aSession.pending;
+  const ServiceView& view = aService.view;
+  const ProxyUpstream& upstream = view.At(aUpstream);
+  if (aSession.state == SessionState::InTransaction &&
+      !this->HasRoomForTransaction(aService, aUpstream)) {
+    return false;
+  }
+  if (view.Primary() == aUpstream) {
+    bool accepts = pending.route.freshness != Freshness::Newest;
+    Time from = pending.arrived - (accepts ? pending.route.maxAge : Millis(0));
+    return view.IsPrimaryUsable(this->now) &&
+           (!pending.needsProof || view.IsLeaderProvedAt(from));
+  }
+  if (pending.needsPrimary || !aAfter || !view.IsUsable(aUpstream, this->now)) {
+    return false;
+  }
+  bool lacksIt =
+    upstream.behindUntil > this->now && !aAfter->IsBehind(upstream.behind);
+  return !lacksIt;
+}
+
+bool
+ProxyEngine::HasRoomForTransaction(const ProxyService& aService,
+                                   UpstreamIndex aUpstream) const
+{
+  uint32_t open = 0;
+  for (ConnectionId id : aService.connections.AllOf(aUpstream)) {
+    open += aService.connections.Find(id)->transaction.empty() ? 0 : 1;
+  }
+  return open + 1 < aService.share || (open == 0 && aService.share == 1);
+}
+
+double
+ProxyEngine::CostOf(const ProxyService& aService, UpstreamIndex aUpstream) const
+{
+  const ProxyUpstream& upstream = aService.view.At(aUpstream);
+  const UpstreamUse& use = aService.connections.Use(aUpstream);
+  double cost = upstream.latencyMs * (1 + use.busy);
+  cost += upstream.entry.zone == this->options.zone ? 0 : detail::kOtherZoneMs;
+  cost += aService.view.Primary() == aUpstream ? detail::kPrimaryMs : 0;
+  return cost;
+}
+
+std::optional<UpstreamIndex>
+ProxyEngine::Choose(ProxyService& aService,
+                    const CallerSession& aSession,
+                    const std::optional<LogPoint>& aAfter)
+{
+  const PendingStatement& pending = *aSession.pending;
+  std::optional<UpstreamIndex> best;
+  double bestCost = std::numeric_limits<double>::max();
+  for (UpstreamIndex i = 0; i < aService.view.Size(); ++i) {
+    if (!this->MayServe(aService, aSession, i, aAfter)) {
+      continue;
+    }
+    bool isIdle = this->FindLink(aService, i, aSession).has_value();
+    bool mayOpen = aService.connections.MayOpen(i) &&
+                   aService.view.At(i).fullUntil <= this->now;
+    if (!isIdle && !mayOpen) {
+      continue;
+    }
+    double cost = this->CostOf(aService, i);
+    cost += isIdle ? 0 : detail::kOpeningMs;
+    cost += pending.refusedBy.count(i) != 0 ? 1000 : 0;
+    if (cost < bestCost) {
+      best = i;
+      bestCost = cost;
+    }
+  }
+  if (!best && !pending.needsPrimary) {
+    // A proof lets the primary serve it.
+    aService.primaryWantedAt = this->now;
+  }
+  return best;
+}
+
+std::optional<ConnectionId>
+ProxyEngine::FindLink(const ProxyService& aService,
+                      UpstreamIndex aUpstream,
+                      const CallerSession& aSession) const
+{
+  std::optional<ConnectionId> best;
+  Time bestAnswer = kLongAgo;
+  for (ConnectionId id : aService.connections.AllOf(aUpstream)) {
+    const ProxyLink& link = this->links.at(id);
+    if (link.isOpening || link.use != LinkUse::None) {
+      continue;
+    }
+    if (link.values == aSession.values) {
+      return id;
+    }
+    if (!best || link.lastAnswer > bestAnswer) {
+      best = id;
+      bestAnswer = link.lastAnswer;
+    }
+  }
+  return best;
+}
+
+void
+ProxyEngine::Open(ProxyService& aService, UpstreamIndex aUpstream)
+{
+  const ProxyUpstream& upstream = aService.view.At(aUpstream);
+  const UpstreamUse& use = aService.connections.Use(aUpstream);
+  bool isOpening = use.opening > aService.queue.size();
+  if (isOpening || upstream.fullUntil > this->now ||
+      upstream.avoidUntil > this->now) {
+    return;
+  }
+  ProxyLink link;
+  link.id = aService.connections.Open(aUpstream, this->now);
+  link.service = aService.name;
+  link.upstream = aUpstream;
+  link.limit = this->now + detail::kOpenLimit;
+  this->links[link.id] = link;
+  this->Emit(OpenLink{
+    link.id, aService.name, upstream.entry.id, upstream.entry.endpoint });
+}
+
+void
+ProxyEngine::Assign(ProxyService& aService,
+                    CallerSession& aSession,
+                    ConnectionId aConnection)
+{
+  PendingStatement& pending = *aSession.pending;
+  ProxyLink& link = this->links.at(aConnection);
+  link.use = LinkUse::Statement;
+  link.caller = aSession.id;
+  link.sequence = aService.connections.StartBatch(aConnection, this->now);
+  pending.connection = aConnection;
+  pending.phase = StatementPhase::Preparing;
+  ++pending.tries;
+  this->PutValues(link, aSession);
+  link.asked = this->now;
+  link.limit = this->now + detail::kPreludeLimit;
+  if (link.preludeOpen == 0) {
+    this->SendNext(link, aSession);
+  }
+}
+
+void
+ProxyEngine::PutValues(ProxyLink& aLink, CallerSession& aSession)
+{
+  PendingStatement& pending = *aSession.pending;
+  auto send = [&](const SessionStatement& aStatement) {
+    ++aLink.preludeOpen;
+    this->Emit(AskLink{ aLink.id, "", aStatement, {} });
+  };
+  bool isForeign = false;
+  for (const auto& [name, value] : aLink.values) {
+    isForeign = isForeign || aSession.values.count(name) == 0;
+  }
+  bool isDoubtful =
+    pending.writes && this->now - aLink.lastAnswer >= detail::kTestAfter;
+  if (aSession.pinned == 0 && (isForeign || isDoubtful)) {
+    aLink.values.clear();
+    aLink.prepared.clear();
+    send({ StatementKind::Reset });
+  }
+  for (const auto& [name, value] : aSession.values) {
+    auto found = aLink.values.find(name);
+    if (found == aLink.values.end() || found->second != value) {
+      aLink.values[name] = value;
+      send({ StatementKind::SetValue, name, value });
+    }
+  }
+  if (pending.statement.kind != StatementKind::Execute) {
+    return;
+  }
+  // Equal statements of all sessions share one name.
+  std::string name = (pending.writes ? "w" : "r") + pending.statement.shape;
+  pending.statement.name = name;
+  if (aLink.prepared.count(name) == 0) {
+    aLink.prepared[name] = { pending.writes, pending.statement.shape };
+    SessionStatement prepare{ StatementKind::Prepare, name };
+    prepare.writes = pending.writes;
+    prepare.shape = pending.statement.shape;
+    send(prepare);
+  }
+}
+
+void
+ProxyEngine::SendNext(ProxyLink& aLink, CallerSession& aSession)
+{
+  PendingStatement& pending = *aSession.pending;
+  ProxyService& service = this->ServiceOf(aLink.service);
+  auto after = pending.onReplica ? pending.after : std::nullopt;
+  aLink.asked = this->now;
+  if (aSession.state == SessionState::InTransaction && aSession.pinned == 0) {
+    pending.phase = StatementPhase::Beginning;
+    pending.began = true;
+    aSession.pinned = aLink.id;
+    service.connections.Pin(aLink.id, std::to_string(aSession.id));
+    aLink.limit = this->now + detail::kPreludeLimit;
+    StatementKind kind =
+      aSession.readOnly ? StatementKind::BeginReadOnly : StatementKind::Begin;
+    this->Emit(AskLink{ aLink.id, "", { kind }, after });
+    return;
+  }
+  if (aSession.pinned != 0) {
+    after.reset(); // its beginning carried it
+  }
+  pending.phase = StatementPhase::Running;
+  pending.sent = this->now;
+  bool mayRepeat = !pending.writes && (pending.began || aSession.pinned == 0);
+  aLink.limit = kNever;
+  if (mayRepeat) {
+    double usual =
+      service.view.At(aLink.upstream).latencyMs * detail::kReadLimitFactor;
+    Duration limit{ static_cast<int64_t>(usual) };
+    aLink.limit = this->now + std::max(limit, detail::kLeastReadLimit);
+  }
+  this->Decide(
+    LogEvent::StatementPlaced,
+    pending.requestId,
+    { { "upstream", service.view.At(aLink.upstream).entry.id },
+      { "as", pending.onReplica ? "replica" : "primary" },
+      { "after", after ? std::to_string(after->position) : "none" },
+      { "proof_age_ms",
+        std::to_string((this->now - service.view.ProvedAsked()).ms) },
+      { "waited_ms", std::to_string((this->now - pending.arrived).ms) },
+      { "try", std::to_string(pending.tries) } });
+  this->Emit(AskLink{ aLink.id, pending.requestId, pending.statement, after });
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/proxy-engine.cc
@@ -0,0 +1,246 @@
+#include "marigoldpitch/coordination/proxy-engine.h"
+
+#include <algorithm>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+// The balancer needs two questions, a second apart, to notice.
+constexpr Duration kBalancerNotices = Millis(2200);
+// Of an upstream's connections, kept for the hosts' own questions.
+constexpr uint32_t kReservedConnections = 1;
+constexpr size_t kMaxInbox = 32;
+constexpr ConnectionId kIdsPerService = ConnectionId{ 1 } << 40;
+
+} // namespace detail
+
+ProxyActions
+ProxyEngine::Handle(Time aNow, const ProxyEvent& aEvent)
+{
+  this->now = std::max(this->now, aNow);
+  std::visit([&](const auto& aOne) { this->On(aOne); }, aEvent);
+  for (auto& [name, service] : this->services) {
+    if (!service.queue.empty()) {
+      this->Dispatch(service);
+    }
+  }
+  return std::exchange(this->actions, {});
+}
+
+void
+ProxyEngine::Emit(ProxyAction aAction)
+{
+  this->actions.push_back(std::move(aAction));
+}
+
+void
+ProxyEngine::Decide(LogEvent aEvent,
+                    const std::string& aRequestId,
+                    std::vector<std::pair<const char*, std::string>> aFields)
+{
+  this->Emit(Decided{ aEvent, aRequestId, std::move(aFields) });
+}
+
+bool
+ProxyEngine::IsReady() const
+{
+  return this->config.version != 0 && this->hasRegistry && !this->IsDraining();
+}
+
+void
+ProxyEngine::On(const SessionOpened& aEvent)
+{
+  CallerSession session;
+  session.id = aEvent.caller;
+  session.database = aEvent.database;
+  session.lastActive = this->now;
+  if (this->RouteOf(aEvent.database) == nullptr) {
+    this->Decide(LogEvent::DatabaseUnknown,
+                 "",
+                 { { "database", aEvent.database },
+                   { "version", std::to_string(this->config.version) } });
+    this->Emit(EndSession{ aEvent.caller,
+                           { RefusalCode::NoDatabase, "no such database" } });
+    return;
+  }
+  this->sessions[aEvent.caller] = session;
+  this->Emit(GreetCaller{ aEvent.caller });
+}
+
+void
+ProxyEngine::On(const SessionClosed& aEvent)
+{
+  auto found = this->sessions.find(aEvent.caller);
+  if (found == this->sessions.end()) {
+    return;
+  }
+  CallerSession& session = found->second;
+  this->Dequeue(session);
+  this->LeaveTransaction(session);
+  if (session.pending && session.pending->connection != 0) {
+    ProxyLink& link = this->links.at(session.pending->connection);
+    link.use = LinkUse::Orphan;
+    link.caller = 0;
+    link.limit = this->now + kOrphanLimit;
+  }
+  this->sessions.erase(found);
+}
+
+void
+ProxyEngine::On(const StatementArrived& aEvent)
+{
+  auto found = this->sessions.find(aEvent.caller);
+  if (found == this->sessions.end()) {
+    return;
+  }
+  CallerSession& session = found->second;
+  session.lastActive = this->now;
+  if (session.pending || !session.inbox.empty()) {
+    if (session.inbox.size() < detail::kMaxInbox) {
+      session.inbox.push_back(aEvent);
+      return;
+    }
+    this->Emit(
+      EndSession{ aEvent.caller, { RefusalCode::TooBig, "too many at once" } });
+    this->On(SessionClosed{ aEvent.caller });
+    return;
+  }
+  this->Take(session, aEvent);
+}
+
+void
+ProxyEngine::On(const NonsenseArrived& aEvent)
+{
+  auto found = this->sessions.find(aEvent.caller);
+  if (found == this->sessions.end()) {
+    return;
+  }
+  // Behind what is still open, its answer would be taken for another's.
+  if (found->second.pending) {
+    this->Emit(
+      EndSession{ aEvent.caller, { RefusalCode::Bad, "not a statement" } });
+    this->On(SessionClosed{ aEvent.caller });
+    return;
+  }
+  this->Refuse(found->second, RefusalCode::Bad, "not a statement");
+}
+
+ProxyService&
+ProxyEngine::ServiceOf(const std::string& aName)
+{
+  auto found = this->services.find(aName);
+  if (found != this->services.end()) {
+    return found->second;
+  }
+  ConnectionId firstId = detail::kIdsPerService * this->services.size();
+  ProxyService& service =
+    this->services.emplace(aName, ProxyService(firstId)).first->second;
+  service.name = aName;
+  return service;
+}
+
+void
+ProxyEngine::On(const ConfigArrived& aEvent)
+{
+  if (aEvent.config.version <= this->config.version) {
+    return;
+  }
+  this->config = aEvent.config;
+  for (const auto& [name, serviceConfig] : this->config.services) {
+    ProxyService& service = this->ServiceOf(name);
+    service.config = serviceConfig;
+    this->ShareConnections(service);
+  }
+  this->Decide(LogEvent::ConfigurationInForce,
+               "",
+               { { "version", std::to_string(this->config.version) },
+                 { "routes", std::to_string(this->config.routes.size()) } });
+}
+
+void
+ProxyEngine::On(const RegistryRead& aEvent)
+{
+  std::map<std::string, std::vector<RegisteredUpstream>> byService;
+  for (const auto& [name, service] : this->services) {
+    byService[name];
+  }
+  for (const RegisteredUpstream& upstream : aEvent.upstreams) {
+    byService[upstream.service].push_back(upstream);
+  }
+  for (const auto& [name, entries] : byService) {
+    ProxyService& service = this->ServiceOf(name);
+    size_t added = service.view.List(entries, this->now);
+    service.connections.AddUpstreams(added);
+  }
+  this->hasRegistry = true;
+}
+
+void
+ProxyEngine::On(const HostsCounted& aEvent)
+{
+  this->hosts = std::max<size_t>(aEvent.hosts, 1);
+  for (auto& [name, service] : this->services) {
+    this->ShareConnections(service);
+  }
+}
+
+void
+ProxyEngine::ShareConnections(ProxyService& aService)
+{
+  uint32_t all = aService.config.connections;
+  uint32_t shared = all - std::min(all, detail::kReservedConnections);
+  auto share = static_cast<uint32_t>(shared / this->hosts);
+  aService.share = std::max(share, 1u);
+  aService.connections.SetLimits(aService.share, aService.share);
+}
+
+void
+ProxyEngine::On(const ProxyDrainRequested& aEvent)
+{
+  if (this->IsDraining()) {
+    return;
+  }
+  this->drainSince = this->now;
+  this->grace = aEvent.grace;
+  this->Decide(LogEvent::DrainStarted,
+               "",
+               { { "sessions", std::to_string(this->sessions.size()) } });
+}
+
+void
+ProxyEngine::DrainSessions()
+{
+  Duration spent = this->now - this->drainSince;
+  if (spent < detail::kBalancerNotices) {
+    return;
+  }
+  bool isLate = spent >= Duration{ this->grace.ms / 2 };
+  std::vector<CallerId> leaving;
+  for (auto& [id, session] : this->sessions) {
+    bool isIdle = !session.pending && session.inbox.empty();
+    if (isIdle && (session.state == SessionState::Idle || isLate)) {
+      leaving.push_back(id);
+    }
+  }
+  for (CallerId id : leaving) {
+    this->Emit(
+      EndSession{ id, { RefusalCode::Aborted, "this host shuts down" } });
+    this->On(SessionClosed{ id });
+  }
+}
+
+void
+ProxyEngine::On(const ProxyTick&)
+{
+  this->CheckLimits();
+  this->ExpireTransactions();
+  for (auto& [name, service] : this->services) {
+    this->Watch(service);
+  }
+  if (this->IsDraining()) {
+    this->DrainSessions();
+  }
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/proxy-sessions.cc
@@ -0,0 +1,200 @@
+#include "marigoldpitch/coordination/proxy-engine.h"
+
+namespace marigoldpitch {
+
+const DatabaseRoute*
+ProxyEngine::RouteOf(const std::string& aDatabase) const
+{
+  auto found = this->config.routes.find(aDatabase);
+  return found == this->config.routes.end() ? nullptr : &found->second;
+}
+
+void
+ProxyEngine::Take(CallerSession& aSession, const StatementArrived& aEvent)
+{
+  const SessionStatement& statement = aEvent.statement;
+  bool isFailed = aSession.state == SessionState::Failed;
+  bool ends = statement.kind == StatementKind::Commit ||
+              statement.kind == StatementKind::RollBack;
+  if (std::exchange(aSession.abortUntold, false)) {
+    aSession.state = ends ? SessionState::Idle : aSession.state;
+    this->Refuse(
+      aSession, RefusalCode::Aborted, "the transaction was rolled back");
+    return;
+  }
+  if (isFailed && !ends) {
+    this->Refuse(aSession, RefusalCode::Bad, "the transaction has failed");
+    return;
+  }
+  switch (statement.kind) {
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+      this->Begin(aSession, statement.kind == StatementKind::BeginReadOnly);
+      return;
+    case StatementKind::RollBack:
+      this->RollBack(aSession);
+      return;
+    case StatementKind::SetValue:
+    case StatementKind::Prepare:
+    case StatementKind::Forget:
+      this->SetValue(aSession, statement);
+      return;
+    case StatementKind::Commit:
+      if (isFailed) {
+        aSession.state = SessionState::Idle;
+        this->Refuse(aSession, RefusalCode::Aborted, "rolled back");
+        return;
+      }
+      if (aSession.state == SessionState::Idle) {
+        this->Refuse(aSession, RefusalCode::Bad, "no transaction is open");
+        return;
+      }
+      break;
+    default:
+      break;
+  }
+  this->Submit(aSession, aEvent);
+}
+
+void
+ProxyEngine::TakeNext(CallerSession& aSession)
+{
+  while (!aSession.pending && !aSession.inbox.empty()) {
+    StatementArrived next = aSession.inbox.front();
+    aSession.inbox.pop_front();
+    this->Take(aSession, next);
+  }
+}
+
+void
+ProxyEngine::Begin(CallerSession& aSession, bool aReadOnly)
+{
+  if (aSession.state != SessionState::Idle) {
+    this->Refuse(aSession, RefusalCode::Bad, "a transaction is open");
+    return;
+  }
+  const DatabaseRoute* route = this->RouteOf(aSession.database);
+  if (route == nullptr) {
+    this->Refuse(aSession, RefusalCode::NoDatabase, "no such database");
+    return;
+  }
+  // An upstream hears of it with the first statement.
+  aSession.state = SessionState::InTransaction;
+  aSession.readOnly = aReadOnly;
+  aSession.transactionWrote = false;
+  aSession.transactionArrived = this->now;
+  aSession.route = *route;
+  this->Answer(aSession, {});
+}
+
+void
+ProxyEngine::SetValue(CallerSession& aSession,
+                      const SessionStatement& aStatement)
+{
+  switch (aStatement.kind) {
+    case StatementKind::SetValue:
+      aSession.values[aStatement.name] = aStatement.arguments;
+      break;
+    case StatementKind::Prepare:
+      aSession.prepared[aStatement.name] = { aStatement.writes,
+                                             aStatement.shape };
+      break;
+    default:
+      aSession.prepared.erase(aStatement.name);
+      break;
+  }
+  this->Answer(aSession, {});
+}
+
+void
+ProxyEngine::RollBack(CallerSession& aSession)
+{
+  this->LeaveTransaction(aSession);
+  this->Answer(aSession, {});
+}
+
+void
+ProxyEngine::Answer(CallerSession& aSession, StatementReply aReply)
+{
+  aReply.state = aSession.state;
+  aSession.pending.reset();
+  aSession.lastActive = this->now;
+  this->Emit(AnswerCaller{ aSession.id, std::move(aReply) });
+  this->TakeNext(aSession);
+}
+
+void
+ProxyEngine::Refuse(CallerSession& aSession,
+                    RefusalCode aCode,
+                    const std::string& aText)
+{
+  std::string requestId;
+  if (aSession.pending) {
+    requestId = aSession.pending->requestId;
+    const PendingStatement& pending = *aSession.pending;
+    this->Decide(
+      LogEvent::StatementRefused,
+      requestId,
+      { { "code", kRefusalCodeNames.TextOf(aCode) },
+        { "why", aText },
+        { "statement", kStatementKindNames.TextOf(pending.statement.kind) },
+        { "service", pending.route.service },
+        { "phase", kStatementPhaseNames.TextOf(pending.phase) },
+        { "tries", std::to_string(pending.tries) },
+        { "age_ms", std::to_string((this->now - pending.arrived).ms) } });
+  }
+  StatementReply reply;
+  reply.refusal = Refusal{ aCode, aText };
+  this->Answer(aSession, std::move(reply));
+}
+
+/** The caller still has to end it; the upstream's part ends now. */
+void
+ProxyEngine::FailTransaction(CallerSession& aSession)
+{
+  this->LeaveTransaction(aSession);
+  aSession.state = SessionState::Failed;
+}
+
+void
+ProxyEngine::LeaveTransaction(CallerSession& aSession)
+{
+  aSession.state = SessionState::Idle;
+  aSession.abortUntold = false;
+  ConnectionId pinned = std::exchange(aSession.pinned, 0);
+  if (pinned == 0) {
+    return;
+  }
+  ProxyLink& link = this->links.at(pinned);
+  if (aSession.pending && aSession.pending->connection == pinned) {
+    return; // its answer comes first
+  }
+  link.use = LinkUse::RollBack;
+  link.caller = 0;
+  ProxyService& service = this->ServiceOf(link.service);
+  link.sequence = service.connections.StartBatch(link.id, this->now);
+  link.asked = this->now;
+  link.limit = this->now + kRollBackLimit;
+  this->Emit(AskLink{ link.id, "", { StatementKind::RollBack }, {} });
+}
+
+void
+ProxyEngine::ExpireTransactions()
+{
+  for (auto& [id, session] : this->sessions) {
+    bool isIdle =
+      session.state == SessionState::InTransaction && !session.pending &&
+      this->now - session.lastActive >= this->config.idleTransaction;
+    if (isIdle) {
+      this->Decide(
+        LogEvent::TransactionExpired,
+        "",
+        { { "database", session.database },
+          { "idle_ms", std::to_string((this->now - session.lastActive).ms) } });
+      this->FailTransaction(session);
+      session.abortUntold = true;
+    }
+  }
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/proxy-watch.cc
@@ -0,0 +1,249 @@
+#include "marigoldpitch/coordination/proxy-engine.h"
+
+namespace marigoldpitch {
+
+namespace detail {
+
+constexpr Duration kAskInterval = Millis(100);
+constexpr Duration kAskLimit = Millis(400);
+// A primary that said nothing for this long is asked how it is.
+constexpr Duration kQuietPrimary = Millis(250);
+// A proof is renewed when it has this long to go.
+constexpr Duration kProofMargin = Millis(140);
+constexpr Duration kPrimaryDemand = Seconds(2);
+
+} // namespace detail
+
+void
+ProxyEngine::On(const DutyChanged& aEvent)
+{
+  this->mayAct = aEvent.mayAct;
+}
+
+void
+ProxyEngine::On(const PromotionOrdered& aEvent)
+{
+  ProxyService& service = this->ServiceOf(aEvent.service);
+  if (aEvent.taken) {
+    service.promotion.Ordered(*aEvent.taken, this->now);
+  }
+}
+
+void
+ProxyEngine::Watch(ProxyService& aService)
+{
+  ServiceView& view = aService.view;
+  if (!view.Primary()) {
+    view.AskAll();
+  }
+  for (UpstreamIndex i = 0; i < view.Size(); ++i) {
+    ProxyUpstream& upstream = view.At(i);
+    Time heard = std::max(upstream.lastAnswer, upstream.lastAsked);
+    bool isQuiet =
+      view.Primary() == i && this->now - heard >= detail::kQuietPrimary;
+    bool isDue = upstream.listed && (upstream.askWanted || isQuiet) &&
+                 !upstream.askOpen && upstream.avoidUntil <= this->now &&
+                 this->now - upstream.lastAsked >= detail::kAskInterval;
+    if (isDue) {
+      this->Ask(aService, { i });
+    }
+  }
+  this->KeepProof(aService);
+  PromotionPhase before = aService.promotion.Phase();
+  this->Perform(aService,
+                aService.promotion.Step(view, this->mayAct, this->now));
+  if (before == PromotionPhase::Idle && aService.promotion.IsRunning()) {
+    this->Decide(
+      LogEvent::FailoverStarted,
+      "",
+      { { "service", aService.name },
+        { "why", kPromotionReasonNames.TextOf(aService.promotion.Reason()) },
+        { "term", std::to_string(view.CurrentTerm()) } });
+  }
+  this->CloseSurplus(aService);
+  this->AskWanted(aService);
+}
+
+void
+ProxyEngine::KeepProof(ProxyService& aService)
+{
+  ServiceView& view = aService.view;
+  bool isWanted =
+    this->now - aService.primaryWantedAt <= detail::kPrimaryDemand;
+  bool isDue =
+    view.ProvedAsked() + kLeadershipSpan - this->now <= detail::kProofMargin;
+  if (!isWanted || !isDue || aService.proofOpen || !view.Primary()) {
+    return;
+  }
+  std::optional<UpstreamIndex> best;
+  for (UpstreamIndex i = 0; i < view.Size(); ++i) {
+    const ProxyUpstream& upstream = view.At(i);
+    bool mayAsk = view.Primary() != i && upstream.listed && !upstream.askOpen &&
+                  upstream.avoidUntil <= this->now;
+    if (mayAsk &&
+        (!best || this->CostOf(aService, i) < this->CostOf(aService, *best))) {
+      best = i;
+    }
+  }
+  if (best) {
+    aService.proofOpen = true;
+    this->Ask(aService, { *best });
+  }
+}
+
+void
+ProxyEngine::Ask(ProxyService& aService, const AskUpstream& aAsk)
+{
+  auto waiting = aService.wanted.find(aAsk.upstream);
+  bool isPlain = aAsk.kind == StatementKind::Status;
+  if (waiting == aService.wanted.end() || !isPlain) {
+    aService.wanted[aAsk.upstream] = aAsk;
+  }
+  aService.view.At(aAsk.upstream).askOpen = true;
+  this->AskWanted(aService);
+}
+
+void
+ProxyEngine::AskWanted(ProxyService& aService)
+{
+  for (auto it = aService.wanted.begin(); it != aService.wanted.end();) {
+    AskUpstream ask = it->second;
+    std::optional<ConnectionId> idle;
+    bool isOpening = aService.connections.Use(ask.upstream).opening != 0;
+    for (ConnectionId id : aService.connections.AllOf(ask.upstream)) {
+      const ProxyLink& link = this->links.at(id);
+      bool isFree = !link.isOpening && link.use == LinkUse::None;
+      idle = isFree ? id : idle;
+    }
+    if (!idle) {
+      uint32_t open = aService.connections.Use(ask.upstream).open;
+      // One more than for callers, so that they cannot shut us out.
+      if (!isOpening && open <= aService.share) {
+        this->Open(aService, ask.upstream);
+      }
+      ++it;
+      continue;
+    }
+    it = aService.wanted.erase(it);
+    ProxyLink& link = this->links.at(*idle);
+    link.use = LinkUse::Report;
+    link.question = ask.kind;
+    link.sequence = aService.connections.StartBatch(*idle, this->now);
+    link.asked = this->now;
+    link.limit = this->now + detail::kAskLimit;
+    aService.view.At(ask.upstream).lastAsked = this->now;
+    SessionStatement statement{ ask.kind };
+    statement.term = ask.term;
+    this->Emit(AskLink{ *idle, "", statement, {} });
+  }
+}
+
+void
+ProxyEngine::CloseSurplus(ProxyService& aService)
+{
+  for (UpstreamIndex i = 0; i < aService.view.Size(); ++i) {
+    const ProxyUpstream& upstream = aService.view.At(i);
+    bool isGone = !upstream.listed && !aService.view.IsUsable(i, this->now);
+    uint32_t allowed = isGone ? 0 : aService.share + 1;
+    if (aService.connections.Use(i).open <= allowed) {
+      continue;
+    }
+    for (ConnectionId id : aService.connections.AllOf(i)) {
+      const ProxyLink& link = this->links.at(id);
+      if (!link.isOpening && link.use == LinkUse::None) {
+        this->Close(id, false);
+        break;
+      }
+    }
+  }
+}
+
+void
+ProxyEngine::On(const LinkReported& aEvent)
+{
+  auto found = this->links.find(aEvent.connection);
+  if (found == this->links.end() || found->second.use != LinkUse::Report) {
+    return;
+  }
+  ProxyLink& link = found->second;
+  ProxyService& service = this->ServiceOf(link.service);
+  ServiceView& view = service.view;
+  UpstreamIndex index = link.upstream;
+  view.Answered(index, this->now);
+  link.lastAnswer = this->now;
+  ProxyUpstream& upstream = view.At(index);
+  upstream.askOpen = false;
+  service.proofOpen = false;
+  if (aEvent.report) {
+    auto before = view.Primary();
+    Term termBefore = view.CurrentTerm();
+    upstream.askWanted = false;
+    view.Learn(index, *aEvent.report, link.asked, this->now);
+    if (aEvent.report->role == Role::Primary) {
+      view.Saw(index, aEvent.report->received, link.asked);
+    }
+    this->ReportLeader(service, before, termBefore);
+    this->Perform(
+      service,
+      service.promotion.Answered(view, index, *aEvent.report, this->now));
+    this->MendLeftovers(service, index, *aEvent.report);
+  }
+  this->Release(link, SessionState::Idle);
+}
+
+void
+ProxyEngine::ReportLeader(ProxyService& aService,
+                          std::optional<UpstreamIndex> aBefore,
+                          Term aTermBefore)
+{
+  auto primary = aService.view.Primary();
+  if (primary == aBefore && aService.view.CurrentTerm() == aTermBefore) {
+    return;
+  }
+  std::string id = primary ? aService.view.At(*primary).entry.id : "none";
+  this->Decide(LogEvent::PrimarySeen,
+               "",
+               { { "service", aService.name },
+                 { "upstream", id },
+                 { "term", std::to_string(aService.view.CurrentTerm()) } });
+}
+
+/** What a promoter that died, or was cut off, left behind. */
+void
+ProxyEngine::MendLeftovers(ProxyService& aService,
+                           UpstreamIndex aUpstream,
+                           const UpstreamReport& aReport)
+{
+  Term term = aService.view.CurrentTerm();
+  if (!this->mayAct || aService.promotion.IsRunning() || term == 0) {
+    return;
+  }
+  if (aReport.role == Role::Primary && aReport.term < term) {
+    this->Ask(aService, { aUpstream, StatementKind::Demote, term });
+  } else if (aReport.role == Role::Replica && aReport.held > term) {
+    this->Ask(aService, { aUpstream, StatementKind::Resume });
+  }
+}
+
+void
+ProxyEngine::Perform(ProxyService& aService, const PromotionSteps& aSteps)
+{
+  for (const PromotionStep& step : aSteps) {
+    if (const auto* ask = std::get_if<AskUpstream>(&step)) {
+      this->Ask(aService, *ask);
+      continue;
+    }
+    UpstreamIndex chosen = std::get<OrderPromotion>(step).upstream;
+    const ProxyUpstream& upstream = aService.view.At(chosen);
+    this->Decide(
+      LogEvent::PromotionOrdered,
+      "",
+      { { "service", aService.name },
+        { "upstream", upstream.entry.id },
+        { "why", kPromotionReasonNames.TextOf(aService.promotion.Reason()) },
+        { "term", std::to_string(aService.view.CurrentTerm() + 1) } });
+    this->Emit(RequestPromotion{ aService.name, upstream.entry.id });
+  }
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/service-view.cc
@@ -0,0 +1,209 @@
+#include "marigoldpitch/coordination/service-view.h"
+
+#include <algorithm>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+// An entry may be missing for a while when the store was away; after this the
+// upstream gets no new work.
+constexpr Duration kUnlistedGrace = Millis(2500);
+constexpr Duration kFirstBackoff = Millis(100);
+constexpr Duration kLongestBackoff = Millis(800);
+constexpr size_t kMaxUnproved = 64;
+
+} // namespace detail
+
+std::optional<UpstreamIndex>
+ServiceView::Find(const std::string& aId) const
+{
+  for (UpstreamIndex i = 0; i < this->upstreams.size(); ++i) {
+    if (this->upstreams[i].entry.id == aId) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+size_t
+ServiceView::List(const std::vector<RegisteredUpstream>& aEntries, Time aNow)
+{
+  size_t added = 0;
+  std::vector<bool> seen(this->upstreams.size(), false);
+  for (const RegisteredUpstream& entry : aEntries) {
+    auto index = this->Find(entry.id);
+    if (!index) {
+      ProxyUpstream upstream;
+      upstream.entry = entry;
+      this->upstreams.push_back(upstream);
+      seen.push_back(true);
+      ++added;
+      continue;
+    }
+    ProxyUpstream& upstream = this->upstreams[*index];
+    bool sawItselfOtherwise = upstream.entry.role != entry.role;
+    upstream.askWanted = upstream.askWanted || sawItselfOtherwise;
+    upstream.entry = entry;
+    upstream.listed = true;
+    upstream.unlistedAt = kNever;
+    seen[*index] = true;
+  }
+  for (UpstreamIndex i = 0; i < seen.size(); ++i) {
+    ProxyUpstream& upstream = this->upstreams[i];
+    if (!seen[i] && upstream.listed) {
+      upstream.listed = false;
+      upstream.unlistedAt = aNow;
+    }
+  }
+  return added;
+}
+
+void
+ServiceView::Learn(UpstreamIndex aUpstream,
+                   const UpstreamReport& aReport,
+                   Time aAsked,
+                   Time aNow)
+{
+  ProxyUpstream& upstream = this->upstreams[aUpstream];
+  upstream.report = aReport;
+  upstream.reportAsked = aAsked;
+  if (aReport.role == Role::Primary) {
+    bool isNewer = aReport.term > this->term ||
+                   (aReport.term == this->term && !this->primary);
+    if (isNewer) {
+      this->SetPrimary(aUpstream, aReport.term, aNow);
+    }
+    return;
+  }
+  if (this->primary == aUpstream) {
+    this->LostLead(aUpstream);
+  }
+  if (aReport.term > this->term) {
+    this->AskAll();
+    return;
+  }
+  if (aReport.held <= this->term) {
+    this->Prove(aAsked);
+  }
+}
+
+void
+ServiceView::SetPrimary(UpstreamIndex aUpstream, Term aTerm, Time aNow)
+{
+  if (aTerm != this->term) {
+    this->unproved.clear();
+    this->provedAsked = kLongAgo;
+    // Others may rely on the old primary until their proofs lapse.
+    this->usableFrom = aNow + kLeadershipSpan;
+  }
+  this->primary = aUpstream;
+  this->term = aTerm;
+}
+
+void
+ServiceView::Saw(UpstreamIndex aUpstream, const LogPoint& aEnd, Time aAsked)
+{
+  if (aEnd.term > this->term) {
+    this->AskAll();
+    return;
+  }
+  if (this->primary != aUpstream || aEnd.term != this->term) {
+    return;
+  }
+  if (this->unproved.size() == detail::kMaxUnproved) {
+    this->unproved.pop_front();
+  }
+  this->unproved.push_back({ aAsked, aEnd });
+  this->TakeProvedSamples();
+}
+
+void
+ServiceView::Confirmed(UpstreamIndex aUpstream, Term aTerm, Time aAsked)
+{
+  if (this->primary == aUpstream && aTerm == this->term) {
+    this->Prove(aAsked);
+  }
+}
+
+void
+ServiceView::Prove(Time aAsked)
+{
+  this->provedAsked = std::max(this->provedAsked, aAsked);
+  this->TakeProvedSamples();
+}
+
+void
+ServiceView::TakeProvedSamples()
+{
+  while (!this->unproved.empty() &&
+         this->IsLeaderProvedAt(this->unproved.front().asked)) {
+    const Sample& sample = this->unproved.front();
+    this->samples.Sample(
+      sample.asked,
+      { sample.point.term, sample.point.position, sample.point.position });
+    this->unproved.pop_front();
+  }
+}
+
+void
+ServiceView::LostLead(UpstreamIndex aUpstream)
+{
+  if (this->primary == aUpstream) {
+    this->primary.reset();
+  }
+  this->AskAll();
+}
+
+void
+ServiceView::AskAll()
+{
+  for (ProxyUpstream& upstream : this->upstreams) {
+    upstream.askWanted = true;
+  }
+}
+
+void
+ServiceView::Answered(UpstreamIndex aUpstream, Time aNow)
+{
+  ProxyUpstream& upstream = this->upstreams[aUpstream];
+  upstream.lastAnswer = aNow;
+  upstream.failures = 0;
+  upstream.failingSince = kNever;
+  upstream.avoidUntil = kLongAgo;
+}
+
+void
+ServiceView::Failed(UpstreamIndex aUpstream, Time aNow)
+{
+  ProxyUpstream& upstream = this->upstreams[aUpstream];
+  if (upstream.failures == 0) {
+    upstream.failingSince = aNow;
+  }
+  int64_t backoff = detail::kFirstBackoff.ms << std::min(upstream.failures, 3u);
+  ++upstream.failures;
+  upstream.avoidUntil =
+    aNow + Duration{ std::min(backoff, detail::kLongestBackoff.ms) };
+  upstream.askWanted = true;
+}
+
+bool
+ServiceView::IsUsable(UpstreamIndex aUpstream, Time aNow) const
+{
+  const ProxyUpstream& upstream = this->upstreams[aUpstream];
+  bool isKnown =
+    upstream.listed || aNow - upstream.unlistedAt < detail::kUnlistedGrace;
+  return isKnown && !upstream.entry.leaving && upstream.avoidUntil <= aNow;
+}
+
+bool
+ServiceView::IsPrimaryUsable(Time aNow) const
+{
+  if (!this->primary || aNow < this->usableFrom) {
+    return false;
+  }
+  const ProxyUpstream& upstream = this->upstreams[*this->primary];
+  return upstream.avoidUntil <= aNow;
+}
+
+} // namespace marigoldpitch
--- a/src/load/caller.cc
+++ b/src/load/caller.cc
@@ -49,7 +49,9 @@
     auto done = [this, i](const Result<HttpReply>& aReply) {
       this->ready[i] = aReply && aReply.value().status == 200;
     };
-    this->operators[i]->Get("/ready", detail::kReadyLimit, done);
+    HttpCall call{ "GET", "/ready" };
+    call.timeout = detail::kReadyLimit;
+    this->operators[i]->Send(call, done);
   }
   aLoop.After(detail::kReadyInterval,
               [this, &aLoop] { this->WatchReady(aLoop); });
@@ -73,11 +75,11 @@
     }
     aDone(reply);
   };
-  this->clients[aEntry]->Post(kRpcMethodNames.TextOf(aMethod),
-                              "application/proto",
-                              aMessage.SerializeAsString(),
-                              detail::kCallLimit,
-                              done);
+  HttpCall call{ "POST", kRpcMethodNames.TextOf(aMethod) };
+  call.contentType = "application/proto";
+  call.body = aMessage.SerializeAsString();
+  call.timeout = detail::kCallLimit;
+  this->clients[aEntry]->Send(call, done);
 }
 
 void
--- a/src/load/plan.cc
+++ b/src/load/plan.cc
@@ -1,5 +1,6 @@
 #include "plan.h"
 
+#include "marigoldpitch/protocol/settings.h"
 #include "marigoldpitch/transport/blocking-http.h"
 
 #include <algorithm>
--- a/src/protocol/settings.cc
+++ b/src/protocol/settings.cc
@@ -11,6 +11,8 @@
 
 using nlohmann::json;
 
+constexpr int kHighestPort = 65535;
+
 Endpoint
 TakeEndpoint(const json& aValue, const std::string& aPlace, Findings& aFindings)
 {
@@ -48,6 +50,23 @@
   return !error;
 }
 
+Result<Endpoint>
+ParseEndpoint(const std::string& aText)
+{
+  size_t colon = aText.rfind(':');
+  int port =
+    colon == std::string::npos ? 0 : std::atoi(aText.c_str() + colon + 1);
+  Endpoint endpoint{ aText.substr(0, colon), static_cast<uint16_t>(port) };
+  bool isGood =
+    IsIpNumber(endpoint.address) && port >= 1 && port <= detail::kHighestPort;
+  if (!isGood) {
+    return Error{ ErrorCode::BadSettings,
+                  "endpoint",
+                  "'" + aText + "' is not IP:PORT" };
+  }
+  return endpoint;
+}
+
 Result<Settings>
 ParseSettings(const std::string& aText,
               DaemonRole aRole,
--- a/src/report.cc
+++ b/src/report.cc
@@ -1,5 +1,6 @@
 #include "marigoldpitch/protocol/burn-report.h"
 #include "marigoldpitch/protocol/documents.h"
+#include "marigoldpitch/protocol/settings.h"
 #include "marigoldpitch/transport/blocking-http.h"
 #include "marigoldpitch/transport/clock.h"
 #include "marigoldpitch/transport/command-line.h"
--- a/src/state/freshness.cc
+++ b/src/state/freshness.cc
@@ -1,5 +1,7 @@
 #include "marigoldpitch/state/freshness.h"
 
+#include <algorithm>
+
 namespace marigoldpitch {
 
 namespace detail {
@@ -24,10 +26,11 @@
     // The newer of two samples of one position makes the older one useless.
     if (aPrimary.position == last.position) {
       last.asked = aAsked;
+      last.term = aPrimary.term;
       return;
     }
   }
-  this->samples.push_back({ aAsked, aPrimary.position });
+  this->samples.push_back({ aAsked, aPrimary.position, aPrimary.term });
   if (this->samples.size() > detail::kMaxSamples) {
     this->samples.pop_front();
   }
@@ -67,4 +70,18 @@
   return std::nullopt;
 }
 
+std::optional<LogPoint>
+FreshnessTracker::OldestSince(Time aTime) const
+{
+  auto isOlder = [](const Entry& aEntry, Time aLimit) {
+    return aEntry.asked < aLimit;
+  };
+  auto found = std::lower_bound(
+    this->samples.begin(), this->samples.end(), aTime, isOlder);
+  if (found == this->samples.end()) {
+    return std::nullopt;
+  }
+  return LogPoint{ found->term, found->position };
+}
+
 } // namespace marigoldpitch
--- a/src/transport/blocking-http.cc
+++ b/src/transport/blocking-http.cc
@@ -1,7 +1,5 @@
 #include "marigoldpitch/transport/blocking-http.h"
 
-#include "marigoldpitch/protocol/settings.h"
-
 #include <optional>
 
 namespace marigoldpitch {
@@ -11,27 +9,9 @@
 constexpr Duration kToolTimeout = Seconds(2);
 constexpr int kStatusOk = 200;
 constexpr int kStatusConflict = 409;
-constexpr int kHighestPort = 65535;
 
 } // namespace detail
 
-Result<Endpoint>
-ParseEndpoint(const std::string& aText)
-{
-  size_t colon = aText.rfind(':');
-  int port =
-    colon == std::string::npos ? 0 : std::atoi(aText.c_str() + colon + 1);
-  Endpoint endpoint{ aText.substr(0, colon), static_cast<uint16_t>(port) };
-  bool isGood =
-    IsIpNumber(endpoint.address) && port >= 1 && port <= detail::kHighestPort;
-  if (!isGood) {
-    return Error{ ErrorCode::BadSettings,
-                  "command line",
-                  "'" + aText + "' is not IP:PORT" };
-  }
-  return endpoint;
-}
-
 Result<HttpReply>
 BlockingHttp::Post(const Endpoint& aEndpoint,
                    const std::string& aPath,
@@ -44,7 +24,11 @@
     reply = aReply;
     this->loop.Stop();
   };
-  client->Post(aPath, aContentType, aBody, detail::kToolTimeout, done);
+  HttpCall call{ "POST", aPath };
+  call.contentType = aContentType;
+  call.body = aBody;
+  call.timeout = detail::kToolTimeout;
+  client->Send(call, done);
   this->loop.Run();
   return *reply;
 }
@@ -58,7 +42,9 @@
     reply = aReply;
     this->loop.Stop();
   };
-  client->Get(aPath, detail::kToolTimeout, done);
+  HttpCall call{ "GET", aPath };
+  call.timeout = detail::kToolTimeout;
+  client->Send(call, done);
   this->loop.Run();
   return *reply;
 }
--- a/src/transport/clock.cc
+++ b/src/transport/clock.cc
@@ -26,6 +26,12 @@
   return { ReadClockMicros() / detail::kMicrosPerMilli };
 }
 
+Time
+ReadBootClock()
+{
+  return { detail::ReadMicros(CLOCK_BOOTTIME) / detail::kMicrosPerMilli };
+}
+
 int64_t
 ReadClockMicros()
 {
--- a/src/transport/http-client.cc
+++ b/src/transport/http-client.cc
@@ -61,25 +61,17 @@
 }
 
 void
-HttpClient::Post(const std::string& aPath,
-                 const std::string& aContentType,
-                 const std::string& aBody,
-                 Duration aTimeout,
-                 HttpDone aDone)
+HttpClient::Send(const HttpCall& aCall, HttpDone aDone)
 {
-  std::string bytes =
-    "POST " + aPath + " HTTP/1.1\r\nhost: " + this->authority +
-    "\r\ncontent-type: " + aContentType +
-    "\r\ncontent-length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
-  this->Start(std::move(bytes), aTimeout, std::move(aDone));
-}
-
-void
-HttpClient::Get(const std::string& aPath, Duration aTimeout, HttpDone aDone)
-{
-  std::string bytes =
-    "GET " + aPath + " HTTP/1.1\r\nhost: " + this->authority + "\r\n\r\n";
-  this->Start(std::move(bytes), aTimeout, std::move(aDone));
+  std::string bytes = aCall.method + " " + aCall.path +
+                      " HTTP/1.1\r\nhost: " + this->authority + "\r\n" +
+                      aCall.headers;
+  if (aCall.method == "POST") {
+    bytes += "content-type: " + aCall.contentType +
+             "\r\ncontent-length: " + std::to_string(aCall.body.size()) +
+             "\r\n";
+  }
+  this->Start(bytes + "\r\n" + aCall.body, aCall.timeout, std::move(aDone));
 }
 
 void
--- a/src/transport/loop.cc
+++ b/src/transport/loop.cc
@@ -104,12 +104,17 @@
 }
 
 Result<std::unique_ptr<SignalWatch>>
-SignalWatch::Create(Loop& aLoop, std::function<void()> aCall)
+SignalWatch::Create(Loop& aLoop,
+                    std::function<void()> aStop,
+                    std::function<void()> aReload)
 {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  if (aReload) {
+    sigaddset(&signals, SIGHUP);
+  }
   UniqueFd fd(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
   if (fd.Get() < 0 || sigprocmask(SIG_BLOCK, &signals, nullptr) != 0) {
     return Error{ ErrorCode::Io, "signals", "cannot be watched" };
@@ -117,12 +122,15 @@
   h2o_socket_t* socket = h2o_evloop_socket_create(
     aLoop.Raw(), fd.Release(), H2O_SOCKET_FLAG_DONT_READ);
   return std::unique_ptr<SignalWatch>(
-    new SignalWatch(socket, std::move(aCall)));
+    new SignalWatch(socket, std::move(aStop), std::move(aReload)));
 }
 
-SignalWatch::SignalWatch(h2o_socket_t* aSocket, std::function<void()> aCall)
+SignalWatch::SignalWatch(h2o_socket_t* aSocket,
+                         std::function<void()> aStop,
+                         std::function<void()> aReload)
   : socket(aSocket)
-  , call(std::move(aCall))
+  , stop(std::move(aStop))
+  , reload(std::move(aReload))
 {
   this->socket->data = this;
   h2o_socket_read_start(this->socket, OnReadable);
@@ -140,7 +148,11 @@
   signalfd_siginfo info{};
   while (read(h2o_socket_get_fd(aSocket), &info, sizeof(info)) ==
          static_cast<ssize_t>(sizeof(info))) {
-    watch->call();
+    if (info.ssi_signo == SIGHUP) {
+      watch->reload();
+    } else {
+      watch->stop();
+    }
   }
 }
 
--- a/src/transport/store-client.cc
+++ b/src/transport/store-client.cc
@@ -68,8 +68,10 @@
       aDone(DecodeStoreValue(reply.body));
     }
   };
-  this->client->Post(
-    kStoreCallPaths.TextOf(aCall), "application/json", aBody, aTimeout, done);
+  HttpCall call{ "POST", kStoreCallPaths.TextOf(aCall) };
+  call.body = aBody;
+  call.timeout = aTimeout;
+  this->client->Send(call, done);
 }
 
 } // namespace marigoldpitch
