Wait for the first configuration before a database is refused; learn terms from replicas

Change: sessions wait for the first configuration; a replica's report names the term; the duty's key is read on demand; fewer hosts are believed after 4 s.

--- a/include/marigoldpitch/coordination/duty-lease.h
+++ b/include/marigoldpitch/coordination/duty-lease.h
@@ -73,8 +73,8 @@
 public:
   void Handle(const DutyEvent& aEvent, Time aNow);
 
-  /** What to ask of the store now. */
-  DutyAction Next(Time aNow);
+  /** What to ask of the store now; `aIsWanted`: there is something to order. */
+  DutyAction Next(bool aIsWanted, Time aNow);
 
   /** Whether a promotion may be ordered at this moment. */
   bool MayAct(Time aNow) const;
--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -68,6 +68,9 @@
   bool IsDraining() const { return this->drainSince != kNever; }
   size_t Sessions() const { return this->sessions.size(); }
   uint64_t ConfigVersion() const { return this->config.version; }
+
+  /** Whether some service needs the holder of the duty. */
+  bool WantsPromotion() const;
   const std::map<std::string, ProxyService>& Services() const
   {
     return this->services;
@@ -76,6 +79,7 @@
 private:
   // proxy-engine.cc: what the operator, the registry and callers say.
   void On(const SessionOpened& aEvent);
+  void GreetWaiting();
   void On(const SessionClosed& aEvent);
   void On(const StatementArrived& aEvent);
   void On(const NonsenseArrived& aEvent);
@@ -190,7 +194,9 @@
   ProxyOptions options;
   ProxyConfig config;
   bool hasRegistry = false;
-  size_t hosts = 1;
+  size_t hosts = 0; // 0 until they were counted
+  Time fewerSince = kNever;
+  std::vector<SessionOpened> waitingToOpen; // for the first configuration
   bool mayAct = false;
   std::map<std::string, ProxyService> services;
   std::unordered_map<CallerId, CallerSession> sessions;
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -108,6 +108,7 @@
   };
 
   void SetPrimary(UpstreamIndex aUpstream, Term aTerm, Time aNow);
+  void StartTerm(Term aTerm);
   void Prove(Time aAsked);
   void TakeProvedSamples();
   std::optional<UpstreamIndex> Find(const std::string& aId) const;
@@ -115,6 +116,7 @@
   std::vector<ProxyUpstream> upstreams;
   std::optional<UpstreamIndex> primary;
   Term term = 0;
+  Term usableTerm = 0; // whose primary may be used from `usableFrom`
   Time usableFrom = kNever;
   Time provedAsked = kLongAgo;
   std::deque<Sample> unproved; // of the present term, oldest first
--- a/include/marigoldpitch/transport/decision-log.h
+++ b/include/marigoldpitch/transport/decision-log.h
@@ -38,6 +38,7 @@
   std::string host;
   std::string buffer;
   uint64_t dropped = 0;
+  Time saidDropped = kLongAgo;
   Time second = kLongAgo;
   uint32_t linesThisSecond = 0;
 };
--- a/src/coordination/duty-lease.cc
+++ b/src/coordination/duty-lease.cc
@@ -5,9 +5,10 @@
 namespace detail {
 
 // A holder acts this long after it asked for its key and found it.
-constexpr Duration kActSpan = Millis(1500);
+constexpr Duration kActSpan = Millis(800);
 constexpr Duration kLongestCall = Millis(500);
-constexpr Duration kCheckInterval = Millis(500);
+constexpr Duration kCheckInterval = Millis(200);
+constexpr Duration kIdleCheckInterval = Seconds(3); // with nothing to order
 constexpr Duration kTakeInterval = Millis(1000);
 
 } // namespace detail
@@ -66,13 +67,15 @@
 }
 
 DutyAction
-DutyLease::Next(Time aNow)
+DutyLease::Next(bool aIsWanted, Time aNow)
 {
   if (this->state == DutyState::Settling && aNow >= this->actsFrom) {
     this->state = DutyState::Holding;
   }
   if (this->token != 0) {
-    if (aNow - this->lastCheck < detail::kCheckInterval) {
+    Duration interval =
+      aIsWanted ? detail::kCheckInterval : detail::kIdleCheckInterval;
+    if (aNow - this->lastCheck < interval) {
       return DutyAction::None;
     }
     this->lastCheck = aNow;
--- a/src/coordination/proxy-engine.cc
+++ b/src/coordination/proxy-engine.cc
@@ -11,6 +11,7 @@
 // Of an upstream's connections, kept for the hosts' own questions.
 constexpr uint32_t kReservedConnections = 1;
 constexpr size_t kMaxInbox = 32;
+constexpr Duration kFewerHostsSettle = Seconds(4);
 constexpr ConnectionId kIdsPerService = ConnectionId{ 1 } << 40;
 
 } // namespace detail
@@ -51,6 +52,11 @@
 void
 ProxyEngine::On(const SessionOpened& aEvent)
 {
+  if (this->config.version == 0) {
+    // Whether there is such a database is not known yet.
+    this->waitingToOpen.push_back(aEvent);
+    return;
+  }
   CallerSession session;
   session.id = aEvent.caller;
   session.database = aEvent.database;
@@ -68,9 +74,24 @@
   this->Emit(GreetCaller{ aEvent.caller });
 }
 
+void
+ProxyEngine::GreetWaiting()
+{
+  for (const SessionOpened& opened : std::exchange(this->waitingToOpen, {})) {
+    this->On(opened);
+  }
+}
+
 void
 ProxyEngine::On(const SessionClosed& aEvent)
 {
+  auto isCaller = [&](const SessionOpened& aOpened) {
+    return aOpened.caller == aEvent.caller;
+  };
+  this->waitingToOpen.erase(std::remove_if(this->waitingToOpen.begin(),
+                                           this->waitingToOpen.end(),
+                                           isCaller),
+                            this->waitingToOpen.end());
   auto found = this->sessions.find(aEvent.caller);
   if (found == this->sessions.end()) {
     return;
@@ -156,6 +177,7 @@
                "",
                { { "version", std::to_string(this->config.version) },
                  { "routes", std::to_string(this->config.routes.size()) } });
+  this->GreetWaiting();
 }
 
 void
@@ -179,9 +201,20 @@
 void
 ProxyEngine::On(const HostsCounted& aEvent)
 {
-  this->hosts = std::max<size_t>(aEvent.hosts, 1);
-  for (auto& [name, service] : this->services) {
-    this->ShareConnections(service);
+  size_t counted = std::max<size_t>(aEvent.hosts, 1);
+  if (counted >= this->hosts) {
+    this->fewerSince = kNever;
+  } else if (this->fewerSince == kNever) {
+    this->fewerSince = this->now;
+  }
+  // Keys of living hosts may be missing for a while when the store was away.
+  bool isSettled = this->now - this->fewerSince >= detail::kFewerHostsSettle;
+  if (counted > this->hosts || isSettled) {
+    this->hosts = counted;
+    this->fewerSince = kNever;
+    for (auto& [name, service] : this->services) {
+      this->ShareConnections(service);
+    }
   }
 }
 
@@ -190,7 +223,9 @@
 {
   uint32_t all = aService.config.connections;
   uint32_t shared = all - std::min(all, detail::kReservedConnections);
-  auto share = static_cast<uint32_t>(shared / this->hosts);
+  size_t hostsAssumed = this->hosts == 0 ? shared : this->hosts;
+  auto share =
+    static_cast<uint32_t>(shared / std::max<size_t>(hostsAssumed, 1));
   aService.share = std::max(share, 1u);
   aService.connections.SetLimits(aService.share, aService.share);
 }
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -29,6 +29,17 @@
   }
 }
 
+bool
+ProxyEngine::WantsPromotion() const
+{
+  for (const auto& [name, service] : this->services) {
+    if (service.promotion.IsNeeded(service.view, this->now)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 ProxyEngine::Watch(ProxyService& aService)
 {
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -80,8 +80,10 @@
     this->LostLead(aUpstream);
   }
   if (aReport.term > this->term) {
+    // It follows a primary that is not known here yet.
+    this->primary.reset();
+    this->StartTerm(aReport.term);
     this->AskAll();
-    return;
   }
   if (aReport.held <= this->term) {
     this->Prove(aAsked);
@@ -92,13 +94,22 @@
 ServiceView::SetPrimary(UpstreamIndex aUpstream, Term aTerm, Time aNow)
 {
   if (aTerm != this->term) {
-    this->unproved.clear();
-    this->provedAsked = kLongAgo;
+    this->StartTerm(aTerm);
+  }
+  if (aTerm != this->usableTerm) {
     // Others may rely on the old primary until their proofs lapse.
+    this->usableTerm = aTerm;
     this->usableFrom = aNow + kLeadershipSpan;
   }
   this->primary = aUpstream;
+}
+
+void
+ServiceView::StartTerm(Term aTerm)
+{
   this->term = aTerm;
+  this->unproved.clear();
+  this->provedAsked = kLongAgo;
 }
 
 void
--- a/src/transport/decision-log.cc
+++ b/src/transport/decision-log.cc
@@ -61,7 +61,8 @@
     ++this->dropped;
     return;
   }
-  if (this->dropped != 0 && !detail::ComesWithRequests(aEvent)) {
+  if (this->dropped != 0 && ReadClock() - this->saidDropped >= Seconds(1)) {
+    this->saidDropped = ReadClock();
     this->Append(
       LogEvent::LogDropped, "", { { "lines", std::to_string(this->dropped) } });
     this->dropped = 0;
