End a promotion that nobody needs any more, and mend what others left

Change: a promotion without a need ends before its order; a primary counts as unknown once every upstream was heard or is lost; held replicas and old primaries that a report shows are remembered until the holder has mended them.

--- a/include/marigoldpitch/coordination/promotion.h
+++ b/include/marigoldpitch/coordination/promotion.h
@@ -93,6 +93,8 @@
 private:
   std::optional<PromotionReason> Need(const ServiceView& aView,
                                       Time aNow) const;
+  static bool IsEveryoneHeardOrLost(const ServiceView& aView, Time aNow);
+  bool IsNeedless(const ServiceView& aView, Time aNow) const;
   void Start(const ServiceView& aView, PromotionReason aReason, Time aNow);
   void AskHolds(const ServiceView& aView, PromotionSteps& aSteps, Time aNow);
   void Advance(const ServiceView& aView, PromotionSteps& aSteps, Time aNow);
--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -38,9 +38,12 @@
   std::set<QueueKey> queue;
   uint32_t share = 1; // connections that this host may open to one upstream
   double serviceMs = 10;
+  // By database: the slowest answer of late, forgotten slowly.
+  std::map<std::string, double> slowestMs;
   Time primaryWantedAt = kLongAgo; // by a caller
   bool proofOpen = false;
   std::map<UpstreamIndex, AskUpstream> wanted; // no connection was free
+  std::map<UpstreamIndex, AskUpstream> leftovers; // of other promoters
 };
 
 /**
@@ -118,6 +121,8 @@
   bool Place(ProxyService& aService, CallerSession& aSession);
   bool HasRoomForTransaction(const ProxyService& aService,
                              UpstreamIndex aUpstream) const;
+  Duration ReadLimit(const ProxyService& aService,
+                     const PendingStatement& aPending) const;
   double CostOf(const ProxyService& aService, UpstreamIndex aUpstream) const;
   std::optional<LogPoint> PointFor(const ProxyService& aService,
                                    const CallerSession& aSession) const;
@@ -179,9 +184,10 @@
   void AskWanted(ProxyService& aService);
   void CloseSurplus(ProxyService& aService);
   void Perform(ProxyService& aService, const PromotionSteps& aSteps);
-  void MendLeftovers(ProxyService& aService,
-                     UpstreamIndex aUpstream,
-                     const UpstreamReport& aReport);
+  static void NoteLeftover(ProxyService& aService,
+                           UpstreamIndex aUpstream,
+                           const UpstreamReport& aReport);
+  void MendLeftovers(ProxyService& aService);
   void ReportLeader(ProxyService& aService,
                     std::optional<UpstreamIndex> aBefore,
                     Term aTermBefore);
--- a/src/coordination/promotion.cc
+++ b/src/coordination/promotion.cc
@@ -5,7 +5,7 @@
 namespace detail {
 
 constexpr Duration kSilence = Millis(600);
-constexpr Duration kUnknownPrimary = Millis(1500);
+constexpr Duration kUnknownPrimary = Millis(2000);
 constexpr Duration kAskAgain = Millis(150);
 constexpr Duration kCatchUpLimit = Millis(400);
 constexpr Duration kOrderAgain = Millis(700);
@@ -20,7 +20,8 @@
 {
   auto primary = aView.Primary();
   if (!primary) {
-    bool isLost = aNow - this->unknownSince >= detail::kUnknownPrimary;
+    bool isLost = aNow - this->unknownSince >= detail::kUnknownPrimary &&
+                  IsEveryoneHeardOrLost(aView, aNow);
     return isLost ? std::make_optional(PromotionReason::PrimaryUnknown)
                   : std::nullopt;
   }
@@ -34,6 +35,28 @@
   return std::nullopt;
 }
 
+bool
+Promotion::IsEveryoneHeardOrLost(const ServiceView& aView, Time aNow)
+{
+  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+    const ProxyUpstream& upstream = aView.At(i);
+    bool isLost = aNow - upstream.failingSince >= detail::kSilence;
+    if (upstream.listed && !upstream.report && !isLost) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/** Before the order, a primary that is back after all keeps its place. */
+bool
+Promotion::IsNeedless(const ServiceView& aView, Time aNow) const
+{
+  bool isOrdered = this->phase == PromotionPhase::Ordering ||
+                   this->phase == PromotionPhase::Confirming;
+  return !isOrdered && !this->Need(aView, aNow);
+}
+
 PromotionSteps
 Promotion::Step(const ServiceView& aView, bool aMayAct, Time aNow)
 {
@@ -53,7 +76,7 @@
     this->Start(aView, *need, aNow);
   }
   bool isOrdered = this->phase == PromotionPhase::Confirming;
-  if ((!aMayAct && !isOrdered) ||
+  if ((!aMayAct && !isOrdered) || this->IsNeedless(aView, aNow) ||
       aNow - this->startedAt > detail::kAttemptLimit) {
     this->GiveUp(aView, steps, aNow);
     return steps;
--- a/src/coordination/proxy-answers.cc
+++ b/src/coordination/proxy-answers.cc
@@ -1,5 +1,7 @@
 #include "marigoldpitch/coordination/proxy-engine.h"
 
+#include <algorithm>
+
 namespace marigoldpitch {
 
 namespace detail {
@@ -11,6 +13,7 @@
 constexpr Duration kWrongUpstreamSpan = Seconds(1);
 constexpr uint32_t kMostFailedReads = 3;
 constexpr double kLatencyWeight = 0.1;
+constexpr double kSlowestKept = 0.998; // with each answer
 
 bool
 DidNotRun(RefusalCode aCode)
@@ -178,6 +181,8 @@
   auto took = static_cast<double>((this->now - pending.sent).ms);
   upstream.latencyMs += (took - upstream.latencyMs) * detail::kLatencyWeight;
   service.serviceMs += (took - service.serviceMs) * detail::kLatencyWeight;
+  double& slowest = service.slowestMs[pending.route.database];
+  slowest = std::max(took, slowest * detail::kSlowestKept);
 
   bool isCommit = pending.statement.kind == StatementKind::Commit;
   bool inTransaction = aSession.state == SessionState::InTransaction;
--- a/src/coordination/proxy-dispatch.cc
+++ b/src/coordination/proxy-dispatch.cc
@@ -13,10 +13,11 @@
 constexpr double kOtherZoneMs = 12;
 constexpr double kPrimaryMs = 15;
 constexpr double kOpeningMs = 12;
-// A read that gets no answer for this long, or for so many times the usual, is
-// sent again elsewhere.
-constexpr Duration kLeastReadLimit = Millis(200);
-constexpr double kReadLimitFactor = 6;
+// A read that gets no answer for so many times the slowest of late is sent
+// again elsewhere; with each try it is given more time.
+constexpr double kReadLimitFactor = 2;
+constexpr double kFirstSlowestMs = 250;
+constexpr double kLeastReadLimitMs = 120;
 constexpr Duration kPreludeLimit = Millis(300);
 constexpr Duration kOpenLimit = Millis(500);
 // A connection that was idle for longer is tested before a write.
@@ -390,6 +391,18 @@
   }
 }
 
+Duration
+ProxyEngine::ReadLimit(const ProxyService& aService,
+                       const PendingStatement& aPending) const
+{
+  auto found = aService.slowestMs.find(aPending.route.database);
+  double slowest =
+    found == aService.slowestMs.end() ? detail::kFirstSlowestMs : found->second;
+  double limit =
+    std::max(slowest * detail::kReadLimitFactor, detail::kLeastReadLimitMs);
+  return Duration{ static_cast<int64_t>(limit) * aPending.tries };
+}
+
 void
 ProxyEngine::SendNext(ProxyLink& aLink, CallerSession& aSession)
 {
@@ -416,10 +429,7 @@
   bool mayRepeat = !pending.writes && (pending.began || aSession.pinned == 0);
   aLink.limit = kNever;
   if (mayRepeat) {
-    double usual =
-      service.view.At(aLink.upstream).latencyMs * detail::kReadLimitFactor;
-    Duration limit{ static_cast<int64_t>(usual) };
-    aLink.limit = this->now + std::max(limit, detail::kLeastReadLimit);
+    aLink.limit = this->now + this->ReadLimit(service, pending);
   }
   this->Decide(
     LogEvent::StatementPlaced,
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -33,7 +33,8 @@
 ProxyEngine::WantsPromotion() const
 {
   for (const auto& [name, service] : this->services) {
-    if (service.promotion.IsNeeded(service.view, this->now)) {
+    if (service.promotion.IsNeeded(service.view, this->now) ||
+        !service.leftovers.empty()) {
       return true;
     }
   }
@@ -71,6 +72,7 @@
         { "why", kPromotionReasonNames.TextOf(aService.promotion.Reason()) },
         { "term", std::to_string(view.CurrentTerm()) } });
   }
+  this->MendLeftovers(aService);
   this->CloseSurplus(aService);
   this->AskWanted(aService);
 }
@@ -197,7 +199,7 @@
     this->Perform(
       service,
       service.promotion.Answered(view, index, *aEvent.report, this->now));
-    this->MendLeftovers(service, index, *aEvent.report);
+    this->NoteLeftover(service, index, *aEvent.report);
   }
   this->Release(link, SessionState::Idle);
 }
@@ -221,18 +223,35 @@
 
 /** What a promoter that died, or was cut off, left behind. */
 void
-ProxyEngine::MendLeftovers(ProxyService& aService,
-                           UpstreamIndex aUpstream,
-                           const UpstreamReport& aReport)
+ProxyEngine::NoteLeftover(ProxyService& aService,
+                          UpstreamIndex aUpstream,
+                          const UpstreamReport& aReport)
 {
   Term term = aService.view.CurrentTerm();
-  if (!this->mayAct || aService.promotion.IsRunning() || term == 0) {
+  bool isSuperseded = aReport.role == Role::Primary && aReport.term < term;
+  bool isHeld = aReport.role == Role::Replica && aReport.held > term;
+  if (isSuperseded) {
+    aService.leftovers[aUpstream] = { aUpstream, StatementKind::Demote, term };
+  } else if (isHeld) {
+    aService.leftovers[aUpstream] = { aUpstream, StatementKind::Resume };
+  } else {
+    aService.leftovers.erase(aUpstream);
+  }
+}
+
+void
+ProxyEngine::MendLeftovers(ProxyService& aService)
+{
+  if (!this->mayAct || aService.promotion.IsRunning()) {
     return;
   }
-  if (aReport.role == Role::Primary && aReport.term < term) {
-    this->Ask(aService, { aUpstream, StatementKind::Demote, term });
-  } else if (aReport.role == Role::Replica && aReport.held > term) {
-    this->Ask(aService, { aUpstream, StatementKind::Resume });
+  for (const auto& [upstream, ask] : aService.leftovers) {
+    const ProxyUpstream& target = aService.view.At(upstream);
+    bool isDue = target.listed && !target.askOpen &&
+                 this->now - target.lastAsked >= detail::kAskInterval;
+    if (isDue) {
+      this->Ask(aService, ask);
+    }
   }
 }
 
