--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -41,8 +41,9 @@
   // By database: the slowest answer of late, forgotten slowly.
   std::map<std::string, double> slowestMs;
   Time primaryWantedAt = kLongAgo; // by a caller
+  Time pointWantedAt = kLongAgo;   // by a read that no point allowed
   bool proofOpen = false;
-  std::map<UpstreamIndex, AskUpstream> wanted; // no connection was free
+  std::map<UpstreamIndex, AskUpstream> wanted;    // no connection was free
   std::map<UpstreamIndex, AskUpstream> leftovers; // of other promoters
 };
 
@@ -124,6 +125,10 @@
   Duration ReadLimit(const ProxyService& aService,
                      const PendingStatement& aPending) const;
   double CostOf(const ProxyService& aService, UpstreamIndex aUpstream) const;
+  bool HasRoom(const ProxyService& aService, UpstreamIndex aUpstream) const;
+  double WaitOf(const ProxyService& aService,
+                UpstreamIndex aUpstream,
+                const std::optional<LogPoint>& aAfter) const;
   std::optional<LogPoint> PointFor(const ProxyService& aService,
                                    const CallerSession& aSession) const;
   std::optional<UpstreamIndex> Choose(ProxyService& aService,
@@ -163,6 +168,7 @@
   void Refused(ProxyLink& aLink,
                CallerSession& aSession,
                const StatementReply& aReply);
+  void NoteBusy(ProxyService& aService, UpstreamIndex aUpstream);
   void NoteRefusal(ProxyLink& aLink,
                    CallerSession& aSession,
                    const Refusal& aRefusal);
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -34,7 +34,10 @@
   Time fullUntil = kLongAgo; // it takes no more connections
   LogPoint behind;           // a point that it lacked
   Time behindUntil = kLongAgo;
+  double lagMs = 20; // how long it lacked such points
   double latencyMs = 10;
+  double window = 0; // questions it takes at once from this host; 0: not known
+  Time busyUntil = kLongAgo;
 };
 
 /**
@@ -81,6 +84,9 @@
   }
   Time ProvedAsked() const { return this->provedAsked; }
 
+  /** Asks all again if too few were asked since `aTime` for a point. */
+  void WantPointSince(Time aTime);
+
   /** A point that covers all that was acknowledged before `aTime`. */
   std::optional<LogPoint> PointSince(Time aTime) const
   {
@@ -111,6 +117,7 @@
   void StartTerm(Term aTerm);
   void Prove(Time aAsked);
   void TakeProvedSamples();
+  void SampleQuorum(Time aNow);
   std::optional<UpstreamIndex> Find(const std::string& aId) const;
 
   std::vector<ProxyUpstream> upstreams;
--- a/src/coordination/proxy-answers.cc
+++ b/src/coordination/proxy-answers.cc
@@ -7,8 +7,13 @@
 namespace detail {
 
 constexpr Duration kBusyPause = Millis(8);
-constexpr Duration kLeaderPause = Millis(5);
-constexpr Duration kBehindSpan = Millis(60);
+constexpr double kLeastLagMs = 5;
+constexpr double kMostLagMs = 200;
+constexpr double kLagGrowth = 1.3; // when it is still behind after that
+constexpr double kLagDecay = 0.98; // when it was not
+constexpr Duration kBusySpan = Millis(8);
+constexpr double kWindowCut = 0.8;
+constexpr double kWindowGrowth = 0.1; // with each answer
 constexpr Duration kFullSpan = Millis(100);
 constexpr Duration kWrongUpstreamSpan = Seconds(1);
 constexpr uint32_t kMostFailedReads = 3;
@@ -150,8 +155,8 @@
   aSession.pinned = 0;
   this->Release(aLink, aReply.state);
   this->Requeue(aSession,
-                refusal.code == RefusalCode::Behind ? Millis(0)
-                                                    : detail::kBusyPause);
+                refusal.code == RefusalCode::Busy ? detail::kBusyPause
+                                                  : Millis(0));
 }
 
 void
@@ -181,6 +186,14 @@
   auto took = static_cast<double>((this->now - pending.sent).ms);
   upstream.latencyMs += (took - upstream.latencyMs) * detail::kLatencyWeight;
   service.serviceMs += (took - service.serviceMs) * detail::kLatencyWeight;
+  if (upstream.window != 0) {
+    upstream.window = std::min<double>(
+      upstream.window + detail::kWindowGrowth / upstream.window, service.share);
+  }
+  if (pending.after) {
+    upstream.lagMs =
+      std::max(upstream.lagMs * detail::kLagDecay, detail::kLeastLagMs);
+  }
   double& slowest = service.slowestMs[pending.route.database];
   slowest = std::max(took, slowest * detail::kSlowestKept);
 
@@ -212,6 +225,18 @@
   this->Answer(aSession, aReply);
 }
 
+void
+ProxyEngine::NoteBusy(ProxyService& aService, UpstreamIndex aUpstream)
+{
+  ProxyUpstream& upstream = aService.view.At(aUpstream);
+  if (upstream.busyUntil > this->now) {
+    return;
+  }
+  double busy = aService.connections.Use(aUpstream).busy + 1;
+  upstream.window = std::max(busy * detail::kWindowCut, 1.0);
+  upstream.busyUntil = this->now + detail::kBusySpan;
+}
+
 void
 ProxyEngine::NoteRefusal(ProxyLink& aLink,
                          CallerSession& aSession,
@@ -227,11 +252,19 @@
                  { "try", std::to_string(pending.tries) } });
   switch (aRefusal.code) {
     case RefusalCode::Behind:
+      --pending.tries; // waiting for it is no fault
       if (pending.after) {
+        upstream.lagMs =
+          std::min(upstream.lagMs * detail::kLagGrowth, detail::kMostLagMs);
         upstream.behind = *pending.after;
-        upstream.behindUntil = this->now + detail::kBehindSpan;
+        upstream.behindUntil =
+          this->now + Duration{ static_cast<int64_t>(upstream.lagMs) };
       }
       break;
+    case RefusalCode::Busy:
+      --pending.tries;
+      this->NoteBusy(service, aLink.upstream);
+      break;
     case RefusalCode::ReadOnly:
       service.view.LostLead(aLink.upstream);
       break;
--- a/src/coordination/proxy-dispatch.cc
+++ b/src/coordination/proxy-dispatch.cc
@@ -13,6 +13,8 @@
 constexpr double kOtherZoneMs = 12;
 constexpr double kPrimaryMs = 15;
 constexpr double kOpeningMs = 12;
+// For one that has just refused the same statement.
+constexpr double kRefusedMs = 1000;
 // A read that gets no answer for so many times the slowest of late is sent
 // again elsewhere; with each try it is given more time.
 constexpr double kReadLimitFactor = 2;
@@ -212,7 +214,6 @@
 {
   const PendingStatement& pending = *aSession.pending;
   const ServiceView& view = aService.view;
-  const ProxyUpstream& upstream = view.At(aUpstream);
   if (aSession.state == SessionState::InTransaction &&
       !this->HasRoomForTransaction(aService, aUpstream)) {
     return false;
@@ -226,9 +227,34 @@
   if (pending.needsPrimary || !aAfter || !view.IsUsable(aUpstream, this->now)) {
     return false;
   }
-  bool lacksIt =
-    upstream.behindUntil > this->now && !aAfter->IsBehind(upstream.behind);
-  return !lacksIt;
+  return true;
+}
+
+/** Questions beyond the window would only wait at the upstream. */
+bool
+ProxyEngine::HasRoom(const ProxyService& aService,
+                     UpstreamIndex aUpstream) const
+{
+  const ProxyUpstream& upstream = aService.view.At(aUpstream);
+  if (upstream.busyUntil > this->now) {
+    return false;
+  }
+  double window = upstream.window == 0 ? aService.share : upstream.window;
+  return aService.connections.Use(aUpstream).busy < std::max(window, 1.0);
+}
+
+/** Until the replica will probably hold the point, in milliseconds. */
+double
+ProxyEngine::WaitOf(const ProxyService& aService,
+                    UpstreamIndex aUpstream,
+                    const std::optional<LogPoint>& aAfter) const
+{
+  const ProxyUpstream& upstream = aService.view.At(aUpstream);
+  bool lacksIt = aService.view.Primary() != aUpstream && aAfter &&
+                 upstream.behindUntil > this->now &&
+                 !aAfter->IsBehind(upstream.behind);
+  return lacksIt ? static_cast<double>((upstream.behindUntil - this->now).ms)
+                 : 0;
 }
 
 bool
@@ -261,8 +287,10 @@
   const PendingStatement& pending = *aSession.pending;
   std::optional<UpstreamIndex> best;
   double bestCost = std::numeric_limits<double>::max();
+  bool mustWait = false;
   for (UpstreamIndex i = 0; i < aService.view.Size(); ++i) {
-    if (!this->MayServe(aService, aSession, i, aAfter)) {
+    if (!this->MayServe(aService, aSession, i, aAfter) ||
+        !this->HasRoom(aService, i)) {
       continue;
     }
     bool isIdle = this->FindLink(aService, i, aSession).has_value();
@@ -271,19 +299,24 @@
     if (!isIdle && !mayOpen) {
       continue;
     }
-    double cost = this->CostOf(aService, i);
+    double wait = this->WaitOf(aService, i, aAfter);
+    double cost = this->CostOf(aService, i) + wait;
     cost += isIdle ? 0 : detail::kOpeningMs;
-    cost += pending.refusedBy.count(i) != 0 ? 1000 : 0;
+    cost += pending.refusedBy.count(i) != 0 ? detail::kRefusedMs : 0;
     if (cost < bestCost) {
       best = i;
       bestCost = cost;
+      mustWait = wait > 0;
     }
   }
   if (!best && !pending.needsPrimary) {
     // A proof lets the primary serve it.
     aService.primaryWantedAt = this->now;
   }
-  return best;
+  if (!aAfter && !pending.needsPrimary) {
+    aService.pointWantedAt = this->now;
+  }
+  return mustWait ? std::nullopt : best;
 }
 
 std::optional<ConnectionId>
--- a/src/coordination/proxy-engine.cc
+++ b/src/coordination/proxy-engine.cc
@@ -8,8 +8,8 @@
 
 // The balancer needs two questions, a second apart, to notice.
 constexpr Duration kBalancerNotices = Millis(2200);
-// Of an upstream's connections, kept for the hosts' own questions.
-constexpr uint32_t kReservedConnections = 1;
+// Of an upstream's connections, left for those of lost hosts that linger.
+constexpr double kReservedShare = 0.1;
 constexpr size_t kMaxInbox = 32;
 constexpr Duration kFewerHostsSettle = Seconds(4);
 constexpr ConnectionId kIdsPerService = ConnectionId{ 1 } << 40;
@@ -222,7 +222,8 @@
 ProxyEngine::ShareConnections(ProxyService& aService)
 {
   uint32_t all = aService.config.connections;
-  uint32_t shared = all - std::min(all, detail::kReservedConnections);
+  auto reserve = static_cast<uint32_t>(all * detail::kReservedShare);
+  uint32_t shared = all - reserve;
   size_t hostsAssumed = this->hosts == 0 ? shared : this->hosts;
   auto share =
     static_cast<uint32_t>(shared / std::max<size_t>(hostsAssumed, 1));
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -11,6 +11,9 @@
 // A proof is renewed when it has this long to go.
 constexpr Duration kProofMargin = Millis(140);
 constexpr Duration kPrimaryDemand = Seconds(2);
+// While reads lack a point that a primary would have given.
+constexpr Duration kPointDemand = Millis(500);
+constexpr Duration kPointInterval = Millis(200);
 
 } // namespace detail
 
@@ -61,6 +64,9 @@
     }
   }
   this->KeepProof(aService);
+  if (this->now - aService.pointWantedAt <= detail::kPointDemand) {
+    view.WantPointSince(this->now - detail::kPointInterval);
+  }
   PromotionPhase before = aService.promotion.Phase();
   this->Perform(aService,
                 aService.promotion.Step(view, this->mayAct, this->now));
@@ -129,9 +135,7 @@
       idle = isFree ? id : idle;
     }
     if (!idle) {
-      uint32_t open = aService.connections.Use(ask.upstream).open;
-      // One more than for callers, so that they cannot shut us out.
-      if (!isOpening && open <= aService.share) {
+      if (!isOpening && aService.connections.MayOpen(ask.upstream)) {
         this->Open(aService, ask.upstream);
       }
       ++it;
@@ -157,7 +161,7 @@
   for (UpstreamIndex i = 0; i < aService.view.Size(); ++i) {
     const ProxyUpstream& upstream = aService.view.At(i);
     bool isGone = !upstream.listed && !aService.view.IsUsable(i, this->now);
-    uint32_t allowed = isGone ? 0 : aService.share + 1;
+    uint32_t allowed = isGone ? 0 : aService.share;
     if (aService.connections.Use(i).open <= allowed) {
       continue;
     }
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -12,6 +12,8 @@
 constexpr Duration kFirstBackoff = Millis(100);
 constexpr Duration kLongestBackoff = Millis(800);
 constexpr size_t kMaxUnproved = 64;
+// One that is not listed any more may still confirm commits for a while.
+constexpr Duration kMayStillConfirm = Seconds(30);
 
 } // namespace detail
 
@@ -68,6 +70,7 @@
   ProxyUpstream& upstream = this->upstreams[aUpstream];
   upstream.report = aReport;
   upstream.reportAsked = aAsked;
+  this->SampleQuorum(aNow);
   if (aReport.role == Role::Primary) {
     bool isNewer = aReport.term > this->term ||
                    (aReport.term == this->term && !this->primary);
@@ -90,6 +93,47 @@
   }
 }
 
+/**
+ * A commit is acknowledged when two upstreams hold it, so all but one of them,
+ * whoever leads, hold everything that was acknowledged before they were asked.
+ */
+void
+ServiceView::SampleQuorum(Time aNow)
+{
+  std::vector<const ProxyUpstream*> asked;
+  size_t all = 0;
+  for (const ProxyUpstream& upstream : this->upstreams) {
+    bool mayConfirm =
+      upstream.listed || aNow - upstream.unlistedAt < detail::kMayStillConfirm;
+    all += mayConfirm ? 1 : 0;
+    if (mayConfirm && upstream.report) {
+      asked.push_back(&upstream);
+    }
+  }
+  if (all < 2 || asked.size() + 1 < all) {
+    return;
+  }
+  std::sort(asked.begin(), asked.end(), [](const auto* aOne, const auto* aTwo) {
+    return aTwo->reportAsked < aOne->reportAsked;
+  });
+  asked.resize(all - 1);
+  LogPoint highest;
+  for (const ProxyUpstream* upstream : asked) {
+    const LogPoint& point = upstream->report->received;
+    highest = highest.IsBehind(point) ? point : highest;
+  }
+  this->samples.Sample(asked.back()->reportAsked,
+                       { highest.term, highest.position, highest.position });
+}
+
+void
+ServiceView::WantPointSince(Time aTime)
+{
+  for (ProxyUpstream& upstream : this->upstreams) {
+    upstream.askWanted = upstream.askWanted || upstream.reportAsked < aTime;
+  }
+}
+
 void
 ServiceView::SetPrimary(UpstreamIndex aUpstream, Term aTerm, Time aNow)
 {
