--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -37,7 +37,6 @@
   Promotion promotion;
   std::set<QueueKey> queue;
   uint32_t share = 1; // connections that this host may open to one upstream
-  double serviceMs = 10;
   // By database: the slowest answer of late, forgotten slowly.
   std::map<std::string, double> slowestMs;
   Time primaryWantedAt = kLongAgo; // by a caller
@@ -168,6 +167,9 @@
   void Refused(ProxyLink& aLink,
                CallerSession& aSession,
                const StatementReply& aReply);
+  static void AdaptWindow(const ProxyService& aService,
+                          ProxyUpstream& aUpstream);
+  Time LimitOf(const CallerSession& aSession) const;
   void NoteBusy(ProxyService& aService, UpstreamIndex aUpstream);
   void NoteRefusal(ProxyLink& aLink,
                    CallerSession& aSession,
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -36,6 +36,7 @@
   Time behindUntil = kLongAgo;
   double lagMs = 20; // how long it lacked such points
   double latencyMs = 10;
+  double leastMs = 1000; // the least that `latencyMs` was of late
   double window = 0; // questions it takes at once from this host; 0: not known
   Time busyUntil = kLongAgo;
 };
--- a/src/coordination/proxy-answers.cc
+++ b/src/coordination/proxy-answers.cc
@@ -13,11 +13,16 @@
 constexpr double kLagDecay = 0.98; // when it was not
 constexpr Duration kBusySpan = Millis(8);
 constexpr double kWindowCut = 0.8;
-constexpr double kWindowGrowth = 0.1; // with each answer
+constexpr double kWindowGrowth = 0.2; // with each answer
+constexpr double kWindowShrink = 0.05;
+constexpr double kCongested = 2.5; // times the quickest of late
+constexpr double kLeastGrowth = 1.001;
 constexpr Duration kFullSpan = Millis(100);
 constexpr Duration kWrongUpstreamSpan = Seconds(1);
 constexpr uint32_t kMostFailedReads = 3;
 constexpr double kLatencyWeight = 0.1;
+// Of a statement's time, that it may wait without being sent.
+constexpr double kLongestHeldShare = 0.45;
 constexpr double kSlowestKept = 0.998; // with each answer
 
 bool
@@ -185,11 +190,7 @@
   ProxyUpstream& upstream = service.view.At(aLink.upstream);
   auto took = static_cast<double>((this->now - pending.sent).ms);
   upstream.latencyMs += (took - upstream.latencyMs) * detail::kLatencyWeight;
-  service.serviceMs += (took - service.serviceMs) * detail::kLatencyWeight;
-  if (upstream.window != 0) {
-    upstream.window = std::min<double>(
-      upstream.window + detail::kWindowGrowth / upstream.window, service.share);
-  }
+  this->AdaptWindow(service, upstream);
   if (pending.after) {
     upstream.lagMs =
       std::max(upstream.lagMs * detail::kLagDecay, detail::kLeastLagMs);
@@ -225,6 +226,23 @@
   this->Answer(aSession, aReply);
 }
 
+/** Room grows while answers come as quickly as they ever did. */
+void
+ProxyEngine::AdaptWindow(const ProxyService& aService, ProxyUpstream& aUpstream)
+{
+  aUpstream.leastMs =
+    std::min(aUpstream.leastMs * detail::kLeastGrowth, aUpstream.latencyMs);
+  if (aUpstream.window == 0) {
+    aUpstream.window = aService.share;
+  }
+  bool isCongested =
+    aUpstream.latencyMs > aUpstream.leastMs * detail::kCongested;
+  double step = isCongested ? -detail::kWindowShrink
+                            : detail::kWindowGrowth / aUpstream.window;
+  aUpstream.window = std::clamp<double>(
+    aUpstream.window + step, 1, std::max<double>(aService.share, 1));
+}
+
 void
 ProxyEngine::NoteBusy(ProxyService& aService, UpstreamIndex aUpstream)
 {
@@ -256,7 +274,9 @@
       if (pending.after) {
         upstream.lagMs =
           std::min(upstream.lagMs * detail::kLagGrowth, detail::kMostLagMs);
-        upstream.behind = *pending.after;
+        bool isNews = upstream.behindUntil <= this->now ||
+                      pending.after->IsBehind(upstream.behind);
+        upstream.behind = isNews ? *pending.after : upstream.behind;
         upstream.behindUntil =
           this->now + Duration{ static_cast<int64_t>(upstream.lagMs) };
       }
@@ -439,7 +459,7 @@
   }
   std::vector<CallerId> late;
   for (const auto& [id, session] : this->sessions) {
-    if (session.pending && session.pending->deadline <= this->now) {
+    if (session.pending && this->LimitOf(session) <= this->now) {
       late.push_back(id);
     }
   }
@@ -448,6 +468,29 @@
   }
 }
 
+/**
+ * When a statement is given up. One that still waits is told early enough to be
+ * of use: what could not start within its objective would only delay others.
+ */
+Time
+ProxyEngine::LimitOf(const CallerSession& aSession) const
+{
+  const PendingStatement& pending = *aSession.pending;
+  if (pending.phase != StatementPhase::Queued || aSession.pinned != 0) {
+    return pending.deadline;
+  }
+  auto share =
+    static_cast<double>(pending.route.timeout.ms) * detail::kLongestHeldShare;
+  Duration held{ static_cast<int64_t>(share) };
+  const ProxyService& service = this->services.at(pending.route.service);
+  bool waitsForLeader =
+    pending.needsPrimary && !service.view.IsPrimaryUsable(this->now);
+  if (!waitsForLeader) {
+    held = std::min(held, pending.route.latencyObjective);
+  }
+  return pending.arrived + held;
+}
+
 void
 ProxyEngine::Expire(CallerSession& aSession)
 {
--- a/src/coordination/proxy-dispatch.cc
+++ b/src/coordination/proxy-dispatch.cc
@@ -1,6 +1,7 @@
 #include "marigoldpitch/coordination/proxy-engine.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace marigoldpitch {
@@ -90,13 +91,26 @@
   if (load.ahead == 0) {
     return true;
   }
+  double atOnce = 0;
+  double perMs = 0;
   for (UpstreamIndex i = 0; i < aService.view.Size(); ++i) {
-    bool serves = aPending.needsPrimary ? aService.view.Primary() == i
-                                        : aService.view.IsUsable(i, this->now);
-    load.slots += serves ? aService.share : 0;
+    const ProxyUpstream& upstream = aService.view.At(i);
+    bool isPrimary = aService.view.Primary() == i;
+    bool serves = isPrimary ? aService.view.IsPrimaryUsable(this->now)
+                            : !aPending.needsPrimary &&
+                                aService.view.IsUsable(i, this->now) &&
+                                upstream.behindUntil <= this->now;
+    if (serves) {
+      double window = upstream.window == 0 ? aService.share : upstream.window;
+      atOnce += window;
+      perMs += window / std::max(upstream.latencyMs, 1.0);
+    }
   }
-  load.serviceMs = aService.serviceMs;
-  return this->options.admission->Admits(load, aPending.deadline - this->now);
+  load.slots = static_cast<size_t>(std::ceil(atOnce));
+  load.serviceMs = perMs == 0 ? 0 : static_cast<double>(load.slots) / perMs;
+  Duration left =
+    std::min(aPending.route.latencyObjective, aPending.route.timeout);
+  return this->options.admission->Admits(load, left);
 }
 
 void
