Ask for a proof of leadership only when a statement needs one

Change: a proof holds 500 ms and is asked for on demand, as commits renew it; a new primary may be used once every replica was held for that long; reads prefer their own availability zone more.

--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -39,8 +39,8 @@
   uint32_t share = 1; // connections that this host may open to one upstream
   // By database: the slowest answer of late, forgotten slowly.
   std::map<std::string, double> slowestMs;
-  Time primaryWantedAt = kLongAgo; // by a caller
-  Time pointWantedAt = kLongAgo;   // by a read that no point allowed
+  bool proofWanted = false;      // that the primary leads
+  Time pointWantedAt = kLongAgo; // by a read that no point allowed
   bool proofOpen = false;
   std::map<UpstreamIndex, AskUpstream> wanted;    // no connection was free
   std::map<UpstreamIndex, AskUpstream> leftovers; // of other promoters
@@ -133,7 +133,7 @@
   std::optional<UpstreamIndex> Choose(ProxyService& aService,
                                       const CallerSession& aSession,
                                       const std::optional<LogPoint>& aAfter);
-  bool MayServe(const ProxyService& aService,
+  bool MayServe(ProxyService& aService,
                 const CallerSession& aSession,
                 UpstreamIndex aUpstream,
                 const std::optional<LogPoint>& aAfter) const;
@@ -187,7 +187,7 @@
   void On(const DutyChanged& aEvent);
   void On(const PromotionOrdered& aEvent);
   void Watch(ProxyService& aService);
-  void KeepProof(ProxyService& aService);
+  void AskProof(ProxyService& aService);
   void Ask(ProxyService& aService, const AskUpstream& aAsk);
   void AskWanted(ProxyService& aService);
   void CloseSurplus(ProxyService& aService);
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -15,7 +15,7 @@
 namespace marigoldpitch {
 
 /** How long a replica's word that a primary leads may be relied on. */
-constexpr Duration kLeadershipSpan = Millis(300);
+constexpr Duration kLeadershipSpan = Millis(500);
 
 struct ProxyUpstream
 {
@@ -119,6 +119,7 @@
   void Prove(Time aAsked);
   void TakeProvedSamples();
   void SampleQuorum(Time aNow);
+  void NoteHolds(Time aNow);
   std::optional<UpstreamIndex> Find(const std::string& aId) const;
 
   std::vector<ProxyUpstream> upstreams;
@@ -126,6 +127,7 @@
   Term term = 0;
   Term usableTerm = 0; // whose primary may be used from `usableFrom`
   Time usableFrom = kNever;
+  Time allHeldSince = kNever; // no replica vouches for `term` after this
   Time provedAsked = kLongAgo;
   std::deque<Sample> unproved; // of the present term, oldest first
   FreshnessTracker samples;
--- a/src/coordination/proxy-dispatch.cc
+++ b/src/coordination/proxy-dispatch.cc
@@ -11,8 +11,8 @@
 constexpr size_t kDispatchWindow = 64;
 // What a byte between availability zones and a read on the primary are worth,
 // in milliseconds of waiting.
-constexpr double kOtherZoneMs = 12;
-constexpr double kPrimaryMs = 15;
+constexpr double kOtherZoneMs = 25;
+constexpr double kPrimaryMs = 12;
 constexpr double kOpeningMs = 12;
 // For one that has just refused the same statement.
 constexpr double kRefusedMs = 1000;
@@ -64,9 +64,6 @@
   pending.deadline = this->now + route->timeout;
   aSession.pending = pending;
   ProxyService& service = this->ServiceOf(route->service);
-  if (pending.needsPrimary) {
-    service.primaryWantedAt = this->now;
-  }
   if (aSession.pinned == 0 && !this->Admits(service, pending)) {
     if (inTransaction) {
       this->FailTransaction(aSession);
@@ -221,7 +218,7 @@
 }
 
 bool
-ProxyEngine::MayServe(const ProxyService& aService,
+ProxyEngine::MayServe(ProxyService& aService,
                       const CallerSession& aSession,
                       UpstreamIndex aUpstream,
                       const std::optional<LogPoint>& aAfter) const
@@ -235,8 +232,12 @@
   if (view.Primary() == aUpstream) {
     bool accepts = pending.route.freshness != Freshness::Newest;
     Time from = pending.arrived - (accepts ? pending.route.maxAge : Millis(0));
-    return view.IsPrimaryUsable(this->now) &&
-           (!pending.needsProof || view.IsLeaderProvedAt(from));
+    if (!view.IsPrimaryUsable(this->now)) {
+      return false;
+    }
+    bool isProved = !pending.needsProof || view.IsLeaderProvedAt(from);
+    aService.proofWanted = aService.proofWanted || !isProved;
+    return isProved;
   }
   if (pending.needsPrimary || !aAfter || !view.IsUsable(aUpstream, this->now)) {
     return false;
@@ -323,10 +324,6 @@
       mustWait = wait > 0;
     }
   }
-  if (!best && !pending.needsPrimary) {
-    // A proof lets the primary serve it.
-    aService.primaryWantedAt = this->now;
-  }
   if (!aAfter && !pending.needsPrimary) {
     aService.pointWantedAt = this->now;
   }
--- a/src/coordination/proxy-engine.cc
+++ b/src/coordination/proxy-engine.cc
@@ -24,6 +24,7 @@
   for (auto& [name, service] : this->services) {
     if (!service.queue.empty()) {
       this->Dispatch(service);
+      this->AskProof(service);
     }
   }
   return std::exchange(this->actions, {});
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -7,10 +7,8 @@
 constexpr Duration kAskInterval = Millis(100);
 constexpr Duration kAskLimit = Millis(400);
 // A primary that said nothing for this long is asked how it is.
-constexpr Duration kQuietPrimary = Millis(250);
-// A proof is renewed when it has this long to go.
-constexpr Duration kProofMargin = Millis(140);
-constexpr Duration kPrimaryDemand = Seconds(2);
+constexpr Duration kQuietPrimary = Millis(1000);
+constexpr Duration kDoubtfulPrimary = Millis(150);
 // While reads lack a point that a primary would have given.
 constexpr Duration kPointDemand = Millis(500);
 constexpr Duration kPointInterval = Millis(200);
@@ -48,7 +46,10 @@
 ProxyEngine::Watch(ProxyService& aService)
 {
   ServiceView& view = aService.view;
-  if (!view.Primary()) {
+  bool isDoubtful =
+    !view.Primary() || this->now - view.At(*view.Primary()).failingSince >=
+                         detail::kDoubtfulPrimary;
+  if (isDoubtful) {
     view.AskAll();
   }
   for (UpstreamIndex i = 0; i < view.Size(); ++i) {
@@ -63,7 +64,6 @@
       this->Ask(aService, { i });
     }
   }
-  this->KeepProof(aService);
   if (this->now - aService.pointWantedAt <= detail::kPointDemand) {
     view.WantPointSince(this->now - detail::kPointInterval);
   }
@@ -84,14 +84,10 @@
 }
 
 void
-ProxyEngine::KeepProof(ProxyService& aService)
+ProxyEngine::AskProof(ProxyService& aService)
 {
   ServiceView& view = aService.view;
-  bool isWanted =
-    this->now - aService.primaryWantedAt <= detail::kPrimaryDemand;
-  bool isDue =
-    view.ProvedAsked() + kLeadershipSpan - this->now <= detail::kProofMargin;
-  if (!isWanted || !isDue || aService.proofOpen || !view.Primary()) {
+  if (!aService.proofWanted || aService.proofOpen || !view.Primary()) {
     return;
   }
   std::optional<UpstreamIndex> best;
@@ -106,6 +102,7 @@
   }
   if (best) {
     aService.proofOpen = true;
+    aService.proofWanted = false;
     this->Ask(aService, { *best });
   }
 }
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -91,6 +91,7 @@
   if (aReport.held <= this->term) {
     this->Prove(aAsked);
   }
+  this->NoteHolds(aNow);
 }
 
 /**
@@ -137,13 +138,13 @@
 void
 ServiceView::SetPrimary(UpstreamIndex aUpstream, Term aTerm, Time aNow)
 {
-  if (aTerm != this->term) {
-    this->StartTerm(aTerm);
-  }
   if (aTerm != this->usableTerm) {
     // Others may rely on the old primary until their proofs lapse.
     this->usableTerm = aTerm;
-    this->usableFrom = aNow + kLeadershipSpan;
+    this->usableFrom = std::min(aNow, this->allHeldSince) + kLeadershipSpan;
+  }
+  if (aTerm != this->term) {
+    this->StartTerm(aTerm);
   }
   this->primary = aUpstream;
 }
@@ -152,6 +153,7 @@
 ServiceView::StartTerm(Term aTerm)
 {
   this->term = aTerm;
+  this->allHeldSince = kNever;
   this->unproved.clear();
   this->provedAsked = kLongAgo;
 }
@@ -181,6 +183,25 @@
   }
 }
 
+/** From when on every replica has refused to vouch for the present primary. */
+void
+ServiceView::NoteHolds(Time aNow)
+{
+  bool isEveryone = this->primary.has_value();
+  for (UpstreamIndex i = 0; i < this->upstreams.size(); ++i) {
+    const ProxyUpstream& upstream = this->upstreams[i];
+    bool isHeld = upstream.report && upstream.report->role == Role::Replica &&
+                  upstream.report->held > this->term;
+    bool isPrimary = this->primary == i;
+    isEveryone = isEveryone && (isPrimary || isHeld || !upstream.listed);
+  }
+  if (!isEveryone) {
+    this->allHeldSince = kNever;
+  } else if (this->allHeldSince == kNever) {
+    this->allHeldSince = aNow;
+  }
+}
+
 void
 ServiceView::Prove(Time aAsked)
 {
