Close unused connections; hold the duty longer than a short outage of the store

Change: a connection that was not used for 700 ms is closed; an upstream that answers over others counts as full, not as failing; the holder acts 6 s after its last check, its successor waits that long unless the old process has ended.

--- a/include/marigoldpitch/coordination/duty-lease.h
+++ b/include/marigoldpitch/coordination/duty-lease.h
@@ -32,13 +32,13 @@
 struct DutySeen
 {
   bool isTaken = false;
-  uint64_t revision = 0; // at which it was taken
 };
 
 /** Our write took the duty, at this revision. */
 struct DutyTaken
 {
   uint64_t revision = 0;
+  bool isFormerGone = false; // the process that held it before has ended
 };
 
 /** Our write failed, or its answer was lost. */
@@ -73,8 +73,8 @@
 public:
   void Handle(const DutyEvent& aEvent, Time aNow);
 
-  /** What to ask of the store now; `aIsWanted`: there is something to order. */
-  DutyAction Next(bool aIsWanted, Time aNow);
+  /** What to ask of the store now. */
+  DutyAction Next(Time aNow);
 
   /** Whether a promotion may be ordered at this moment. */
   bool MayAct(Time aNow) const;
--- a/include/marigoldpitch/coordination/promotion.h
+++ b/include/marigoldpitch/coordination/promotion.h
@@ -72,12 +72,6 @@
   PromotionReason Reason() const { return this->reason; }
   std::optional<UpstreamIndex> Candidate() const { return this->candidate; }
 
-  /** Whether the holder of the duty has something to do here. */
-  bool IsNeeded(const ServiceView& aView, Time aNow) const
-  {
-    return this->IsRunning() || this->Need(aView, aNow).has_value();
-  }
-
   /** Called regularly while this host may act; `aMayAct` false gives up. */
   PromotionSteps Step(const ServiceView& aView, bool aMayAct, Time aNow);
 
--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -71,9 +71,6 @@
   bool IsDraining() const { return this->drainSince != kNever; }
   size_t Sessions() const { return this->sessions.size(); }
   uint64_t ConfigVersion() const { return this->config.version; }
-
-  /** Whether some service needs the holder of the duty. */
-  bool WantsPromotion() const;
   const std::map<std::string, ProxyService>& Services() const
   {
     return this->services;
--- a/src/coordination/duty-lease.cc
+++ b/src/coordination/duty-lease.cc
@@ -5,10 +5,10 @@
 namespace detail {
 
 // A holder acts this long after it asked for its key and found it.
-constexpr Duration kActSpan = Millis(800);
+// Long enough to order a promotion when the store was lost just before.
+constexpr Duration kActSpan = Seconds(6);
 constexpr Duration kLongestCall = Millis(500);
-constexpr Duration kCheckInterval = Millis(200);
-constexpr Duration kIdleCheckInterval = Seconds(3); // with nothing to order
+constexpr Duration kCheckInterval = Millis(1500);
 constexpr Duration kTakeInterval = Millis(1000);
 
 } // namespace detail
@@ -30,7 +30,8 @@
 {
   this->state = DutyState::Settling;
   this->token = aEvent.revision;
-  this->actsFrom = aNow + detail::kActSpan + detail::kLongestCall;
+  Duration span = aEvent.isFormerGone ? Millis(0) : detail::kActSpan;
+  this->actsFrom = aNow + span + detail::kLongestCall;
   this->provedAsked = kLongAgo;
   this->lastCheck = kLongAgo;
 }
@@ -67,15 +68,13 @@
 }
 
 DutyAction
-DutyLease::Next(bool aIsWanted, Time aNow)
+DutyLease::Next(Time aNow)
 {
   if (this->state == DutyState::Settling && aNow >= this->actsFrom) {
     this->state = DutyState::Holding;
   }
   if (this->token != 0) {
-    Duration interval =
-      aIsWanted ? detail::kCheckInterval : detail::kIdleCheckInterval;
-    if (aNow - this->lastCheck < interval) {
+    if (aNow - this->lastCheck < detail::kCheckInterval) {
       return DutyAction::None;
     }
     this->lastCheck = aNow;
--- a/src/coordination/proxy-answers.cc
+++ b/src/coordination/proxy-answers.cc
@@ -18,6 +18,7 @@
 constexpr double kCongested = 2.5; // times the quickest of late
 constexpr double kLeastGrowth = 1.001;
 constexpr Duration kFullSpan = Millis(100);
+constexpr Duration kAliveSpan = Millis(300);
 constexpr Duration kWrongUpstreamSpan = Seconds(1);
 constexpr uint32_t kMostFailedReads = 3;
 constexpr double kLatencyWeight = 0.1;
@@ -404,7 +405,12 @@
   ProxyService& service = this->ServiceOf(link.service);
   service.connections.Remove(aConnection);
   ProxyUpstream& upstream = service.view.At(link.upstream);
-  if (aIsUpstreamAtFault) {
+  bool isAlive =
+    link.isOpening && this->now - upstream.lastAnswer <= detail::kAliveSpan;
+  if (isAlive) {
+    // It answers over others: it takes no more for now.
+    upstream.fullUntil = this->now + detail::kFullSpan;
+  } else if (aIsUpstreamAtFault) {
     service.view.Failed(link.upstream, this->now);
     this->Decide(LogEvent::ConnectionLost,
                  "",
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -8,6 +8,7 @@
 constexpr Duration kAskLimit = Millis(400);
 // A primary that said nothing for this long is asked how it is.
 constexpr Duration kQuietPrimary = Millis(1000);
+constexpr Duration kUnusedSpan = Millis(700);
 constexpr Duration kDoubtfulPrimary = Millis(150);
 // While reads lack a point that a primary would have given.
 constexpr Duration kPointDemand = Millis(500);
@@ -30,18 +31,6 @@
   }
 }
 
-bool
-ProxyEngine::WantsPromotion() const
-{
-  for (const auto& [name, service] : this->services) {
-    if (service.promotion.IsNeeded(service.view, this->now) ||
-        !service.leftovers.empty()) {
-      return true;
-    }
-  }
-  return false;
-}
-
 void
 ProxyEngine::Watch(ProxyService& aService)
 {
@@ -152,19 +141,24 @@
   }
 }
 
+/**
+ * What is not used is closed: connections of a lost host linger at the upstream
+ * and would leave no room for those of its successor.
+ */
 void
 ProxyEngine::CloseSurplus(ProxyService& aService)
 {
   for (UpstreamIndex i = 0; i < aService.view.Size(); ++i) {
     const ProxyUpstream& upstream = aService.view.At(i);
     bool isGone = !upstream.listed && !aService.view.IsUsable(i, this->now);
-    uint32_t allowed = isGone ? 0 : aService.share;
-    if (aService.connections.Use(i).open <= allowed) {
-      continue;
-    }
+    uint32_t open = aService.connections.Use(i).open;
+    bool isOverShare = open > aService.share;
     for (ConnectionId id : aService.connections.AllOf(i)) {
       const ProxyLink& link = this->links.at(id);
-      if (!link.isOpening && link.use == LinkUse::None) {
+      bool isIdle = !link.isOpening && link.use == LinkUse::None;
+      bool isUnused =
+        open > 1 && this->now - link.lastAnswer >= detail::kUnusedSpan;
+      if (isIdle && (isGone || isOverShare || isUnused)) {
         this->Close(id, false);
         break;
       }
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -10,7 +10,7 @@
 // upstream gets no new work.
 constexpr Duration kUnlistedGrace = Millis(2500);
 constexpr Duration kFirstBackoff = Millis(100);
-constexpr Duration kLongestBackoff = Millis(800);
+constexpr Duration kLongestBackoff = Millis(300);
 constexpr size_t kMaxUnproved = 64;
 // One that is not listed any more may still confirm commits for a while.
 constexpr Duration kMayStillConfirm = Seconds(30);
