Adopt the successor of a primary in the same term

Proofs that were refused were asked for again at once (36,735 questions). Change: a primary of the present term is adopted when the known one is lost; a replica is asked for a proof each 30 ms at most.

--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -115,6 +115,7 @@
   };
 
   void SetPrimary(UpstreamIndex aUpstream, Term aTerm, Time aNow);
+  bool IsLost(UpstreamIndex aUpstream) const;
   void StartTerm(Term aTerm);
   void Prove(Time aAsked);
   void TakeProvedSamples();
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -8,6 +8,7 @@
 constexpr Duration kAskLimit = Millis(400);
 // A primary that said nothing for this long is asked how it is.
 constexpr Duration kQuietPrimary = Millis(1000);
+constexpr Duration kProofInterval = Millis(30);
 constexpr Duration kUnusedSpan = Millis(700);
 constexpr Duration kDoubtfulPrimary = Millis(150);
 // While reads lack a point that a primary would have given.
@@ -83,7 +84,8 @@
   for (UpstreamIndex i = 0; i < view.Size(); ++i) {
     const ProxyUpstream& upstream = view.At(i);
     bool mayAsk = view.Primary() != i && upstream.listed && !upstream.askOpen &&
-                  upstream.avoidUntil <= this->now;
+                  upstream.avoidUntil <= this->now &&
+                  this->now - upstream.lastAsked >= detail::kProofInterval;
     if (mayAsk &&
         (!best || this->CostOf(aService, i) < this->CostOf(aService, *best))) {
       best = i;
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -72,9 +72,10 @@
   upstream.reportAsked = aAsked;
   this->SampleQuorum(aNow);
   if (aReport.role == Role::Primary) {
-    bool isNewer = aReport.term > this->term ||
-                   (aReport.term == this->term && !this->primary);
-    if (isNewer) {
+    // Of one term, a successor that took over the log of a lost primary.
+    bool succeeds = aReport.term == this->term &&
+                    (!this->primary || this->IsLost(*this->primary));
+    if (aReport.term > this->term || succeeds) {
       this->SetPrimary(aUpstream, aReport.term, aNow);
     }
     return;
@@ -149,6 +150,13 @@
   this->primary = aUpstream;
 }
 
+bool
+ServiceView::IsLost(UpstreamIndex aUpstream) const
+{
+  const ProxyUpstream& upstream = this->upstreams[aUpstream];
+  return !upstream.listed || upstream.failures > 0;
+}
+
 void
 ServiceView::StartTerm(Term aTerm)
 {
