Show by mutants that the proxy's tests find what they are for

Cause: with the wait for a new primary, or the rule against sending a write twice, switched off, all tests still passed. Change: a test that resets a connection while a write's answer is on its way, and one where nobody can tell an old primary to step down.

--- a/test/fakes/proxy-world.cc
+++ b/test/fakes/proxy-world.cc
@@ -566,9 +566,17 @@
 ProxyWorld::Kill(size_t aUpstream)
 {
   this->upstreams[aUpstream].isAlive = false;
+  for (size_t host = 0; host < this->hosts.size(); ++host) {
+    this->Reset(host, aUpstream);
+  }
+}
+
+void
+ProxyWorld::Reset(size_t aHost, size_t aUpstream)
+{
   std::vector<LinkKey> lost;
   for (const auto& [key, link] : this->links) {
-    if (link.upstream == aUpstream) {
+    if (key.first == aHost && link.upstream == aUpstream) {
       lost.push_back(key);
     }
   }
--- a/test/fakes/proxy-world.h
+++ b/test/fakes/proxy-world.h
@@ -118,6 +118,9 @@
   /** Open connections between the host and the upstream say nothing more. */
   void Silence(size_t aHost, size_t aUpstream);
 
+  /** Connections between the host and the upstream are reset. */
+  void Reset(size_t aHost, size_t aUpstream);
+
   /** The host orders promotions from now on, or does not. */
   void SetDuty(size_t aHost, bool aMayAct);
 
--- a/test/proxy-test.cc
+++ b/test/proxy-test.cc
@@ -187,6 +187,20 @@
   cr_assert_eq(world.Wrongs(), "");
 }
 
+Test(proxy, a_write_whose_connection_is_reset_is_not_repeated)
+{
+  ProxyWorld world(Options(Freshness::Newest));
+  Settle(world);
+  CallerId caller = world.OpenSession(0);
+  world.Do(0, caller, WriteOf("a", "first"));
+  auto write = world.Ask(0, caller, WriteOf("a", "second"));
+  world.RunFor(Millis(5)); // it ran, and its answer is on its way
+  world.Reset(0, 0);
+  world.RunFor(Seconds(2));
+  cr_assert(CodeOf(write) == RefusalCode::Unsure);
+  cr_assert_eq(write->effects, 1);
+}
+
 Test(proxy, a_read_on_a_silent_connection_is_sent_again)
 {
   ProxyWorld world(Options(Freshness::Newest));
@@ -352,6 +366,29 @@
   }
 }
 
+// The new primary is in use while a host still relies on its last proof.
+Test(proxy, a_host_that_hears_of_no_promotion_reads_nothing_old)
+{
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    ProxyWorld world(Options(Freshness::Newest, seed));
+    Settle(world);
+    world.Upstream(0).entry.leaving = true;
+    world.ReadRegistry();
+    for (uint32_t i = 0; i < 250; ++i) {
+      if (i == 5 + seed * 2) {
+        world.Upstream(1).cutFrom.insert(1);
+        world.Upstream(2).cutFrom.insert(1);
+        world.Upstream(0).cutFrom.insert(0); // nobody tells it to step down
+      }
+      world.Ask(1, world.OpenSession(1), ReadOf("a"));
+      world.Ask(0, world.OpenSession(0), WriteOf("a", std::to_string(i)));
+      world.RunFor(Millis(7));
+    }
+    cr_assert_eq(world.Promotions(), 1);
+    cr_assert_eq(world.Wrongs(), "", "seed %u", seed);
+  }
+}
+
 Test(proxy, reads_that_accept_age_go_on_without_a_primary)
 {
   ProxyWorldOptions options = Options(Freshness::Bounded);
