--- /dev/null
+++ b/test/platform-test.cc
@@ -0,0 +1,382 @@
+#include "documents.h"
+#include "wire-lines.h"
+
+#include "marigoldpitch/coordination/duty-lease.h"
+#include "marigoldpitch/protocol/proxy-settings.h"
+#include "marigoldpitch/transport/clock.h"
+#include "marigoldpitch/transport/decision-log.h"
+#include "marigoldpitch/transport/loop.h"
+#include "marigoldpitch/transport/unique-fd.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+// The platform's lines and documents, the duty, settings, logs and clocks.
+
+using namespace marigoldpitch;
+using namespace marigoldpitch::platform;
+
+namespace {
+
+std::optional<QueryLine>
+QueryOf(const std::string& aLine)
+{
+  auto line = DecodeCallerLine(aLine);
+  if (!line) {
+    return std::nullopt;
+  }
+  const auto* query = std::get_if<QueryLine>(&line.value());
+  return query != nullptr ? std::make_optional(*query) : std::nullopt;
+}
+
+/** Decoding must end; either outcome will do. */
+template<typename T>
+void
+Decoded(const Result<T>&)
+{
+}
+
+bool
+IsUnknown(const std::string& aLine)
+{
+  auto line = DecodeCallerLine(aLine);
+  return line && std::holds_alternative<UnknownQueryLine>(line.value());
+}
+
+} // namespace
+
+Test(lines, statements_are_sent_on_unchanged)
+{
+  for (const std::string& text : { std::string("READ 1a4"),
+                                   std::string("WRITE 1a4 x y  z"),
+                                   std::string("EXEC s1 1a4"),
+                                   std::string("EXEC s1 1a4 data more"),
+                                   std::string("COMMIT"),
+                                   std::string("BEGIN READ"),
+                                   std::string("PREPARE s1 WRITE q2c"),
+                                   std::string("SET name some value") }) {
+    auto query = QueryOf("QUERY id7 " + text);
+    cr_assert(query.has_value(), "%s", text.c_str());
+    cr_assert_eq(EncodeQuery("id7", query->statement, {}),
+                 "QUERY id7 " + text + "\r\n");
+  }
+  auto read = QueryOf("QUERY id7 READ 1a4");
+  cr_assert_eq(EncodeQuery("id7", read->statement, LogPoint{ 3, 1207 }),
+               "QUERY id7 AFTER 3.1207 READ 1a4\r\n");
+}
+
+Test(lines, what_only_a_proxy_may_ask_is_no_callers_statement)
+{
+  for (std::string text : { "STATUS",
+                            "HOLD 7",
+                            "RESUME",
+                            "DEMOTE 7",
+                            "RESET",
+                            "AFTER 3.1 READ a",
+                            "READ",
+                            "READ a b",
+                            "WRITE a",
+                            "BEGIN WRITE",
+                            "PREPARE s q",
+                            "PREPARE s MAYBE q",
+                            "read a",
+                            "" }) {
+    cr_assert(IsUnknown("QUERY id7 " + text), "%s", text.c_str());
+  }
+  cr_assert_not(DecodeCallerLine("QUERY - READ a"));
+  cr_assert_not(DecodeCallerLine("GET / HTTP/1.1"));
+  cr_assert_not(DecodeCallerLine("START db"));
+  cr_assert_not(DecodeCallerLine(""));
+}
+
+Test(lines, any_bytes_are_decoded_or_refused)
+{
+  bool holds = rc::check("callers' lines", [](const std::string& aLine) {
+    Decoded(DecodeCallerLine(aLine));
+    Decoded(DecodeCallerLine("QUERY i " + aLine));
+    ReplyReader reader;
+    Decoded(reader.Take(aLine));
+    Decoded(reader.Take("READY " + aLine));
+    Decoded(DecodeReport(aLine));
+  });
+  cr_assert(holds);
+}
+
+Test(lines, answers_come_back_whole)
+{
+  bool holds = rc::check("answers", [] {
+    StatementReply reply;
+    auto word = rc::gen::nonEmpty(
+      rc::gen::container<std::string>(rc::gen::inRange<char>('a', 'z')));
+    reply.rows = *rc::gen::container<std::vector<std::string>>(word);
+    bool isRefused = *rc::gen::arbitrary<bool>();
+    if (isRefused) {
+      auto index = *rc::gen::inRange<size_t>(0, kRefusalCodeNames.Size());
+      reply.refusal = Refusal{ kRefusalCodeNames.rows[index].value, *word };
+    } else {
+      reply.signature = *word;
+    }
+    reply.state = *rc::gen::element(
+      SessionState::Idle, SessionState::InTransaction, SessionState::Failed);
+    reply.position = LogPoint{ *rc::gen::inRange<Term>(1, 100),
+                               *rc::gen::inRange<Position>(0, 100000) };
+    std::string lines = EncodeReply(reply);
+    ReplyReader reader;
+    std::optional<StatementReply> back;
+    size_t start = 0;
+    for (size_t end = lines.find("\r\n"); end != std::string::npos;
+         end = lines.find("\r\n", start)) {
+      RC_ASSERT(!back);
+      auto taken = reader.Take(lines.substr(start, end - start));
+      RC_ASSERT(static_cast<bool>(taken));
+      back = taken.value();
+      start = end + 2;
+    }
+    RC_ASSERT(back.has_value());
+    RC_ASSERT(back->rows == reply.rows);
+    RC_ASSERT(back->signature == reply.signature);
+    RC_ASSERT(back->refusal.has_value() == isRefused);
+    RC_ASSERT(!isRefused || back->refusal->code == reply.refusal->code);
+    RC_ASSERT(back->state == reply.state);
+    RC_ASSERT(back->position == reply.position);
+  });
+  cr_assert(holds);
+}
+
+Test(lines, a_report_names_role_term_and_hold)
+{
+  auto report = DecodeReport("replica 3 3.1209 4 12 2 17");
+  cr_assert(static_cast<bool>(report));
+  cr_assert(report.value().role == Role::Replica);
+  cr_assert_eq(report.value().term, 3);
+  cr_assert_eq(report.value().received.position, 1209);
+  cr_assert_eq(report.value().held, 4);
+  cr_assert_eq(report.value().connections, 17);
+  cr_assert_not(DecodeReport("replica 3 3.1209 4 12 2"));
+  cr_assert_not(DecodeReport("leader 3 3.1209 4 12 2 17"));
+}
+
+Test(lines, an_unknown_refusal_of_an_upstream_promises_nothing)
+{
+  ReplyReader reader;
+  Decoded(reader.Take("ERR SOMETHING new"));
+  auto reply = reader.Take("READY I 3.1");
+  cr_assert(reply.value()->refusal->code == RefusalCode::Unsure);
+}
+
+Test(documents, a_configuration_is_decoded)
+{
+  auto config = DecodeConfig(
+    R"({"version":7,"routes":[{"name":"r","host":"db","prefix":"/",)"
+    R"("kind":"session","timeoutMs":800,"targetLatencyMs":200,)"
+    R"("priority":2,"service":"s","tries":2,"maxStaleMs":2500}],)"
+    R"("services":[{"name":"s","maxConns":16,"syncReplicas":1}],)"
+    R"("limits":{"txIdleMs":3000}})");
+  cr_assert(static_cast<bool>(config));
+  const DatabaseRoute& route = config.value().routes.at("db");
+  cr_assert(route.freshness == Freshness::Session);
+  cr_assert_eq(route.maxAge.ms, 2500);
+  cr_assert_eq(route.latencyObjective.ms, 200);
+  cr_assert_eq(config.value().services.at("s").connections, 16);
+  cr_assert(config.value().services.at("s").confirmedByReplica);
+}
+
+Test(documents, foreign_records_name_no_upstream)
+{
+  auto good = nlohmann::json::parse(
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","state":"ready",)"
+    R"("dbRole":"replica","seq":4})");
+  cr_assert(static_cast<bool>(DecodeUpstream("i-1", good.dump())));
+  std::vector<std::pair<std::string, nlohmann::json>> changes{
+    { "service", nullptr },   { "service", 7 },      { "addr", "nowhere" },
+    { "addr", "10.0.0.9:0" }, { "addr", "host:80" }, { "state", "asleep" },
+    { "state", 1 },           { "zone", {} },        { "dbRole", 3 }
+  };
+  for (const auto& [name, value] : changes) {
+    auto changed = good;
+    changed[name] = value;
+    cr_assert_not(DecodeUpstream("i-1", changed.dump()), "%s", name.c_str());
+    changed.erase(name);
+    cr_assert_not(DecodeUpstream("i-1", changed.dump()), "%s", name.c_str());
+  }
+  bool holds = rc::check("any bytes", [](const std::string& aText) {
+    Decoded(DecodeUpstream("i-1", aText));
+    Decoded(DecodeConfig(aText));
+    Decoded(DecodeRange(aText));
+    Decoded(DecodeEvents(aText));
+    Decoded(DecodeItem(aText));
+    Decoded(DecodeLease(aText));
+    Decoded(DecodeRevision(aText));
+  });
+  cr_assert(holds);
+}
+
+Test(documents, values_survive_the_store)
+{
+  bool holds = rc::check("values", [](const std::string& aValue) {
+    StoreChange change;
+    change.conditions.push_back({ "k", 7 });
+    change.puts.push_back({ "k", aValue, 9 });
+    auto text = nlohmann::json::parse(EncodeChange(change));
+    RC_ASSERT(text["precondition"][0]["rev"] == 7);
+    nlohmann::json item{ { "key", "k" },
+                         { "rev", 8 },
+                         { "value", text["puts"][0]["value"] } };
+    auto back = DecodeItem(item.dump());
+    RC_ASSERT(static_cast<bool>(back));
+    RC_ASSERT(back.value().value == aValue);
+  });
+  cr_assert(holds);
+}
+
+Test(documents, removed_keys_are_no_writes)
+{
+  auto events =
+    DecodeEvents(R"({"events":[{"key":"a","value":"eA==","rev":3},)"
+                 R"({"key":"b","rev":4,"removed":true}],"currentRev":4})");
+  cr_assert_eq(events.value().written.size(), 1);
+  cr_assert_eq(events.value().written[0].value, "x");
+  cr_assert_eq(events.value().storeRevision, 4);
+}
+
+Test(duty, a_new_holder_waits_out_the_one_before)
+{
+  DutyLease duty;
+  Time now{ 1000 };
+  duty.Handle(DutySeen{ false }, now);
+  cr_assert(duty.Next(now) == DutyAction::Take);
+  duty.Handle(DutyTaken{ 7, false }, now);
+  cr_assert_eq(duty.Token(), 7);
+  for (; now < Time{ 7400 }; now = now + Millis(100)) {
+    if (duty.Next(now) == DutyAction::Check) {
+      duty.Handle(DutyChecked{ 7, now }, now);
+    }
+    cr_assert_not(duty.MayAct(now));
+  }
+  now = now + Millis(200);
+  cr_assert(duty.MayAct(now));
+}
+
+Test(duty, a_process_that_has_ended_is_not_waited_for)
+{
+  DutyLease duty;
+  Time now{ 1000 };
+  duty.Handle(DutySeen{ false }, now);
+  duty.Next(now);
+  duty.Handle(DutyTaken{ 7, true }, now);
+  now = now + Millis(600);
+  duty.Handle(DutyChecked{ 7, now }, now);
+  cr_assert(duty.MayAct(now));
+}
+
+Test(duty, a_paused_holder_does_not_act)
+{
+  DutyLease duty;
+  Time now{ 1000 };
+  duty.Handle(DutySeen{ false }, now);
+  duty.Next(now);
+  duty.Handle(DutyTaken{ 7, true }, now);
+  now = now + Seconds(1);
+  duty.Handle(DutyChecked{ 7, now }, now);
+  cr_assert(duty.MayAct(now));
+  // The clock counts the pause; nothing was heard of the key meanwhile.
+  cr_assert_not(duty.MayAct(now + Seconds(7)));
+  // A check that was asked before the pause proves nothing after it.
+  duty.Handle(DutyChecked{ 7, now }, now + Seconds(7));
+  cr_assert_not(duty.MayAct(now + Seconds(7)));
+}
+
+Test(duty, a_key_that_was_taken_away_ends_it)
+{
+  DutyLease duty;
+  Time now{ 1000 };
+  duty.Handle(DutySeen{ false }, now);
+  duty.Next(now);
+  duty.Handle(DutyTaken{ 7, true }, now);
+  now = now + Seconds(1);
+  duty.Handle(DutyChecked{ 7, now }, now);
+  duty.Handle(DutyChecked{ 0, now }, now);
+  cr_assert_not(duty.MayAct(now));
+  cr_assert_eq(duty.Token(), 0);
+}
+
+Test(settings, every_finding_is_listed)
+{
+  auto good = nlohmann::json::parse(
+    R"({"host":"h","zone":"z","callers":"10.0.0.1:1","health":"10.0.0.1:2",)"
+    R"("metrics":"10.0.0.1:3","store":"10.0.0.2:1","duties":"10.0.0.2:2",)"
+    R"("grace_seconds":6})");
+  cr_assert(static_cast<bool>(ParseProxySettings(good.dump(), "file")));
+  auto bad = good;
+  bad["store"] = "10.0.0.2:99999";
+  bad["duties"] = "10.0.0.999:2";
+  auto error = ParseProxySettings(bad.dump(), "file").error().message;
+  cr_assert(error.find("/store") != std::string::npos);
+  cr_assert(error.find("/duties") != std::string::npos);
+  bad = good;
+  bad.erase("host");
+  bad["grace_seconds"] = "six";
+  bad["more"] = 1;
+  error = ParseProxySettings(bad.dump(), "file").error().message;
+  cr_assert(error.find("grace_seconds") != std::string::npos);
+  cr_assert(error.find("host") != std::string::npos);
+}
+
+Test(log, a_full_pipe_blocks_nothing_and_the_loss_is_said)
+{
+  int ends[2];
+  cr_assert_eq(pipe(ends), 0);
+  UniqueFd reader(ends[0]);
+  UniqueFd writer(ends[1]);
+  fcntl(writer.Get(), F_SETPIPE_SZ, 4096);
+  UniqueFd saved(dup(STDOUT_FILENO));
+  dup2(writer.Get(), STDOUT_FILENO);
+  DecisionLog log("h");
+  for (int i = 0; i < 5000; ++i) {
+    log.Put(LogEvent::ConnectionLost, "", { { "upstream", "u" } });
+    log.Flush();
+  }
+  std::string text;
+  char bytes[4096];
+  fcntl(reader.Get(), F_SETFL, O_NONBLOCK);
+  auto drain = [&] {
+    for (ssize_t size; (size = read(reader.Get(), bytes, sizeof(bytes))) > 0;) {
+      text.append(bytes, static_cast<size_t>(size));
+      log.Flush();
+    }
+  };
+  drain();
+  log.Put(LogEvent::Stopped, "", {});
+  log.Flush();
+  drain();
+  dup2(saved.Get(), STDOUT_FILENO);
+  cr_assert_lt(text.size(), 200000);
+  cr_assert(text.find("log-dropped") != std::string::npos);
+  size_t start = 0;
+  for (size_t end; (end = text.find('\n', start)) != std::string::npos;
+       start = end + 1) {
+    auto line = nlohmann::json::parse(text.substr(start, end - start));
+    cr_assert(line.contains("event"));
+  }
+}
+
+Test(clock, timers_do_not_follow_the_time_of_day)
+{
+  // Both clocks go on alike while nothing is suspended; neither is the time of
+  // day, which may jump.
+  Time steady = ReadClock();
+  Time boot = ReadBootClock();
+  auto loop = Loop::Create();
+  Time fired = kLongAgo;
+  loop.value()->After(Millis(30), [&] {
+    fired = ReadClock();
+    loop.value()->Stop();
+  });
+  loop.value()->Run();
+  cr_assert_geq((fired - steady).ms, 30);
+  cr_assert_geq((ReadBootClock() - boot).ms, 30);
+}
