--- a/include/marigoldpitch/coordination/promotion.h
+++ b/include/marigoldpitch/coordination/promotion.h
@@ -33,12 +33,14 @@
   PrimaryLeaving,
   PrimarySilent,
   PrimaryUnknown,
+  CommitsStalled, // no replica confirms what the primary commits
 };
 
-constexpr NameTable<PromotionReason, 3> kPromotionReasonNames{ {
+constexpr NameTable<PromotionReason, 4> kPromotionReasonNames{ {
   { PromotionReason::PrimaryLeaving, "primary-leaving" },
   { PromotionReason::PrimarySilent, "primary-silent" },
   { PromotionReason::PrimaryUnknown, "primary-unknown" },
+  { PromotionReason::CommitsStalled, "commits-stalled" },
 } };
 
 /** A statement of the promoter's own for an upstream. */
--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -121,6 +121,7 @@
   Duration ReadLimit(const ProxyService& aService,
                      const PendingStatement& aPending) const;
   double CostOf(const ProxyService& aService, UpstreamIndex aUpstream) const;
+  static bool IsCommit(const CallerSession& aSession);
   bool HasRoom(const ProxyService& aService, UpstreamIndex aUpstream) const;
   double WaitOf(const ProxyService& aService,
                 UpstreamIndex aUpstream,
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -7,6 +7,7 @@
 #include "marigoldpitch/state/proxy-config.h"
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -62,7 +63,14 @@
   void Saw(UpstreamIndex aUpstream, const LogPoint& aEnd, Time aAsked);
 
   /** The primary had a replica confirm a commit that was sent at `aAsked`. */
-  void Confirmed(UpstreamIndex aUpstream, Term aTerm, Time aAsked);
+  void Confirmed(UpstreamIndex aUpstream, Term aTerm, Time aAsked, Time aNow);
+
+  /** A commit was sent, or is not waited for any more. */
+  void CommitSent(ConnectionId aConnection, Time aNow);
+  void CommitEnded(ConnectionId aConnection);
+
+  /** How long commits have been waiting with none acknowledged. */
+  Duration CommitStall(Time aNow) const;
 
   /** The upstream refused what only a primary does. */
   void LostLead(UpstreamIndex aUpstream);
@@ -130,6 +138,8 @@
   Time usableFrom = kNever;
   Time allHeldSince = kNever; // no replica vouches for `term` after this
   Time provedAsked = kLongAgo;
+  std::map<ConnectionId, Time> openCommits; // when they were sent
+  Time lastConfirmed = kLongAgo;
   std::deque<Sample> unproved; // of the present term, oldest first
   FreshnessTracker samples;
 };
--- a/src/coordination/promotion.cc
+++ b/src/coordination/promotion.cc
@@ -5,6 +5,7 @@
 namespace detail {
 
 constexpr Duration kSilence = Millis(600);
+constexpr Duration kCommitsStalled = Millis(900);
 constexpr Duration kUnknownPrimary = Millis(2000);
 constexpr Duration kAskAgain = Millis(150);
 constexpr Duration kCatchUpLimit = Millis(400);
@@ -32,6 +33,11 @@
   if (upstream.entry.leaving) {
     return PromotionReason::PrimaryLeaving;
   }
+  // A primary that is merely slow acknowledges commits all the while.
+  bool answers = aNow - upstream.lastAnswer <= detail::kSilence;
+  if (answers && aView.CommitStall(aNow) >= detail::kCommitsStalled) {
+    return PromotionReason::CommitsStalled;
+  }
   return std::nullopt;
 }
 
--- a/src/coordination/proxy-answers.cc
+++ b/src/coordination/proxy-answers.cc
@@ -86,6 +86,7 @@
   ServiceView& view = this->ServiceOf(link.service).view;
   view.Answered(link.upstream, this->now);
   link.lastAnswer = this->now;
+  view.CommitEnded(link.id);
   if (aEvent.reply.position) {
     view.Saw(link.upstream, *aEvent.reply.position, link.asked);
   }
@@ -207,7 +208,7 @@
     aSession.lastCommit = *aReply.position;
     if (service.config.confirmedByReplica) {
       service.view.Confirmed(
-        aLink.upstream, aReply.position->term, pending.sent);
+        aLink.upstream, aReply.position->term, pending.sent, this->now);
     }
   }
   if (inTransaction && pending.writes) {
@@ -404,6 +405,7 @@
   this->links.erase(aConnection);
   ProxyService& service = this->ServiceOf(link.service);
   service.connections.Remove(aConnection);
+  service.view.CommitEnded(aConnection);
   ProxyUpstream& upstream = service.view.At(link.upstream);
   bool isAlive =
     link.isOpening && this->now - upstream.lastAnswer <= detail::kAliveSpan;
--- a/src/coordination/proxy-dispatch.cc
+++ b/src/coordination/proxy-dispatch.cc
@@ -26,6 +26,7 @@
 // A connection that was idle for longer is tested before a write.
 constexpr Duration kTestAfter = Millis(500);
 constexpr uint32_t kMostTries = 6;
+constexpr Duration kCommitStall = Millis(300);
 // Positions are asked for in whole milliseconds.
 constexpr Duration kClockGrain = Millis(2);
 
@@ -232,7 +233,11 @@
   if (view.Primary() == aUpstream) {
     bool accepts = pending.route.freshness != Freshness::Newest;
     Time from = pending.arrived - (accepts ? pending.route.maxAge : Millis(0));
-    if (!view.IsPrimaryUsable(this->now)) {
+    // A commit that nobody confirms holds a slot: more of them would only keep
+    // reads from the primary.
+    bool isStalled =
+      IsCommit(aSession) && view.CommitStall(this->now) >= detail::kCommitStall;
+    if (!view.IsPrimaryUsable(this->now) || isStalled) {
       return false;
     }
     bool isProved = !pending.needsProof || view.IsLeaderProvedAt(from);
@@ -245,6 +250,17 @@
   return true;
 }
 
+/** Whether its answer acknowledges that something is kept. */
+bool
+ProxyEngine::IsCommit(const CallerSession& aSession)
+{
+  const PendingStatement& pending = *aSession.pending;
+  if (pending.statement.kind == StatementKind::Commit) {
+    return aSession.transactionWrote;
+  }
+  return pending.writes && aSession.state == SessionState::Idle;
+}
+
 /** Questions beyond the window would only wait at the upstream. */
 bool
 ProxyEngine::HasRoom(const ProxyService& aService,
@@ -475,6 +491,9 @@
   if (mayRepeat) {
     aLink.limit = this->now + this->ReadLimit(service, pending);
   }
+  if (this->IsCommit(aSession)) {
+    service.view.CommitSent(aLink.id, this->now);
+  }
   this->Decide(
     LogEvent::StatementPlaced,
     pending.requestId,
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -147,6 +147,9 @@
   if (aTerm != this->term) {
     this->StartTerm(aTerm);
   }
+  if (this->primary != aUpstream) {
+    this->openCommits.clear(); // they were sent to another
+  }
   this->primary = aUpstream;
 }
 
@@ -184,13 +187,39 @@
 }
 
 void
-ServiceView::Confirmed(UpstreamIndex aUpstream, Term aTerm, Time aAsked)
+ServiceView::Confirmed(UpstreamIndex aUpstream,
+                       Term aTerm,
+                       Time aAsked,
+                       Time aNow)
 {
+  this->lastConfirmed = aNow;
   if (this->primary == aUpstream && aTerm == this->term) {
     this->Prove(aAsked);
   }
 }
 
+void
+ServiceView::CommitSent(ConnectionId aConnection, Time aNow)
+{
+  this->openCommits[aConnection] = aNow;
+}
+
+void
+ServiceView::CommitEnded(ConnectionId aConnection)
+{
+  this->openCommits.erase(aConnection);
+}
+
+Duration
+ServiceView::CommitStall(Time aNow) const
+{
+  Time oldest = aNow;
+  for (const auto& [connection, sent] : this->openCommits) {
+    oldest = std::min(oldest, sent);
+  }
+  return aNow - std::max(oldest, this->lastConfirmed);
+}
+
 /** From when on every replica has refused to vouch for the present primary. */
 void
 ServiceView::NoteHolds(Time aNow)
--- a/test/proxy-test.cc
+++ b/test/proxy-test.cc
@@ -314,6 +314,34 @@
   cr_assert_eq(world.Wrongs(), "");
 }
 
+// Cut from its replicas it answers reads and hangs at each commit.
+Test(proxy, a_primary_whose_commits_stall_is_replaced)
+{
+  ProxyWorld world(Options(Freshness::Newest));
+  Settle(world);
+  world.Do(1, world.OpenSession(1), WriteOf("a", "v"));
+  world.Upstream(1).isDeaf = true;
+  world.Upstream(2).isDeaf = true;
+  int reads = 0;
+  for (int i = 0; i < 200; ++i) {
+    if (i % 5 == 0) {
+      world.Ask(0, world.OpenSession(0), WriteOf("a", std::to_string(i)));
+    }
+    auto read = world.Do(1, world.OpenSession(1), ReadOf("a"));
+    reads += IsOk(read) && world.Promotions() == 0 ? 1 : 0;
+    world.RunFor(Millis(10));
+    if (world.Promotions() != 0) {
+      world.Upstream(1).isDeaf = false;
+      world.Upstream(2).isDeaf = false;
+    }
+  }
+  cr_assert_eq(world.Promotions(), 1);
+  // Stalled commits leave room for reads.
+  cr_assert_geq(reads, 40);
+  cr_assert(IsOk(world.Do(0, world.OpenSession(0), WriteOf("a", "after"))));
+  cr_assert_eq(world.Wrongs(), "");
+}
+
 // A crashed primary came back in its term under another id.
 Test(proxy, the_successor_of_a_primary_in_its_term_is_adopted)
 {
