Promote no copy that lacks an acknowledged commit

After a first promotion the only replica left had heard nothing for seconds; its commits stalled, and the primary was replaced by that replica. The same may come when the replica that confirmed the last commits has left and the primary crashes. Ruled out: the order of holds (all were held), the planned change. Change: a promotion needs a log that reaches the highest acknowledged end known here, and, for each upstream that left within 30 s, what the primary said of its log since. Otherwise the replicas are let go and it is tried again later.

--- a/include/marigoldpitch/coordination/promotion.h
+++ b/include/marigoldpitch/coordination/promotion.h
@@ -98,6 +98,9 @@
   void Finish(const ServiceView& aView, PromotionSteps& aSteps, Time aNow);
   bool MustBeHeld(const ServiceView& aView, UpstreamIndex aUpstream) const;
   bool IsEveryoneHeld(const ServiceView& aView) const;
+  bool HoldsAllCommits(const ServiceView& aView,
+                       const LogPoint& aPoint,
+                       Time aNow) const;
   LogPoint HighestHeld() const;
   void ChooseHighest(const ServiceView& aView);
   static std::optional<UpstreamIndex> BestReplica(const ServiceView& aView,
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -18,6 +18,16 @@
 /** How long a replica's word that a primary leads may be relied on. */
 constexpr Duration kLeadershipSpan = Millis(500);
 
+/** A log's end, and when it was asked for. */
+struct SeenEnd
+{
+  Time asked = kLongAgo;
+  LogPoint point;
+};
+
+/** One that is not listed any more may still hold, or confirm, commits. */
+constexpr Duration kMayStillConfirm = Seconds(30);
+
 struct ProxyUpstream
 {
   RegisteredUpstream entry;
@@ -63,7 +73,19 @@
   void Saw(UpstreamIndex aUpstream, const LogPoint& aEnd, Time aAsked);
 
   /** The primary had a replica confirm a commit that was sent at `aAsked`. */
-  void Confirmed(UpstreamIndex aUpstream, Term aTerm, Time aAsked, Time aNow);
+  void Confirmed(UpstreamIndex aUpstream,
+                 const LogPoint& aEnd,
+                 Time aAsked,
+                 Time aNow);
+
+  /** The highest end of a log that an acknowledgement came with. */
+  const LogPoint& HighestConfirmed() const { return this->highestConfirmed; }
+
+  /** The newest word of the present primary about its log. */
+  const SeenEnd& PrimaryEnd() const { return this->primaryEnd; }
+
+  /** Whether the upstream may hold commits that others lack. */
+  bool MayHoldCommits(UpstreamIndex aUpstream, Time aNow) const;
 
   /** A commit was sent, or is not waited for any more. */
   void CommitSent(ConnectionId aConnection, Time aNow);
@@ -140,6 +162,8 @@
   Time provedAsked = kLongAgo;
   std::map<ConnectionId, Time> openCommits; // when they were sent
   Time lastConfirmed = kLongAgo;
+  LogPoint highestConfirmed;
+  SeenEnd primaryEnd;
   std::deque<Sample> unproved; // of the present term, oldest first
   FreshnessTracker samples;
 };
--- a/include/marigoldpitch/transport/http-server.h
+++ b/include/marigoldpitch/transport/http-server.h
@@ -20,6 +20,7 @@
 {
   std::string method;
   std::string path;
+  std::string query = {}; // what follows the question mark
   std::string contentType;
   std::string body;
 };
--- a/src/coordination/promotion.cc
+++ b/src/coordination/promotion.cc
@@ -12,6 +12,8 @@
 constexpr Duration kOrderAgain = Millis(700);
 constexpr Duration kConfirmLimit = Seconds(3);
 constexpr Duration kAttemptLimit = Seconds(15);
+constexpr Duration kLackingLimit = Millis(400);
+constexpr Duration kPauseWhenLacking = Millis(1500);
 constexpr Duration kPauseBetween = Millis(500);
 
 } // namespace detail
@@ -145,6 +147,36 @@
   return true;
 }
 
+/**
+ * Whether a log that ends there has all that was acknowledged. A commit may lie
+ * on an upstream that left or was lost; it does not matter if the primary spoke
+ * of its log after that and this one reaches as far.
+ */
+bool
+Promotion::HoldsAllCommits(const ServiceView& aView,
+                           const LogPoint& aPoint,
+                           Time aNow) const
+{
+  if (aPoint.IsBehind(aView.HighestConfirmed())) {
+    return false;
+  }
+  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+    const ProxyUpstream& upstream = aView.At(i);
+    bool isMissing =
+      !upstream.listed && this->replaced != i && aView.MayHoldCommits(i, aNow);
+    if (!isMissing) {
+      continue;
+    }
+    const SeenEnd& end = aView.PrimaryEnd();
+    bool isMadeGood =
+      end.asked >= upstream.unlistedAt && !aPoint.IsBehind(end.point);
+    if (!isMadeGood) {
+      return false;
+    }
+  }
+  return true;
+}
+
 LogPoint
 Promotion::HighestHeld() const
 {
@@ -193,6 +225,14 @@
       return;
     }
     if (this->holdsCandidate) {
+      if (!this->HoldsAllCommits(aView, this->HighestHeld(), aNow)) {
+        // Whoever has the rest may come back, and must find replicas free.
+        if (aNow - this->phaseSince >= detail::kLackingLimit) {
+          this->GiveUp(aView, aSteps, aNow);
+          this->nextAttempt = aNow + detail::kPauseWhenLacking;
+        }
+        return;
+      }
       this->ChooseHighest(aView);
       if (!this->candidate) {
         this->GiveUp(aView, aSteps, aNow);
@@ -207,7 +247,8 @@
   if (this->phase == PromotionPhase::CatchingUp) {
     const ProxyUpstream& chosen = aView.At(*this->candidate);
     bool holdsAll = chosen.report && chosen.reportAsked >= this->phaseSince &&
-                    !chosen.report->received.IsBehind(this->HighestHeld());
+                    !chosen.report->received.IsBehind(this->HighestHeld()) &&
+                    this->HoldsAllCommits(aView, chosen.report->received, aNow);
     if (holdsAll) {
       this->phase = PromotionPhase::Ordering;
     } else if (aNow - this->phaseSince >= detail::kCatchUpLimit) {
@@ -221,6 +262,8 @@
       return;
     }
   }
+  // One that registered meanwhile must not confirm anything either.
+  this->AskHolds(aView, aSteps, aNow);
   if (this->phase == PromotionPhase::Ordering && aNow >= this->nextOrder) {
     this->nextOrder = aNow + detail::kOrderAgain;
     aSteps.push_back(OrderPromotion{ *this->candidate });
@@ -253,7 +296,7 @@
   if (!this->IsRunning()) {
     return steps;
   }
-  bool isHeld = this->phase == PromotionPhase::Holding &&
+  bool isHeld = this->phase != PromotionPhase::Idle &&
                 aReport.role == Role::Replica && aReport.held >= this->term;
   if (isHeld && this->MustBeHeld(aView, aUpstream)) {
     this->held[aUpstream] = aReport.received;
--- a/src/coordination/proxy-answers.cc
+++ b/src/coordination/proxy-answers.cc
@@ -208,7 +208,7 @@
     aSession.lastCommit = *aReply.position;
     if (service.config.confirmedByReplica) {
       service.view.Confirmed(
-        aLink.upstream, aReply.position->term, pending.sent, this->now);
+        aLink.upstream, *aReply.position, pending.sent, this->now);
     }
   }
   if (inTransaction && pending.writes) {
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -12,8 +12,6 @@
 constexpr Duration kFirstBackoff = Millis(100);
 constexpr Duration kLongestBackoff = Millis(300);
 constexpr size_t kMaxUnproved = 64;
-// One that is not listed any more may still confirm commits for a while.
-constexpr Duration kMayStillConfirm = Seconds(30);
 
 } // namespace detail
 
@@ -104,9 +102,9 @@
 {
   std::vector<const ProxyUpstream*> asked;
   size_t all = 0;
-  for (const ProxyUpstream& upstream : this->upstreams) {
-    bool mayConfirm =
-      upstream.listed || aNow - upstream.unlistedAt < detail::kMayStillConfirm;
+  for (UpstreamIndex i = 0; i < this->upstreams.size(); ++i) {
+    const ProxyUpstream& upstream = this->upstreams[i];
+    bool mayConfirm = this->MayHoldCommits(i, aNow);
     all += mayConfirm ? 1 : 0;
     if (mayConfirm && upstream.report) {
       asked.push_back(&upstream);
@@ -128,6 +126,13 @@
                        { highest.term, highest.position, highest.position });
 }
 
+bool
+ServiceView::MayHoldCommits(UpstreamIndex aUpstream, Time aNow) const
+{
+  const ProxyUpstream& upstream = this->upstreams[aUpstream];
+  return upstream.listed || aNow - upstream.unlistedAt < kMayStillConfirm;
+}
+
 void
 ServiceView::WantPointSince(Time aTime)
 {
@@ -165,6 +170,7 @@
 {
   this->term = aTerm;
   this->allHeldSince = kNever;
+  this->primaryEnd = {};
   this->unproved.clear();
   this->provedAsked = kLongAgo;
 }
@@ -179,6 +185,9 @@
   if (this->primary != aUpstream || aEnd.term != this->term) {
     return;
   }
+  if (this->primaryEnd.asked < aAsked) {
+    this->primaryEnd = { aAsked, aEnd };
+  }
   if (this->unproved.size() == detail::kMaxUnproved) {
     this->unproved.pop_front();
   }
@@ -188,12 +197,15 @@
 
 void
 ServiceView::Confirmed(UpstreamIndex aUpstream,
-                       Term aTerm,
+                       const LogPoint& aEnd,
                        Time aAsked,
                        Time aNow)
 {
   this->lastConfirmed = aNow;
-  if (this->primary == aUpstream && aTerm == this->term) {
+  if (this->highestConfirmed.IsBehind(aEnd)) {
+    this->highestConfirmed = aEnd;
+  }
+  if (this->primary == aUpstream && aEnd.term == this->term) {
     this->Prove(aAsked);
   }
 }
--- a/src/transport/http-server.cc
+++ b/src/transport/http-server.cc
@@ -1,5 +1,7 @@
 #include "marigoldpitch/transport/http-server.h"
 
+#include <algorithm>
+
 namespace marigoldpitch {
 
 namespace detail {
@@ -121,6 +123,11 @@
   HttpRequest request;
   request.method = detail::ToString(aRequest->method);
   request.path = detail::ToString(aRequest->path_normalized);
+  if (aRequest->query_at != SIZE_MAX) {
+    request.query =
+      detail::ToString(aRequest->path)
+        .substr(std::min(aRequest->query_at + 1, aRequest->path.len));
+  }
   request.body = detail::ToString(aRequest->entity);
   ssize_t index =
     h2o_find_header(&aRequest->headers, H2O_TOKEN_CONTENT_TYPE, -1);
--- a/test/fakes/proxy-world.cc
+++ b/test/fakes/proxy-world.cc
@@ -555,8 +555,9 @@
     if (follows) {
       one.term = leader.term;
       one.held = 0;
+    }
+    if (follows && !one.isDeaf) {
       one.log = leader.log;
-      one.applied = std::min(one.applied, one.log.size());
       one.applied = one.log.size();
     }
   }
--- a/test/proxy-test.cc
+++ b/test/proxy-test.cc
@@ -342,6 +342,49 @@
   cr_assert_eq(world.Wrongs(), "");
 }
 
+// After one promotion the only replica left had heard nothing for long.
+Test(proxy, no_copy_that_lacks_a_commit_is_promoted)
+{
+  ProxyWorld world(Options(Freshness::Newest));
+  Settle(world);
+  world.Upstream(2).isDeaf = true;
+  for (int i = 0; i < 20; ++i) {
+    world.Do(1, world.OpenSession(1), WriteOf("a", std::to_string(i)));
+  }
+  world.Kill(0);
+  world.ReadRegistry();
+  for (int i = 0; i < 100; ++i) {
+    world.Ask(0, world.OpenSession(0), WriteOf("a", "x" + std::to_string(i)));
+    world.RunFor(Millis(100));
+  }
+  cr_assert_eq(world.Promotions(), 1);
+  cr_assert_eq(world.PrimaryIndex(), 1);
+  cr_assert_eq(world.Wrongs(), "");
+}
+
+// The replica that confirmed the last commits left, and the primary crashed.
+Test(proxy, a_primary_whose_commits_left_with_a_replica_is_waited_for)
+{
+  ProxyWorld world(Options(Freshness::Newest));
+  Settle(world);
+  CallerId caller = world.OpenSession(1);
+  world.Upstream(2).isDeaf = true;
+  for (int i = 0; i < 20; ++i) {
+    cr_assert(IsOk(world.Do(1, caller, WriteOf("a", std::to_string(i)))));
+  }
+  world.Kill(1);
+  world.ReadRegistry();
+  world.Kill(0);
+  world.RunFor(Seconds(5));
+  cr_assert_eq(world.Promotions(), 0);
+  world.Restart(0);
+  world.Upstream(2).isDeaf = false;
+  world.ReadRegistry();
+  world.RunFor(Seconds(2));
+  cr_assert(IsOk(world.Do(1, caller, WriteOf("a", "after"))));
+  cr_assert_eq(world.Wrongs(), "");
+}
+
 // A crashed primary came back in its term under another id.
 Test(proxy, the_successor_of_a_primary_in_its_term_is_adopted)
 {
--- /dev/null
+++ b/test/standin/site-store.cc
@@ -0,0 +1,260 @@
+#include "standin/site-store.h"
+
+#include "marigoldpitch/transport/clock.h"
+#include "marigoldpitch/transport/socket-address.h"
+
+#include <fmt/format.h>
+#include <openssl/evp.h>
+
+namespace marigoldpitch::standin {
+
+namespace {
+
+constexpr Duration kLeaseSpan = Seconds(2);
+
+std::string
+Base64(const std::string& aText)
+{
+  std::string text((aText.size() + 2) / 3 * 4 + 1, '\0');
+  int size =
+    EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                    reinterpret_cast<const unsigned char*>(aText.data()),
+                    static_cast<int>(aText.size()));
+  text.resize(static_cast<size_t>(size));
+  return text;
+}
+
+std::string
+Argument(const std::string& aQuery, const std::string& aName)
+{
+  size_t start = ("&" + aQuery).find("&" + aName + "=");
+  if (start == std::string::npos) {
+    return {};
+  }
+  size_t value = start + aName.size() + 1;
+  return aQuery.substr(value, aQuery.find('&', value) - value);
+}
+
+} // namespace
+
+void
+Store::Put(const std::string& aKey, const std::string& aValue)
+{
+  ++this->revision;
+  this->Write(aKey, { Base64(aValue), 0, 0 });
+}
+
+void
+Store::Write(const std::string& aKey, const Item& aItem)
+{
+  Item& item = this->items[aKey];
+  item = aItem;
+  item.revision = this->revision;
+  std::vector<ExchangeId> ready;
+  for (const auto& [exchange, watch] : this->watches) {
+    if (aKey.rfind(watch.prefix, 0) == 0) {
+      ready.push_back(exchange);
+    }
+  }
+  for (ExchangeId exchange : ready) {
+    Watch watch = this->watches[exchange];
+    this->watches.erase(exchange);
+    this->Reply(exchange, 200, this->EventsAfter(watch));
+  }
+}
+
+void
+Store::KeepRegistry()
+{
+  for (Upstream& upstream : this->upstreams.All()) {
+    std::string key = "servers/" + upstream.id;
+    if (!upstream.isAlive) {
+      this->items.erase(key);
+      continue;
+    }
+    Json entry{ { "service", "svc" },
+                { "addr", FormatEndpoint(upstream.endpoint) },
+                { "zone", "zone-" + upstream.id.substr(2) },
+                { "state", upstream.isLeaving ? "draining" : "ready" },
+                { "dbRole", upstream.isPrimary ? "primary" : "replica" } };
+    this->Put(key, entry.dump());
+  }
+  this->Put("servers/foreign", "no upstream at all");
+  this->EndLeases();
+  this->loop.After(Millis(300), [this] { this->KeepRegistry(); });
+}
+
+void
+Store::EndLeases()
+{
+  for (auto it = this->leases.begin(); it != this->leases.end();) {
+    if (it->second > ReadClock()) {
+      ++it;
+      continue;
+    }
+    for (auto item = this->items.begin(); item != this->items.end();) {
+      item = item->second.lease == it->first ? this->items.erase(item)
+                                             : std::next(item);
+    }
+    it = this->leases.erase(it);
+  }
+}
+
+Store::Json
+Store::Shown(const std::string& aKey, const Item& aItem) const
+{
+  return { { "key", aKey },
+           { "value", aItem.value },
+           { "rev", aItem.revision },
+           { "lease", aItem.lease },
+           { "currentRev", this->revision } };
+}
+
+Store::Json
+Store::EventsAfter(const Watch& aWatch) const
+{
+  Json events = Json::array();
+  for (const auto& [key, item] : this->items) {
+    bool isNew =
+      key.rfind(aWatch.prefix, 0) == 0 && item.revision > aWatch.after;
+    if (isNew) {
+      events.push_back(this->Shown(key, item));
+    }
+  }
+  return { { "events", events }, { "currentRev", this->revision } };
+}
+
+void
+Store::Reply(ExchangeId aExchange, int aStatus, const Json& aBody)
+{
+  this->server->Respond(aExchange,
+                        { aStatus, "application/json", aBody.dump() });
+}
+
+void
+Store::OnHttpGone(ExchangeId aExchange)
+{
+  this->watches.erase(aExchange);
+}
+
+void
+Store::OnHttp(ExchangeId aExchange, const HttpRequest& aRequest)
+{
+  Json body = Json::parse(aRequest.body, nullptr, false);
+  if (aRequest.path == "/control") {
+    this->Control(aExchange, body);
+  } else if (aRequest.path == "/promote") {
+    bool taken = this->upstreams.Promote(body.value("id", ""));
+    this->Reply(aExchange, taken ? 200 : 409, Json::object());
+  } else if (this->isDown) {
+    this->Reply(aExchange, 503, Json::object());
+  } else if (aRequest.path == "/v1/kv-txn") {
+    this->Change(aExchange, body);
+  } else if (aRequest.path.rfind("/v1/kv-lease", 0) == 0 ||
+             aRequest.path.rfind("/v1/kv-keep/", 0) == 0) {
+    this->Lease(aExchange, aRequest.path);
+  } else {
+    this->Read(aExchange, aRequest);
+  }
+}
+
+void
+Store::Read(ExchangeId aExchange, const HttpRequest& aRequest)
+{
+  std::string prefix = Argument(aRequest.query, "prefix");
+  if (aRequest.path == "/v1/kv-key") {
+    auto found = this->items.find(Argument(aRequest.query, "key"));
+    bool isThere = found != this->items.end();
+    this->Reply(aExchange,
+                isThere ? 200 : 404,
+                isThere ? this->Shown(found->first, found->second)
+                        : Json::object());
+  } else if (aRequest.path == "/v1/kv-range") {
+    Json list = Json::array();
+    for (const auto& [key, item] : this->items) {
+      if (key.rfind(prefix, 0) == 0) {
+        list.push_back(this->Shown(key, item));
+      }
+    }
+    this->Reply(aExchange,
+                200,
+                { { "items", list },
+                  { "truncated", false },
+                  { "currentRev", this->revision } });
+  } else {
+    Watch watch{ prefix, std::stoull(Argument(aRequest.query, "after")) };
+    auto wait = std::stoll(Argument(aRequest.query, "waitMs"));
+    this->watches[aExchange] = watch;
+    this->loop.After(Millis(wait), [this, aExchange, watch] {
+      if (this->watches.erase(aExchange) != 0) {
+        this->Reply(aExchange, 200, this->EventsAfter(watch));
+      }
+    });
+  }
+}
+
+void
+Store::Change(ExchangeId aExchange, const Json& aBody)
+{
+  for (const auto& condition : aBody.at("precondition")) {
+    auto found = this->items.find(condition.at("key").get<std::string>());
+    uint64_t now = found == this->items.end() ? 0 : found->second.revision;
+    if (now != condition.at("rev").get<uint64_t>()) {
+      this->Reply(aExchange, 412, { { "items", Json::array() } });
+      return;
+    }
+  }
+  ++this->revision; // one for the whole change
+  for (const auto& put : aBody.at("puts")) {
+    this->Write(put.at("key").get<std::string>(),
+                { put.at("value").get<std::string>(),
+                  0,
+                  put.at("lease").get<uint64_t>() });
+  }
+  this->Reply(aExchange, 200, { { "rev", this->revision } });
+}
+
+void
+Store::Lease(ExchangeId aExchange, const std::string& aPath)
+{
+  constexpr char kKeep[] = "/v1/kv-keep/";
+  uint64_t id = 0;
+  if (aPath.rfind(kKeep, 0) == 0) {
+    id = std::stoull(aPath.substr(sizeof(kKeep) - 1));
+    if (this->leases.count(id) == 0) {
+      this->Reply(aExchange, 404, Json::object());
+      return;
+    }
+  } else {
+    id = ++this->lastLease;
+  }
+  this->leases[id] = ReadClock() + kLeaseSpan;
+  this->Reply(aExchange, 200, { { "lease", id }, { "ttlMs", kLeaseSpan.ms } });
+}
+
+void
+Store::Control(ExchangeId aExchange, const Json& aBody)
+{
+  if (aBody.contains("kill")) {
+    this->upstreams.Kill(aBody["kill"].get<size_t>());
+  }
+  if (aBody.contains("leave")) {
+    this->upstreams.All()[aBody["leave"].get<size_t>()].isLeaving = true;
+  }
+  if (aBody.contains("config")) {
+    this->Put("op/config", aBody["config"].dump());
+  }
+  this->isDown = aBody.value("down", this->isDown);
+  Json primary = "none";
+  for (const Upstream& upstream : this->upstreams.All()) {
+    if (upstream.isPrimary && upstream.isAlive) {
+      primary = upstream.id;
+    }
+  }
+  this->Reply(
+    aExchange,
+    200,
+    { { "primary", primary }, { "strange", this->upstreams.Strange() } });
+}
+
+} // namespace marigoldpitch::standin
--- /dev/null
+++ b/test/standin/site-store.h
@@ -0,0 +1,70 @@
+#ifndef MARIGOLDPITCH_TEST_STANDIN_SITE_STORE_H
+#define MARIGOLDPITCH_TEST_STANDIN_SITE_STORE_H
+
+#include "standin/site-upstreams.h"
+
+#include "marigoldpitch/transport/http-server.h"
+
+#include <nlohmann/json.hpp>
+
+/** The platform's store, the promoting call, and switches for faults. */
+namespace marigoldpitch::standin {
+
+class Store : public HttpService
+{
+public:
+  Store(Loop& aLoop, Upstreams& aUpstreams)
+    : loop(aLoop)
+    , upstreams(aUpstreams)
+  {
+  }
+
+  void Attach(HttpServer& aServer) { this->server = &aServer; }
+  void Put(const std::string& aKey, const std::string& aValue);
+
+  /** Registers the upstreams that live, each second. */
+  void KeepRegistry();
+
+  void OnHttp(ExchangeId aExchange, const HttpRequest& aRequest) override;
+  void OnHttpGone(ExchangeId aExchange) override;
+
+private:
+  struct Item
+  {
+    std::string value; // base64
+    uint64_t revision = 0;
+    uint64_t lease = 0;
+  };
+
+  struct Watch
+  {
+    std::string prefix;
+    uint64_t after = 0;
+  };
+
+  using Json = nlohmann::json;
+
+  void Reply(ExchangeId aExchange, int aStatus, const Json& aBody);
+  void Read(ExchangeId aExchange, const HttpRequest& aRequest);
+  void Change(ExchangeId aExchange, const Json& aBody);
+  void Lease(ExchangeId aExchange, const std::string& aPath);
+  void Control(ExchangeId aExchange, const Json& aBody);
+  void Write(const std::string& aKey, const Item& aItem);
+  void EndLeases();
+  Json Shown(const std::string& aKey, const Item& aItem) const;
+  Json EventsAfter(const Watch& aWatch) const;
+
+  Loop& loop;
+  Upstreams& upstreams;
+  HttpServer* server = nullptr;
+  std::map<std::string, Item> items;
+  std::map<ExchangeId, Watch> watches;
+  std::map<uint64_t, Time> leases; // when they end
+  uint64_t revision = 10;
+  uint64_t lastLease = 0;
+  bool isDown = false;
+};
+
+} // namespace marigoldpitch::standin
+
+#endif
--- /dev/null
+++ b/test/standin/site-upstreams.h
@@ -0,0 +1,80 @@
+#ifndef MARIGOLDPITCH_TEST_STANDIN_SITE_UPSTREAMS_H
+#define MARIGOLDPITCH_TEST_STANDIN_SITE_UPSTREAMS_H
+
+#include "marigoldpitch/transport/line-link.h"
+#include "marigoldpitch/transport/tcp-listener.h"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/** Three upstreams of one service, in one process, that speak in lines. */
+namespace marigoldpitch::standin {
+
+struct Upstream
+{
+  std::string id;
+  Endpoint endpoint;
+  bool isPrimary = false;
+  uint64_t term = 1;
+  uint64_t held = 0;
+  bool isAlive = true;
+  bool isLeaving = false;
+  std::vector<std::pair<std::string, std::string>> log;
+};
+
+class Upstreams : public LineLinkListener
+{
+public:
+  explicit Upstreams(Loop& aLoop);
+
+  Result<void> Listen(size_t aUpstream, const Endpoint& aEndpoint);
+  std::array<Upstream, 3>& All() { return this->upstreams; }
+
+  /** False when the upstream does not run. */
+  bool Promote(const std::string& aId);
+  void Kill(size_t aUpstream);
+  uint64_t Strange() const { return this->strange; }
+
+  void OnLinkUp(LineLink&) override {}
+  void OnLine(LineLink& aLink, std::string_view aLine) override;
+  void OnLinkDown(LineLink& aLink, const Error& aReason) override;
+
+private:
+  struct Port : public AcceptHandler
+  {
+    Upstreams* all = nullptr;
+    size_t upstream = 0;
+    std::unique_ptr<TcpListener> listener;
+    void OnAccept(h2o_socket_t* aSocket) override;
+  };
+
+  struct Session
+  {
+    size_t upstream = 0;
+    std::shared_ptr<LineLink> link;
+    bool hasStarted = false;
+    char state = 'I';
+    std::map<std::string, std::string> prepared; // `READ` or `WRITE`
+    std::vector<std::pair<std::string, std::string>> written;
+  };
+
+  std::string Answer(Session& aSession, const std::vector<std::string>& aWords);
+  std::string Read(Session& aSession, const std::string& aItem);
+  std::string Keep(Session& aSession,
+                   std::vector<std::pair<std::string, std::string>> aEntries);
+  std::string Report(Upstream& aUpstream);
+
+  Loop& loop;
+  std::array<Upstream, 3> upstreams;
+  std::array<Port, 3> ports;
+  std::map<uint64_t, Session> sessions;
+  uint64_t lastSession = 0;
+  uint64_t strange = 0; // lines that no proxy may send
+};
+
+} // namespace marigoldpitch::standin
+
+#endif
