--- a/src/coordination/promotion.cc
+++ b/src/coordination/promotion.cc
@@ -4,7 +4,7 @@
 
 namespace detail {
 
-constexpr Duration kSilence = Millis(600);
+constexpr Duration kSilence = Millis(400);
 constexpr Duration kCommitsStalled = Millis(900);
 constexpr Duration kUnknownPrimary = Millis(2000);
 constexpr Duration kAskAgain = Millis(150);
