--- a/include/marigoldpitch/coordination/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy-session.h
@@ -48,7 +48,8 @@
   bool needsPrimary = false;
   bool needsProof = false; // that the primary leads
   bool writes = false;
-  bool began = false; // its transaction began on the connection for it
+  bool mayHaveRun = false; // on a try before this one
+  bool began = false;      // its transaction began on the connection for it
   Time arrived;
   Time deadline;
   Time notBefore = kLongAgo;
--- a/src/coordination/proxy-answers.cc
+++ b/src/coordination/proxy-answers.cc
@@ -314,6 +314,7 @@
   if (isAlone && mayRepeat) {
     this->NoteRefusal(aLink, aSession, refusal);
     aSession.pinned = 0;
+    pending.mayHaveRun = pending.mayHaveRun || !didNotRun;
     if (refusal.code == RefusalCode::NoStatement) {
       aLink.prepared.clear();
     }
@@ -351,6 +352,7 @@
   aSession.pinned = 0;
   pending.connection = 0;
   pending.refusedBy.insert(aUpstream);
+  pending.mayHaveRun = pending.mayHaveRun || wasSent;
   if (isMiddle) {
     bool mayBeKept = isCommit && wasSent && aSession.transactionWrote;
     aSession.state = isCommit ? SessionState::Idle : SessionState::Failed;
@@ -526,7 +528,7 @@
     } else {
       this->FailTransaction(aSession);
     }
-  } else if (wasSent) {
+  } else if (wasSent || pending.mayHaveRun) {
     code = pending.writes ? RefusalCode::Unsure : RefusalCode::Timeout;
   }
   this->Refuse(aSession, code, "no answer in time");
--- a/src/coordination/proxy-dispatch.cc
+++ b/src/coordination/proxy-dispatch.cc
@@ -140,12 +140,13 @@
   pending.notBefore = this->now + aPause;
   if (pending.tries >= detail::kMostTries) {
     bool inTransaction = aSession.state == SessionState::InTransaction;
+    RefusalCode code =
+      pending.mayHaveRun ? RefusalCode::Timeout : RefusalCode::Busy;
     if (inTransaction) {
       this->FailTransaction(aSession);
+      code = RefusalCode::Aborted;
     }
-    this->Refuse(aSession,
-                 inTransaction ? RefusalCode::Aborted : RefusalCode::Busy,
-                 "no upstream takes it");
+    this->Refuse(aSession, code, "no upstream takes it");
     return;
   }
   this->Enqueue(aSession);
--- a/test/proxy-test.cc
+++ b/test/proxy-test.cc
@@ -212,6 +212,22 @@
   cr_assert(IsOk(world.Do(0, caller, ReadOf("a"))));
 }
 
+// It was told "busy", which says that it did not run.
+Test(proxy, a_read_that_may_have_run_is_not_said_not_to_have)
+{
+  ProxyWorld world(Options(Freshness::Newest));
+  Settle(world);
+  world.SetDuty(0, false);
+  CallerId caller = world.OpenSession(0);
+  world.Do(0, caller, WriteOf("a", "v"));
+  auto read = world.Ask(0, caller, ReadOf("a"));
+  world.RunFor(Millis(6)); // it ran, and its answer is on its way
+  cr_assert_eq(read->runs, 1);
+  world.Kill(0);
+  world.RunFor(Seconds(2));
+  cr_assert(CodeOf(read) == RefusalCode::Timeout);
+}
+
 Test(proxy, a_session_reads_its_own_write_on_a_replica_that_lags)
 {
   ProxyWorldOptions options = Options(Freshness::Session);
