--- a/test/proxy-test.cc
+++ b/test/proxy-test.cc
@@ -221,7 +221,7 @@
   CallerId caller = world.OpenSession(0);
   world.Do(0, caller, WriteOf("a", "v"));
   auto read = world.Ask(0, caller, ReadOf("a"));
-  world.RunFor(Millis(6)); // it ran, and its answer is on its way
+  world.RunFor(Millis(5)); // it ran, and its answer is on its way
   cr_assert_eq(read->runs, 1);
   world.Kill(0);
   world.RunFor(Seconds(2));
