--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -118,8 +118,6 @@
   bool Place(ProxyService& aService, CallerSession& aSession);
   bool HasRoomForTransaction(const ProxyService& aService,
                              UpstreamIndex aUpstream) const;
-  Duration ReadLimit(const ProxyService& aService,
-                     const PendingStatement& aPending) const;
   double CostOf(const ProxyService& aService, UpstreamIndex aUpstream) const;
   static bool IsCommit(const CallerSession& aSession);
   bool HasRoom(const ProxyService& aService, UpstreamIndex aUpstream) const;
@@ -138,14 +136,18 @@
   std::optional<ConnectionId> FindLink(const ProxyService& aService,
                                        UpstreamIndex aUpstream,
                                        const CallerSession& aSession) const;
+
+  // proxy-placing.cc: putting a statement on a connection.
   void Open(ProxyService& aService, UpstreamIndex aUpstream);
   void Assign(ProxyService& aService,
               CallerSession& aSession,
               ConnectionId aConnection);
   void PutValues(ProxyLink& aLink, CallerSession& aSession);
   void SendNext(ProxyLink& aLink, CallerSession& aSession);
+  Duration ReadLimit(const ProxyService& aService,
+                     const PendingStatement& aPending) const;
 
-  // proxy-answers.cc: what upstreams answer, or fail to.
+  // proxy-answers.cc: what upstreams answer.
   void On(const LinkOpened& aEvent);
   void On(const LinkLost& aEvent);
   void On(const LinkAnswered& aEvent);
@@ -167,17 +169,19 @@
                const StatementReply& aReply);
   static void AdaptWindow(const ProxyService& aService,
                           ProxyUpstream& aUpstream);
-  Time LimitOf(const CallerSession& aSession) const;
   void NoteBusy(ProxyService& aService, UpstreamIndex aUpstream);
   void NoteRefusal(ProxyLink& aLink,
                    CallerSession& aSession,
                    const Refusal& aRefusal);
+  void Release(ProxyLink& aLink, SessionState aState);
+
+  // proxy-losses.cc: connections that end, and limits that pass.
   void LostAnswer(CallerSession& aSession, UpstreamIndex aUpstream);
   void AbortTransaction(CallerSession& aSession, const std::string& aWhy);
-  void Release(ProxyLink& aLink, SessionState aState);
   void Lose(ConnectionId aConnection, bool aIsUpstreamAtFault);
   void Close(ConnectionId aConnection, bool aIsUpstreamAtFault);
   void CheckLimits();
+  Time LimitOf(const CallerSession& aSession) const;
   void Expire(CallerSession& aSession);
 
   // proxy-watch.cc: reports of upstreams, proofs, promotions.
--- a/include/marigoldpitch/coordination/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy-session.h
@@ -17,6 +17,9 @@
 /** So does an answer that nobody waits for any more. */
 constexpr Duration kOrphanLimit = Millis(1000);
 
+/** How long an upstream that took no more connections is not asked again. */
+constexpr Duration kFullSpan = Millis(100);
+
 struct PreparedStatement
 {
   bool writes = false;
--- /dev/null
+++ b/src/coordination/proxy-losses.cc
@@ -0,0 +1,189 @@
+#include "marigoldpitch/coordination/proxy-engine.h"
+
+#include <algorithm>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+constexpr Duration kAliveSpan = Millis(300);
+// Of a statement's time, that it may wait without being sent.
+constexpr double kLongestHeldShare = 0.45;
+
+} // namespace detail
+
+/** The connection that it was sent on is gone, or silent. */
+void
+ProxyEngine::LostAnswer(CallerSession& aSession, UpstreamIndex aUpstream)
+{
+  PendingStatement& pending = *aSession.pending;
+  bool isCommit = pending.statement.kind == StatementKind::Commit;
+  bool inTransaction = aSession.state == SessionState::InTransaction;
+  bool wasSent = pending.phase == StatementPhase::Running;
+  bool isMiddle = inTransaction && aSession.pinned != 0 && !pending.began;
+  aSession.pinned = 0;
+  pending.connection = 0;
+  pending.refusedBy.insert(aUpstream);
+  pending.mayHaveRun = pending.mayHaveRun || wasSent;
+  if (isMiddle) {
+    bool mayBeKept = isCommit && wasSent && aSession.transactionWrote;
+    aSession.state = isCommit ? SessionState::Idle : SessionState::Failed;
+    this->Refuse(aSession,
+                 mayBeKept ? RefusalCode::Unsure : RefusalCode::Aborted,
+                 "the connection was lost");
+    return;
+  }
+  if (wasSent && pending.writes && !inTransaction) {
+    this->Refuse(aSession, RefusalCode::Unsure, "the connection was lost");
+    return;
+  }
+  this->Decide(LogEvent::StatementRetried,
+               pending.requestId,
+               { { "code", "connection-lost" },
+                 { "phase", kStatementPhaseNames.TextOf(pending.phase) },
+                 { "try", std::to_string(pending.tries) } });
+  this->Requeue(aSession, Millis(0));
+}
+
+void
+ProxyEngine::Close(ConnectionId aConnection, bool aIsUpstreamAtFault)
+{
+  this->Emit(CloseLink{ aConnection });
+  this->Lose(aConnection, aIsUpstreamAtFault);
+}
+
+void
+ProxyEngine::Lose(ConnectionId aConnection, bool aIsUpstreamAtFault)
+{
+  ProxyLink link = this->links.at(aConnection);
+  this->links.erase(aConnection);
+  ProxyService& service = this->ServiceOf(link.service);
+  service.connections.Remove(aConnection);
+  service.view.CommitEnded(aConnection);
+  ProxyUpstream& upstream = service.view.At(link.upstream);
+  bool isAlive =
+    link.isOpening && this->now - upstream.lastAnswer <= detail::kAliveSpan;
+  if (isAlive) {
+    // It answers over others: it takes no more for now.
+    upstream.fullUntil = this->now + kFullSpan;
+  } else if (aIsUpstreamAtFault) {
+    service.view.Failed(link.upstream, this->now);
+    this->Decide(LogEvent::ConnectionLost,
+                 "",
+                 { { "upstream", upstream.entry.id },
+                   { "use", kLinkUseNames.TextOf(link.use) },
+                   { "failures", std::to_string(upstream.failures) } });
+  }
+  if (link.use == LinkUse::Report || link.isOpening) {
+    upstream.askOpen = false;
+    service.proofOpen = false;
+    service.wanted.erase(link.upstream);
+  }
+  auto found = this->sessions.find(link.caller);
+  if (link.use != LinkUse::Statement || found == this->sessions.end()) {
+    return;
+  }
+  CallerSession& session = found->second;
+  if (session.pending && session.pending->connection == aConnection) {
+    this->LostAnswer(session, link.upstream);
+  } else if (session.pinned == aConnection) {
+    this->AbortTransaction(session, "connection-lost");
+  }
+}
+
+/** Between two statements: the next one hears of it. */
+void
+ProxyEngine::AbortTransaction(CallerSession& aSession, const std::string& aWhy)
+{
+  aSession.pinned = 0;
+  aSession.state = SessionState::Failed;
+  aSession.abortUntold = true;
+  if (aSession.pending) {
+    this->Dequeue(aSession);
+    aSession.abortUntold = false;
+    this->Refuse(aSession, RefusalCode::Aborted, aWhy);
+  }
+}
+
+void
+ProxyEngine::CheckLimits()
+{
+  std::vector<ConnectionId> silent;
+  for (const auto& [id, link] : this->links) {
+    if (link.limit <= this->now) {
+      silent.push_back(id);
+    }
+  }
+  for (ConnectionId id : silent) {
+    if (this->links.count(id) != 0) {
+      this->Close(id, true);
+    }
+  }
+  std::vector<CallerId> late;
+  for (const auto& [id, session] : this->sessions) {
+    if (session.pending && this->LimitOf(session) <= this->now) {
+      late.push_back(id);
+    }
+  }
+  for (CallerId id : late) {
+    this->Expire(this->sessions.at(id));
+  }
+}
+
+/**
+ * When a statement is given up. One that still waits is told early enough to be
+ * of use: what could not start within its objective would only delay others.
+ */
+Time
+ProxyEngine::LimitOf(const CallerSession& aSession) const
+{
+  const PendingStatement& pending = *aSession.pending;
+  if (pending.phase != StatementPhase::Queued || aSession.pinned != 0) {
+    return pending.deadline;
+  }
+  auto share =
+    static_cast<double>(pending.route.timeout.ms) * detail::kLongestHeldShare;
+  Duration held{ static_cast<int64_t>(share) };
+  const ProxyService& service = this->services.at(pending.route.service);
+  bool waitsForLeader =
+    pending.needsPrimary && !service.view.IsPrimaryUsable(this->now);
+  if (!waitsForLeader) {
+    held = std::min(held, pending.route.latencyObjective);
+  }
+  return pending.arrived + held;
+}
+
+void
+ProxyEngine::Expire(CallerSession& aSession)
+{
+  PendingStatement& pending = *aSession.pending;
+  bool isCommit = pending.statement.kind == StatementKind::Commit;
+  bool inTransaction = aSession.state == SessionState::InTransaction;
+  bool wasSent = pending.phase == StatementPhase::Running;
+  if (pending.phase == StatementPhase::Queued) {
+    this->Dequeue(aSession);
+  }
+  if (pending.connection != 0) {
+    ProxyLink& link = this->links.at(pending.connection);
+    link.use = LinkUse::Orphan;
+    link.caller = 0;
+    link.limit = this->now + kOrphanLimit;
+    pending.connection = 0;
+    aSession.pinned = 0;
+  }
+  RefusalCode code = RefusalCode::Busy;
+  if (inTransaction) {
+    bool mayBeKept = isCommit && wasSent && aSession.transactionWrote;
+    code = mayBeKept ? RefusalCode::Unsure : RefusalCode::Aborted;
+    if (isCommit) {
+      this->LeaveTransaction(aSession);
+    } else {
+      this->FailTransaction(aSession);
+    }
+  } else if (wasSent || pending.mayHaveRun) {
+    code = pending.writes ? RefusalCode::Unsure : RefusalCode::Timeout;
+  }
+  this->Refuse(aSession, code, "no answer in time");
+}
+
+} // namespace marigoldpitch
--- /dev/null
+++ b/src/coordination/proxy-placing.cc
@@ -0,0 +1,159 @@
+#include "marigoldpitch/coordination/proxy-engine.h"
+
+#include <algorithm>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+// A read that gets no answer for so many times the slowest of late is sent
+// again elsewhere; with each try it is given more time.
+constexpr double kReadLimitFactor = 2;
+constexpr double kFirstSlowestMs = 250;
+constexpr double kLeastReadLimitMs = 120;
+constexpr Duration kPreludeLimit = Millis(300);
+constexpr Duration kOpenLimit = Millis(500);
+// A connection that was idle for longer is tested before a write.
+constexpr Duration kTestAfter = Millis(500);
+
+} // namespace detail
+
+void
+ProxyEngine::Open(ProxyService& aService, UpstreamIndex aUpstream)
+{
+  const ProxyUpstream& upstream = aService.view.At(aUpstream);
+  const UpstreamUse& use = aService.connections.Use(aUpstream);
+  bool isOpening = use.opening > aService.queue.size();
+  if (isOpening || upstream.fullUntil > this->now ||
+      upstream.avoidUntil > this->now) {
+    return;
+  }
+  ProxyLink link;
+  link.id = aService.connections.Open(aUpstream, this->now);
+  link.service = aService.name;
+  link.upstream = aUpstream;
+  link.limit = this->now + detail::kOpenLimit;
+  this->links[link.id] = link;
+  this->Emit(OpenLink{
+    link.id, aService.name, upstream.entry.id, upstream.entry.endpoint });
+}
+
+void
+ProxyEngine::Assign(ProxyService& aService,
+                    CallerSession& aSession,
+                    ConnectionId aConnection)
+{
+  PendingStatement& pending = *aSession.pending;
+  ProxyLink& link = this->links.at(aConnection);
+  link.use = LinkUse::Statement;
+  link.caller = aSession.id;
+  link.sequence = aService.connections.StartBatch(aConnection, this->now);
+  pending.connection = aConnection;
+  pending.phase = StatementPhase::Preparing;
+  ++pending.tries;
+  this->PutValues(link, aSession);
+  link.asked = this->now;
+  link.limit = this->now + detail::kPreludeLimit;
+  if (link.preludeOpen == 0) {
+    this->SendNext(link, aSession);
+  }
+}
+
+void
+ProxyEngine::PutValues(ProxyLink& aLink, CallerSession& aSession)
+{
+  PendingStatement& pending = *aSession.pending;
+  auto send = [&](const SessionStatement& aStatement) {
+    ++aLink.preludeOpen;
+    this->Emit(AskLink{ aLink.id, "", aStatement, {} });
+  };
+  bool isForeign = false;
+  for (const auto& [name, value] : aLink.values) {
+    isForeign = isForeign || aSession.values.count(name) == 0;
+  }
+  bool isDoubtful =
+    pending.writes && this->now - aLink.lastAnswer >= detail::kTestAfter;
+  if (aSession.pinned == 0 && (isForeign || isDoubtful)) {
+    aLink.values.clear();
+    aLink.prepared.clear();
+    send({ StatementKind::Reset });
+  }
+  for (const auto& [name, value] : aSession.values) {
+    auto found = aLink.values.find(name);
+    if (found == aLink.values.end() || found->second != value) {
+      aLink.values[name] = value;
+      send({ StatementKind::SetValue, name, value });
+    }
+  }
+  if (pending.statement.kind != StatementKind::Execute) {
+    return;
+  }
+  // Equal statements of all sessions share one name.
+  std::string name = (pending.writes ? "w" : "r") + pending.statement.shape;
+  pending.statement.name = name;
+  if (aLink.prepared.count(name) == 0) {
+    aLink.prepared[name] = { pending.writes, pending.statement.shape };
+    SessionStatement prepare{ StatementKind::Prepare, name };
+    prepare.writes = pending.writes;
+    prepare.shape = pending.statement.shape;
+    send(prepare);
+  }
+}
+
+Duration
+ProxyEngine::ReadLimit(const ProxyService& aService,
+                       const PendingStatement& aPending) const
+{
+  auto found = aService.slowestMs.find(aPending.route.database);
+  double slowest =
+    found == aService.slowestMs.end() ? detail::kFirstSlowestMs : found->second;
+  double limit =
+    std::max(slowest * detail::kReadLimitFactor, detail::kLeastReadLimitMs);
+  return Duration{ static_cast<int64_t>(limit) * aPending.tries };
+}
+
+void
+ProxyEngine::SendNext(ProxyLink& aLink, CallerSession& aSession)
+{
+  PendingStatement& pending = *aSession.pending;
+  ProxyService& service = this->ServiceOf(aLink.service);
+  auto after = pending.onReplica ? pending.after : std::nullopt;
+  aLink.asked = this->now;
+  if (aSession.state == SessionState::InTransaction && aSession.pinned == 0) {
+    pending.phase = StatementPhase::Beginning;
+    pending.began = true;
+    aSession.pinned = aLink.id;
+    service.connections.Pin(aLink.id, std::to_string(aSession.id));
+    aLink.limit = this->now + detail::kPreludeLimit;
+    StatementKind kind =
+      aSession.readOnly ? StatementKind::BeginReadOnly : StatementKind::Begin;
+    this->Emit(AskLink{ aLink.id, "", { kind }, after });
+    return;
+  }
+  if (aSession.pinned != 0) {
+    after.reset(); // its beginning carried it
+  }
+  pending.phase = StatementPhase::Running;
+  pending.sent = this->now;
+  bool mayRepeat = !pending.writes && (pending.began || aSession.pinned == 0);
+  aLink.limit = kNever;
+  if (mayRepeat) {
+    aLink.limit = this->now + this->ReadLimit(service, pending);
+  }
+  if (this->IsCommit(aSession)) {
+    service.view.CommitSent(aLink.id, this->now);
+  }
+  this->Decide(
+    LogEvent::StatementPlaced,
+    pending.requestId,
+    { { "upstream", service.view.At(aLink.upstream).entry.id },
+      { "as", pending.onReplica ? "replica" : "primary" },
+      { "after", after ? std::to_string(after->position) : "none" },
+      { "proof_age_ms",
+        std::to_string((this->now - service.view.ProvedAsked()).ms) },
+      { "waited_ms", std::to_string((this->now - pending.arrived).ms) },
+      { "try", std::to_string(pending.tries) } });
+  this->Emit(AskLink{ aLink.id, pending.requestId, pending.statement, after });
+}
+
+} // namespace marigoldpitch
