--- a/test/standin/site-store.cc
+++ b/test/standin/site-store.cc
@@ -211,6 +211,9 @@
                   0,
                   put.at("lease").get<uint64_t>() });
   }
+  for (const auto& key : aBody.at("deletes")) {
+    this->items.erase(key.get<std::string>());
+  }
   this->Reply(aExchange, 200, { { "rev", this->revision } });
 }
 
