Send the keys to delete

Cause: a holder that gave its duty back said so in the log, and the key stayed: the list of deletes was never encoded. Change: it is encoded; the stand-in refuses a write under a lease that has ended.

--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -221,8 +221,10 @@
     StoreChange change;
     change.conditions.push_back({ "k", 7 });
     change.puts.push_back({ "k", aValue, 9 });
+    change.deletes.emplace_back("gone");
     auto text = nlohmann::json::parse(EncodeChange(change));
     RC_ASSERT(text["precondition"][0]["rev"] == 7);
+    RC_ASSERT(text["deletes"][0] == "gone");
     nlohmann::json item{ { "key", "k" },
                          { "rev", 8 },
                          { "value", text["puts"][0]["value"] } };
--- a/test/standin/site-store.cc
+++ b/test/standin/site-store.cc
@@ -204,6 +204,13 @@
       return;
     }
   }
+  for (const auto& put : aBody.at("puts")) {
+    auto lease = put.at("lease").get<uint64_t>();
+    if (lease != 0 && this->leases.count(lease) == 0) {
+      this->Reply(aExchange, 404, Json::object());
+      return;
+    }
+  }
   ++this->revision; // one for the whole change
   for (const auto& put : aBody.at("puts")) {
     this->Write(put.at("key").get<std::string>(),
