Draw from the seed that the proxy's fake world is given

Cause: ProxyWorld took a seed and never used it, so "30 seeds" were 30 variants of the tests' own timing. Change: in the seeded tests each hop takes 0 to 4 ms more, drawn from the seed, in order on each connection; no bound or check is changed. An unused accessor is gone.

--- a/test/fakes/proxy-world.cc
+++ b/test/fakes/proxy-world.cc
@@ -105,6 +105,19 @@
   this->queue.After(kTickInterval, [this] { this->Tick(); });
 }
 
+/** Until the next message arrives, behind the newest of its connection. */
+Duration
+ProxyWorld::Hop(Time& aNewest)
+{
+  Duration hop = kHop;
+  if (this->options.jitter.ms > 0) {
+    std::uniform_int_distribution<int64_t> more(0, this->options.jitter.ms);
+    hop = hop + Duration{ more(this->random) };
+  }
+  aNewest = std::max(aNewest, this->Now() + hop);
+  return aNewest - this->Now();
+}
+
 void
 ProxyWorld::RunFor(Duration aSpan)
 {
@@ -217,7 +230,11 @@
   } else if (const auto* ask = std::get_if<AskLink>(&aAction)) {
     LinkKey key{ aHost, ask->connection };
     AskLink copy = *ask;
-    this->queue.After(kHop, [this, key, copy] { this->Run(key, copy); });
+    auto found = this->links.find(key);
+    if (found != this->links.end()) {
+      this->queue.After(this->Hop(found->second.askedAt),
+                        [this, key, copy] { this->Run(key, copy); });
+    }
   } else if (const auto* order = std::get_if<RequestPromotion>(&aAction)) {
     this->Promote(*order, aHost);
   } else if (const auto* decided = std::get_if<Decided>(&aAction)) {
@@ -303,7 +320,7 @@
       reply.position = this->EndOf(upstream, upstream.applied);
       event = LinkAnswered{ aKey.second, reply };
     }
-    this->queue.After(kHop, [this, aKey, event] {
+    this->queue.After(this->Hop(late->second.answeredAt), [this, aKey, event] {
       auto still = this->links.find(aKey);
       if (still != this->links.end() && !still->second.isSilent &&
           this->Reaches(aKey.first, still->second.upstream)) {
--- a/test/fakes/proxy-world.h
+++ b/test/fakes/proxy-world.h
@@ -50,6 +50,8 @@
   bool readOnly = false;
   std::vector<LogEntry> written; // by its transaction
   Time freeAt = kLongAgo;
+  Time askedAt = kLongAgo;    // when its newest question arrives
+  Time answeredAt = kLongAgo; // when its newest answer does
 };
 
 /** What a caller asked for and what it was told. */
@@ -75,6 +77,7 @@
   Freshness freshness = Freshness::Newest;
   Duration maxAge = Millis(300);
   uint32_t connections = 12;
+  Duration jitter = Millis(0); // added to each hop, drawn from the seed
 };
 
 class ProxyWorld
@@ -84,7 +87,6 @@
 
   void RunFor(Duration aSpan);
   Time Now() const { return this->queue.Now(); }
-  EventQueue& Queue() { return this->queue; }
   ProxyEngine& Host(size_t aHost) { return *this->hosts[aHost]; }
   FakeUpstream& Upstream(size_t aUpstream)
   {
@@ -145,6 +147,7 @@
   using LinkKey = std::pair<size_t, ConnectionId>;
 
   void Tick();
+  Duration Hop(Time& aNewest);
   void Perform(size_t aHost, const ProxyAction& aAction);
   void Open(size_t aHost, const OpenLink& aAction);
   void Run(LinkKey aKey, const AskLink& aAction);
--- a/test/proxy-test.cc
+++ b/test/proxy-test.cc
@@ -35,6 +35,15 @@
   return options;
 }
 
+/** The same with messages that take longer or shorter, as the seed draws. */
+ProxyWorldOptions
+JitteredOptions(Freshness aFreshness, uint32_t aSeed)
+{
+  ProxyWorldOptions options = Options(aFreshness, aSeed);
+  options.jitter = Millis(4);
+  return options;
+}
+
 /** Lets the hosts learn who leads. */
 void
 Settle(ProxyWorld& aWorld)
@@ -283,7 +292,7 @@
 Test(proxy, a_lost_primary_is_replaced_and_nothing_acknowledged_is_lost)
 {
   for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
-    ProxyWorld world(Options(Freshness::Newest, seed));
+    ProxyWorld world(JitteredOptions(Freshness::Newest, seed));
     Settle(world);
     CallerId caller = world.OpenSession(1);
     world.Upstream(1 + seed % 2).isDeaf = true;
@@ -435,7 +444,7 @@
 Test(proxy, a_replaced_primary_serves_no_reads)
 {
   for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
-    ProxyWorld world(Options(Freshness::Newest, seed));
+    ProxyWorld world(JitteredOptions(Freshness::Newest, seed));
     Settle(world);
     world.Do(1, world.OpenSession(1), WriteOf("a", "before"));
     world.Upstream(0).cutFrom.insert(0); // the promoter cannot reach it
@@ -457,7 +466,7 @@
 Test(proxy, a_host_that_hears_of_no_promotion_reads_nothing_old)
 {
   for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
-    ProxyWorld world(Options(Freshness::Newest, seed));
+    ProxyWorld world(JitteredOptions(Freshness::Newest, seed));
     Settle(world);
     world.Upstream(0).entry.leaving = true;
     world.ReadRegistry();
