Spread what the store holds among the proxies of an availability zone

Change: proxies use Spread as entries and owners do. Two watchers a zone ask the store, a second one only when the first has not; digests say how long ago the store confirmed a document, so a host whose watchers are gone, cut off or stopped asks itself after 2.4 s.

Tests: spread-test zones and a mutant, codec-test, process/zone-test. The stand-in's watch waited though events were past; it answers at once now, as the store does.

--- a/include/marigoldpitch/coordination/duty-lease.h
+++ b/include/marigoldpitch/coordination/duty-lease.h
@@ -32,6 +32,7 @@
 struct DutySeen
 {
   bool isTaken = false;
+  Duration patience = Millis(0); // how long others go first, once it is free
 };
 
 /** Our write took the duty, at this revision. */
--- a/include/marigoldpitch/coordination/spread.h
+++ b/include/marigoldpitch/coordination/spread.h
@@ -12,18 +12,20 @@
 #include <variant>
 #include <vector>
 
-/** Spreading the configuration and the host list among the daemons. */
+/** Spreading what the store holds among the daemons. */
 namespace marigoldpitch {
 
 enum class DocumentKind
 {
   Configuration,
   Hosts,
+  Upstreams, // as they registered themselves
 };
 
-constexpr NameTable<DocumentKind, 2> kDocumentKindNames{ {
+constexpr NameTable<DocumentKind, 3> kDocumentKindNames{ {
   { DocumentKind::Configuration, "configuration" },
   { DocumentKind::Hosts, "hosts" },
+  { DocumentKind::Upstreams, "upstreams" },
 } };
 
 constexpr size_t kDocumentKinds = kDocumentKindNames.Size();
@@ -36,10 +38,13 @@
   std::string text;
 };
 
-/** The revisions a daemon has; also the heartbeat between neighbours. */
+/** What a daemon has; also the heartbeat between neighbours. */
 struct Digest
 {
   std::array<uint64_t, kDocumentKinds> revisions{};
+
+  /** How long ago the store, asked by whomever, had nothing newer. */
+  std::array<std::optional<Duration>, kDocumentKinds> ages{};
 };
 
 // Events.
@@ -106,19 +111,44 @@
 
 using SpreadActions = std::vector<SpreadAction>;
 
+/** Whom a daemon keeps links to. */
+enum class Neighbourhood
+{
+  Random,       // a few of all; together a graph that is a few hops across
+  ZoneWatchers, // those who ask the store for this zone
+};
+
+constexpr NameTable<Neighbourhood, 2> kNeighbourhoodNames{ {
+  { Neighbourhood::Random, "random" },
+  { Neighbourhood::ZoneWatchers, "zone-watchers" },
+} };
+
 struct SpreadOptions
 {
-  std::string peer; // this daemon: `host/owner` or `host/entry`
+  std::string peer; // this daemon: `host/role`
   std::string host;
   std::string zone;
   bool mayWatch = true; // entries leave it to owners once they know hosts
+  std::vector<std::string> roles = { "owner", "entry" }; // on each host
+  std::vector<DocumentKind> kinds = { DocumentKind::Configuration,
+                                      DocumentKind::Hosts };
+  // Read whole and often: the store has no revision of their own.
+  std::vector<DocumentKind> polled;
+  Duration pollInterval = Seconds(1);
+  Neighbourhood neighbourhood = Neighbourhood::Random;
+  Duration digestInterval = Seconds(1);
+  Duration storeRetry = Millis(500);
+  // A daemon that is no watcher asks the store when nobody has confirmed its
+  // document for so long.
+  Duration longestUnconfirmed = Seconds(60);
 };
 
 /**
  * A few watchers per availability zone hear of a change from the store, and
  * each daemon hands it on to its neighbours at once. A daemon only ever moves
  * to a higher revision. Watching costs the store no writes and no leases: the
- * watchers follow from the host list.
+ * watchers follow from the host list. Digests say how long ago the store was
+ * asked, so a daemon whose watchers are gone or cut off notices.
  */
 class Spread
 {
@@ -145,6 +175,11 @@
     return this->Own(aKind).revision;
   }
 
+  /** What this daemon has, and how old its word is. */
+  Digest OwnDigest(Time aNow) const;
+
+  const SpreadOptions& Options() const { return this->options; }
+
 private:
   void On(const DocumentSeen& aEvent);
   void On(const DigestSeen& aEvent);
@@ -152,13 +187,15 @@
   void On(const StoreAnswered& aEvent);
   void On(const SpreadTick& aEvent);
   void Watch(DocumentKind aKind);
-  Digest OwnDigest() const;
+  bool IsPolled(DocumentKind aKind) const;
+  Duration PatienceOf(DocumentKind aKind) const;
   const Document& Own(DocumentKind aKind) const;
 
   struct StoreState
   {
     bool waiting = false;
     Time notBefore = kLongAgo;
+    Time confirmed = kLongAgo; // when it had nothing newer
   };
 
   SpreadOptions options;
@@ -167,6 +204,7 @@
   std::map<std::string, Digest> peers;
   std::vector<std::string> neighbours;
   bool watches = true; // until a host list says who does
+  size_t rank = 0;     // among the watchers of the zone
   Time lastDigest = kLongAgo;
   Time now;
   SpreadActions actions;
--- a/include/marigoldpitch/protocol/proxy-settings.h
+++ b/include/marigoldpitch/protocol/proxy-settings.h
@@ -16,6 +16,7 @@
   Endpoint callers;
   Endpoint health;
   Endpoint metrics;
+  Endpoint peers; // for other proxies
   Endpoint store;
   Endpoint duties; // where promotions are ordered
   Duration grace;  // from SIGTERM to the end of the process
--- a/include/marigoldpitch/protocol/settings.h
+++ b/include/marigoldpitch/protocol/settings.h
@@ -67,6 +67,10 @@
 Result<Endpoint>
 ParseEndpoint(const std::string& aText);
 
+/** `ADDRESS:PORT`. */
+std::string
+FormatEndpoint(const Endpoint& aEndpoint);
+
 } // namespace marigoldpitch
 
 #endif
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -49,6 +49,7 @@
   PromotionAnswered,
   DutyChanged,
   SettingsReloaded,
+  WatchChanged,
   StrangeRecord,
   CallerRefused,
   LogDropped,
@@ -62,7 +63,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 35> kLogEvents{ {
+constexpr std::array<LogEventRow, 36> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -104,6 +105,7 @@
   { LogEvent::PromotionAnswered, 408, Severity::Info, "promotion-answered" },
   { LogEvent::DutyChanged, 409, Severity::Info, "duty-changed" },
   { LogEvent::SettingsReloaded, 105, Severity::Info, "settings-reloaded" },
+  { LogEvent::WatchChanged, 206, Severity::Info, "watch-changed" },
   { LogEvent::StrangeRecord, 205, Severity::Warning, "strange-record" },
   { LogEvent::CallerRefused, 604, Severity::Warning, "caller-refused" },
   { LogEvent::LogDropped, 106, Severity::Warning, "log-dropped" },
--- a/include/marigoldpitch/state/proxy-config.h
+++ b/include/marigoldpitch/state/proxy-config.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 /** What a proxy is told of databases, services and upstreams. */
 namespace marigoldpitch {
@@ -62,6 +63,24 @@
   std::optional<Role> role; // as it sees itself
 };
 
+/** A proxy's host as it registered itself. */
+struct ProxyHost
+{
+  std::string name;
+  std::string zone;
+  std::string run; // names this run of its process among all that ever were
+  Endpoint peers;  // where it talks to other proxies
+};
+
+/** The proxies' own keys in the store, as of one read. */
+struct ProxyHosts
+{
+  std::vector<ProxyHost> hosts;
+  bool isDutyTaken = false;
+  std::string lastHolder;          // the run that held the duty last, or empty
+  uint64_t lastHolderRevision = 0; // of that word; 0: there was none
+};
+
 } // namespace marigoldpitch
 
 #endif
--- a/include/marigoldpitch/transport/daemon-core.h
+++ b/include/marigoldpitch/transport/daemon-core.h
@@ -2,13 +2,13 @@
 #define MARIGOLDPITCH_TRANSPORT_DAEMON_CORE_H
 
 #include "marigoldpitch.pb.h"
-#include "marigoldpitch/coordination/spread.h"
 #include "marigoldpitch/protocol/rpc.h"
 #include "marigoldpitch/protocol/settings.h"
 #include "marigoldpitch/state/metrics.h"
 #include "marigoldpitch/transport/http-server.h"
 #include "marigoldpitch/transport/loop.h"
 #include "marigoldpitch/transport/peer-network.h"
+#include "marigoldpitch/transport/spread-links.h"
 #include "marigoldpitch/transport/store-client.h"
 
 #include <memory>
@@ -24,6 +24,7 @@
 class DaemonCore
   : public PeerListener
   , public HttpService
+  , public SpreadClient
 {
 public:
   DaemonCore(Loop& aLoop, Settings aSettings, DaemonRole aRole);
@@ -49,6 +50,12 @@
   void OnBadFrame(const std::string& aPeer, const Error& aError) override;
   void OnHttp(ExchangeId aExchange, const HttpRequest& aRequest) override;
   void OnHttpGone(ExchangeId) override {}
+  const Endpoint* EndpointOf(const std::string& aPeer) const override;
+  std::vector<std::string> FirstPeers() const override;
+  void AskStore(const WatchStore& aAction) override;
+  bool IsValid(const Document& aDocument) override;
+  void TakeDocument(const Document& aDocument) override;
+  bool IsDraining() const override { return this->draining; }
 
 protected:
   // What a role adds.
@@ -69,8 +76,6 @@
   virtual size_t Unfinished() const = 0;
   virtual bool IsReady() const = 0;
 
-  const Endpoint* EndpointOf(const std::string& aPeer) const;
-
   Loop& loop;
   Settings settings;
   std::string self; // `host/role`
@@ -82,22 +87,13 @@
   bool draining = false;
 
 private:
-  void Tick();
-  void KeepNeighbours();
-  void Step(const SpreadEvent& aEvent);
-  void Perform(const WatchStore& aAction);
-  void Perform(const SendDocument& aAction);
-  void Perform(const SendDigest& aAction);
-  void Perform(const PutInForce& aAction);
   void OnStoreValue(DocumentKind aKind, const Result<StoreValue>& aValue);
-  bool IsValid(const Document& aDocument);
   void CheckDrained();
-  Digest OwnDigest() const;
   HttpResponse HandleOperators(const HttpRequest& aRequest);
   HttpResponse HandleRpc(RpcMethod aMethod, const HttpRequest& aRequest);
   std::string MetricsText();
 
-  Spread spread;
+  SpreadLinks spread;
   std::unique_ptr<HttpServer> operators;
   std::string configurationText;
   bool storeReachable = true;
--- a/include/marigoldpitch/transport/peer-network.h
+++ b/include/marigoldpitch/transport/peer-network.h
@@ -54,6 +54,7 @@
 
   /** Over the outbound link, or one that the peer opened. */
   void SendTo(const std::string& aPeer, const Frame& aFrame);
+  void SendTo(const std::string& aPeer, const std::string& aEncoded);
   void Send(LinkId aLink, const Frame& aFrame);
   void Broadcast(const Frame& aFrame);
 
--- a/include/marigoldpitch/transport/socket-address.h
+++ b/include/marigoldpitch/transport/socket-address.h
@@ -19,10 +19,6 @@
   sockaddr* Raw() { return reinterpret_cast<sockaddr*>(&this->storage); }
 };
 
-/** `127.0.0.1:80`. */
-std::string
-FormatEndpoint(const Endpoint& aEndpoint);
-
 } // namespace marigoldpitch
 
 #endif
--- a/src/coordination/duty-lease.cc
+++ b/src/coordination/duty-lease.cc
@@ -1,5 +1,7 @@
 #include "marigoldpitch/coordination/duty-lease.h"
 
+#include <algorithm>
+
 namespace marigoldpitch {
 
 namespace detail {
@@ -20,8 +22,11 @@
 }
 
 void
-DutyLease::On(const DutySeen& aEvent, Time)
+DutyLease::On(const DutySeen& aEvent, Time aNow)
 {
+  if (!aEvent.isTaken && !this->isFree) {
+    this->nextTake = std::max(this->nextTake, aNow + aEvent.patience);
+  }
   this->isFree = !aEvent.isTaken;
 }
 
--- a/src/coordination/spread.cc
+++ b/src/coordination/spread.cc
@@ -10,11 +10,6 @@
 
 constexpr size_t kNeighbours = 4;
 constexpr size_t kWatchersPerZone = 2;
-constexpr Duration kDigestInterval = Seconds(1);
-constexpr Duration kStoreRetry = Millis(500);
-// A daemon that is no watcher still looks now and then, in case all the
-// watchers that its host list names are gone.
-constexpr Duration kFallbackLook = Seconds(60);
 
 size_t
 IndexOf(DocumentKind aKind)
@@ -54,25 +49,42 @@
   std::vector<std::string> peerNames;
   std::vector<std::string> zoneHosts;
   for (const HostEntry& host : aHosts.hosts) {
-    for (const char* role : { "/owner", "/entry" }) {
-      if (host.name + role != this->options.peer) {
-        peerNames.push_back(host.name + role);
+    for (const std::string& role : this->options.roles) {
+      std::string name = host.name + "/" + role;
+      if (name != this->options.peer) {
+        peerNames.push_back(name);
       }
     }
     if (host.zone == this->options.zone && host.state == HostState::Live) {
       zoneHosts.push_back(host.name);
     }
   }
-  // Each daemon weighs its peers with its own name as the key, so the
-  // neighbourhoods form a random graph that is a few hops across.
-  this->neighbours = detail::TopByWeight(
-    this->options.peer, std::move(peerNames), detail::kNeighbours);
   auto watchers = detail::TopByWeight(
     "watch " + this->options.zone, zoneHosts, detail::kWatchersPerZone);
-  bool isNamed =
-    std::find(watchers.begin(), watchers.end(), this->options.host) !=
-    watchers.end();
+  auto named = std::find(watchers.begin(), watchers.end(), this->options.host);
+  bool isNamed = named != watchers.end();
+  this->rank =
+    isNamed ? static_cast<size_t>(named - watchers.begin()) : size_t{ 0 };
   this->watches = aHosts.hosts.empty() || (isNamed && this->options.mayWatch);
+  if (this->options.neighbourhood == Neighbourhood::ZoneWatchers) {
+    this->neighbours.clear();
+    for (const std::string& watcher : watchers) {
+      if (watcher != this->options.host) {
+        this->neighbours.push_back(watcher + "/" + this->options.roles.front());
+      }
+    }
+    return;
+  }
+  // Each daemon weighs its peers with its own name as the key.
+  this->neighbours = detail::TopByWeight(
+    this->options.peer, std::move(peerNames), detail::kNeighbours);
+}
+
+bool
+Spread::IsPolled(DocumentKind aKind) const
+{
+  const auto& polled = this->options.polled;
+  return std::find(polled.begin(), polled.end(), aKind) != polled.end();
 }
 
 const Document&
@@ -82,11 +94,15 @@
 }
 
 Digest
-Spread::OwnDigest() const
+Spread::OwnDigest(Time aNow) const
 {
   Digest digest;
   for (size_t i = 0; i < kDocumentKinds; ++i) {
     digest.revisions[i] = this->documents[i].revision;
+    Time confirmed = this->store[i].confirmed;
+    if (confirmed != kLongAgo) {
+      digest.ages[i] = aNow - confirmed;
+    }
   }
   return digest;
 }
@@ -99,7 +115,11 @@
     uint64_t& known = this->peers[aEvent.peer].revisions[index];
     known = std::max(known, aEvent.document.revision);
   }
-  if (aEvent.document.revision <= this->documents[index].revision) {
+  const Document& own = this->documents[index];
+  // Of two watchers who read the same, the first gives the revision.
+  bool isSame = aEvent.peer.empty() && this->IsPolled(aEvent.document.kind) &&
+                own.revision != 0 && aEvent.document.text == own.text;
+  if (aEvent.document.revision <= own.revision || isSame) {
     return;
   }
   this->documents[index] = aEvent.document;
@@ -127,10 +147,15 @@
         SendDocument{ aEvent.peer, this->documents[i] });
     }
     isBehind = isBehind || theirs > ours;
+    if (theirs == ours && aEvent.digest.ages[i]) {
+      Time& confirmed = this->store[i].confirmed;
+      confirmed = std::max(confirmed, this->now - *aEvent.digest.ages[i]);
+    }
   }
   // Our lower digest asks the peer for what we lack.
   if (isBehind || isNew) {
-    this->actions.emplace_back(SendDigest{ aEvent.peer, this->OwnDigest() });
+    this->actions.emplace_back(
+      SendDigest{ aEvent.peer, this->OwnDigest(this->now) });
   }
 }
 
@@ -145,10 +170,10 @@
 {
   StoreState& state = this->store[detail::IndexOf(aEvent.kind)];
   state.waiting = false;
-  if (!aEvent.reached) {
-    state.notBefore = this->now + detail::kStoreRetry;
-  } else if (!this->watches) {
-    state.notBefore = this->now + detail::kFallbackLook;
+  if (aEvent.reached) {
+    state.confirmed = this->now;
+  } else {
+    state.notBefore = this->now + this->options.storeRetry;
   }
   this->Watch(aEvent.kind);
 }
@@ -156,23 +181,40 @@
 void
 Spread::On(const SpreadTick&)
 {
-  for (const auto& row : kDocumentKindNames.rows) {
-    this->Watch(row.value);
+  for (DocumentKind kind : this->options.kinds) {
+    this->Watch(kind);
   }
-  if (this->now - this->lastDigest < detail::kDigestInterval) {
+  if (this->now - this->lastDigest < this->options.digestInterval) {
     return;
   }
   this->lastDigest = this->now;
   for (const auto& [peer, digest] : this->peers) {
-    this->actions.emplace_back(SendDigest{ peer, this->OwnDigest() });
+    this->actions.emplace_back(SendDigest{ peer, this->OwnDigest(this->now) });
+  }
+}
+
+/** How old the store's word may be before this daemon asks itself. */
+Duration
+Spread::PatienceOf(DocumentKind aKind) const
+{
+  if (!this->watches) {
+    return this->options.longestUnconfirmed;
+  }
+  if (!this->IsPolled(aKind)) {
+    return Millis(0);
   }
+  // The second watcher asks only when the first one has not.
+  Duration interval = this->options.pollInterval;
+  auto halves = static_cast<int64_t>(this->rank);
+  return interval + Duration{ interval.ms / 2 } * halves;
 }
 
 void
 Spread::Watch(DocumentKind aKind)
 {
   StoreState& state = this->store[detail::IndexOf(aKind)];
-  if (state.waiting || state.notBefore > this->now) {
+  bool isConfirmed = this->now - state.confirmed < this->PatienceOf(aKind);
+  if (state.waiting || state.notBefore > this->now || isConfirmed) {
     return;
   }
   state.waiting = true;
--- a/src/protocol/proxy-settings.cc
+++ b/src/protocol/proxy-settings.cc
@@ -29,6 +29,7 @@
   settings.callers = take("callers");
   settings.health = take("health");
   settings.metrics = take("metrics");
+  settings.peers = take("peers");
   settings.store = take("store");
   settings.duties = take("duties");
   constexpr double kMsPerSecond = 1000;
--- a/src/protocol/settings.cc
+++ b/src/protocol/settings.cc
@@ -67,6 +67,12 @@
   return endpoint;
 }
 
+std::string
+FormatEndpoint(const Endpoint& aEndpoint)
+{
+  return aEndpoint.address + ":" + std::to_string(aEndpoint.port);
+}
+
 Result<Settings>
 ParseSettings(const std::string& aText,
               DaemonRole aRole,
--- a/src/protocol/wire.cc
+++ b/src/protocol/wire.cc
@@ -2,6 +2,8 @@
 
 #include "wire_generated.h"
 
+#include <zlib.h>
+
 namespace marigoldpitch {
 
 namespace detail {
@@ -12,6 +14,7 @@
   flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wire::Cell>>>;
 
 constexpr size_t kInitialBytes = 512;
+constexpr size_t kMostTextBytes = 16U << 20; // of an unpacked document
 
 std::string
 Text(const flatbuffers::String* aText)
@@ -49,6 +52,43 @@
   return cells;
 }
 
+/** An absent span is negative on the wire. */
+int64_t
+PutSpan(const std::optional<Duration>& aSpan)
+{
+  return aSpan ? aSpan->ms : -1;
+}
+
+std::vector<uint8_t>
+Pack(const std::string& aText)
+{
+  uLongf size = compressBound(aText.size());
+  std::vector<uint8_t> packed(size);
+  const auto* text = reinterpret_cast<const Bytef*>(aText.data());
+  compress2(packed.data(), &size, text, aText.size(), Z_BEST_SPEED);
+  packed.resize(size);
+  return packed;
+}
+
+Result<std::string>
+Unpack(const flatbuffers::Vector<uint8_t>* aPacked, size_t aSize)
+{
+  Error bad{ ErrorCode::BadFrame, "document.packed", "not a packed text" };
+  if (aPacked == nullptr || aSize > kMostTextBytes) {
+    return bad;
+  }
+  std::string text(aSize, '\0');
+  uLongf size = aSize;
+  int result = uncompress(reinterpret_cast<Bytef*>(text.data()),
+                          &size,
+                          aPacked->data(),
+                          aPacked->size());
+  if (result != Z_OK || size != aSize) {
+    return bad;
+  }
+  return text;
+}
+
 struct Encoded
 {
   wire::Body type;
@@ -84,7 +124,7 @@
   frame.add_token_position(request.token.position);
   frame.add_unresolved(request.unresolved);
   frame.add_first_attempt(request.firstAttempt);
-  frame.add_max_age_ms(request.maxAge ? request.maxAge->ms : -1);
+  frame.add_max_age_ms(PutSpan(request.maxAge));
   frame.add_timeout_ms(request.timeout.ms);
   frame.add_priority(priority);
   frame.add_sql(sql);
@@ -122,7 +162,7 @@
   frame.add_source(source);
   frame.add_replayed(answer.replayed);
   frame.add_try_next(answer.tryNext);
-  frame.add_age_ms(answer.age ? answer.age->ms : -1);
+  frame.add_age_ms(PutSpan(answer.age));
   return { wire::Body_AnswerFrame, frame.Finish().Union() };
 }
 
@@ -145,9 +185,16 @@
 Put(Builder& aBuilder, const DigestFrame& aFrame)
 {
   const auto& revisions = aFrame.digest.revisions;
+  const auto& ages = aFrame.digest.ages;
   return { wire::Body_DigestFrame,
-           wire::CreateDigestFrame(
-             aBuilder, revisions[0], revisions[1], aFrame.draining)
+           wire::CreateDigestFrame(aBuilder,
+                                   revisions[0],
+                                   revisions[1],
+                                   aFrame.draining,
+                                   revisions[2],
+                                   PutSpan(ages[0]),
+                                   PutSpan(ages[1]),
+                                   PutSpan(ages[2]))
              .Union() };
 }
 
@@ -156,11 +203,12 @@
 {
   const Document& document = aFrame.document;
   auto kind = aBuilder.CreateString(kDocumentKindNames.TextOf(document.kind));
-  auto text = aBuilder.CreateString(document.text);
-  return {
-    wire::Body_DocumentFrame,
-    wire::CreateDocumentFrame(aBuilder, kind, document.revision, text).Union()
-  };
+  auto packed = aBuilder.CreateVector(Pack(document.text));
+  auto size = static_cast<uint32_t>(document.text.size());
+  return { wire::Body_DocumentFrame,
+           wire::CreateDocumentFrame(
+             aBuilder, kind, document.revision, packed, size)
+             .Union() };
 }
 
 Encoded
@@ -273,7 +321,8 @@
     auto kind, TakeName(kDocumentKindNames, "document.kind", aFrame.kind()));
   frame.document.kind = kind;
   frame.document.revision = aFrame.revision();
-  frame.document.text = Text(aFrame.text());
+  BOOST_OUTCOME_TRY(auto text, Unpack(aFrame.packed(), aFrame.bytes()));
+  frame.document.text = text;
   return Frame(std::move(frame));
 }
 
@@ -281,7 +330,12 @@
 Take(const wire::DigestFrame& aFrame)
 {
   DigestFrame frame;
-  frame.digest.revisions = { aFrame.configuration(), aFrame.hosts() };
+  frame.digest.revisions = { aFrame.configuration(),
+                             aFrame.hosts(),
+                             aFrame.upstreams() };
+  frame.digest.ages = { TakeSpan(aFrame.configuration_age_ms()),
+                        TakeSpan(aFrame.hosts_age_ms()),
+                        TakeSpan(aFrame.upstreams_age_ms()) };
   frame.draining = aFrame.draining();
   return frame;
 }
--- a/src/transport/daemon-core.cc
+++ b/src/transport/daemon-core.cc
@@ -12,7 +12,6 @@
 
 namespace detail {
 
-constexpr Duration kTick = Millis(200);
 constexpr Duration kDrainCheck = Millis(10);
 // Time for the balancer and the peers to see that this daemon leaves.
 constexpr Duration kDrainNotice = Millis(500);
@@ -34,7 +33,11 @@
 DaemonCore::DaemonCore(Loop& aLoop, Settings aSettings, DaemonRole aRole)
   : loop(aLoop)
   , settings(std::move(aSettings))
-  , spread(detail::MakeSpreadOptions(this->settings, aRole))
+  // Entries watch the links to owners themselves.
+  , spread(aLoop,
+           detail::MakeSpreadOptions(this->settings, aRole),
+           SpreadLinks::kForever,
+           *this)
 {
   this->self = detail::MakeSpreadOptions(this->settings, aRole).peer;
 }
@@ -61,18 +64,10 @@
   this->operators = std::move(server);
   BOOST_OUTCOME_TRY(this->OnStart());
   Log(LogEvent::Started, "version " + std::string(kVersion));
-  this->Tick();
+  this->spread.Start(*this->network);
   return boost::outcome_v2::success();
 }
 
-void
-DaemonCore::Tick()
-{
-  this->KeepNeighbours();
-  this->Step(SpreadTick{});
-  this->loop.After(detail::kTick, [this] { this->Tick(); });
-}
-
 const Endpoint*
 DaemonCore::EndpointOf(const std::string& aPeer) const
 {
@@ -90,35 +85,18 @@
   return nullptr;
 }
 
-void
-DaemonCore::KeepNeighbours()
+std::vector<std::string>
+DaemonCore::FirstPeers() const
 {
-  std::vector<std::string> wanted = this->spread.Neighbours();
-  if (wanted.empty()) {
-    for (const SeedPeer& seed : this->settings.seeds) {
-      wanted.push_back(seed.peer);
-    }
-  }
-  for (const std::string& peer : wanted) {
-    const Endpoint* endpoint = this->EndpointOf(peer);
-    if (endpoint != nullptr && peer != this->self &&
-        !this->network->HasLinkTo(peer)) {
-      this->network->Connect(peer, *endpoint);
-    }
-  }
-}
-
-void
-DaemonCore::Step(const SpreadEvent& aEvent)
-{
-  SpreadActions actions = this->spread.Handle(ReadClock(), aEvent);
-  for (const SpreadAction& action : actions) {
-    std::visit([this](const auto& aKind) { this->Perform(aKind); }, action);
+  std::vector<std::string> peers;
+  for (const SeedPeer& seed : this->settings.seeds) {
+    peers.push_back(seed.peer);
   }
+  return peers;
 }
 
 void
-DaemonCore::Perform(const WatchStore& aAction)
+DaemonCore::AskStore(const WatchStore& aAction)
 {
   DocumentKind kind = aAction.kind;
   std::string key = kind == DocumentKind::Hosts
@@ -145,13 +123,10 @@
         isReached ? "answers again" : aValue.error().ToString());
   }
   if (isReached) {
-    Document document{ aKind, aValue.value().revision, aValue.value().text };
-    bool isNew = document.revision > this->spread.Revision(aKind);
-    if (isNew && this->IsValid(document)) {
-      this->Step(DocumentSeen{ document, {} });
-    }
+    this->spread.TakeFromStore(
+      { aKind, aValue.value().revision, aValue.value().text });
   }
-  this->Step(StoreAnswered{ aKind, isReached });
+  this->spread.Step(StoreAnswered{ aKind, isReached });
 }
 
 bool
@@ -173,34 +148,19 @@
 }
 
 void
-DaemonCore::Perform(const SendDocument& aAction)
+DaemonCore::TakeDocument(const Document& aDocument)
 {
-  this->network->SendTo(aAction.peer, DocumentFrame{ aAction.document });
-}
-
-void
-DaemonCore::Perform(const SendDigest& aAction)
-{
-  this->network->SendTo(aAction.peer,
-                        DigestFrame{ aAction.digest, this->draining });
-}
-
-void
-DaemonCore::Perform(const PutInForce& aAction)
-{
-  const Document& document = aAction.document;
-  std::string revision = "revision " + std::to_string(document.revision);
-  if (document.kind == DocumentKind::Hosts) {
-    this->hosts = ParseHostList(document.text, document.revision).value();
+  std::string revision = "revision " + std::to_string(aDocument.revision);
+  if (aDocument.kind == DocumentKind::Hosts) {
+    this->hosts = ParseHostList(aDocument.text, aDocument.revision).value();
     this->spread.SetHosts(this->hosts);
     Log(LogEvent::HostListInForce, revision);
-    this->KeepNeighbours();
     this->OnHosts(this->hosts);
     return;
   }
-  this->configurationText = document.text;
+  this->configurationText = aDocument.text;
   this->config =
-    ParseConfiguration(document.text, document.revision, "configuration")
+    ParseConfiguration(aDocument.text, aDocument.revision, "configuration")
       .value();
   Log(LogEvent::ConfigurationInForce, revision);
   this->OnConfiguration(this->config);
@@ -210,23 +170,7 @@
 DaemonCore::OnPeerUp(LinkId aLink, const std::string& aPeer, bool aOutbound)
 {
   this->OnLinkUp(aLink, aPeer, aOutbound);
-  if (!aOutbound) {
-    return;
-  }
-  // The first digest starts the exchange in both directions.
-  this->network->SendTo(aPeer,
-                        DigestFrame{ this->OwnDigest(), this->draining });
-}
-
-Digest
-DaemonCore::OwnDigest() const
-{
-  Digest digest;
-  for (const auto& row : kDocumentKindNames.rows) {
-    digest.revisions[static_cast<size_t>(row.value)] =
-      this->spread.Revision(row.value);
-  }
-  return digest;
+  this->spread.OnPeerUp(aPeer, aOutbound);
 }
 
 void
@@ -234,16 +178,7 @@
                         const std::string& aPeer,
                         const Frame& aFrame)
 {
-  if (const auto* digest = std::get_if<DigestFrame>(&aFrame)) {
-    this->Step(DigestSeen{ aPeer, digest->digest });
-  }
-  if (const auto* document = std::get_if<DocumentFrame>(&aFrame)) {
-    const Document& seen = document->document;
-    bool isNew = seen.revision > this->spread.Revision(seen.kind);
-    if (!isNew || this->IsValid(seen)) {
-      this->Step(DocumentSeen{ seen, aPeer });
-    }
-  }
+  this->spread.OnPeerFrame(aPeer, aFrame);
   if (std::holds_alternative<PingFrame>(aFrame)) {
     this->network->Send(aLink, PongFrame{});
   }
@@ -253,7 +188,7 @@
 void
 DaemonCore::OnPeerDown(LinkId aLink, const std::string& aPeer, bool aOutbound)
 {
-  this->Step(NeighbourLost{ aPeer });
+  this->spread.OnPeerDown(aPeer);
   this->OnLinkDown(aLink, aPeer, aOutbound);
 }
 
@@ -355,7 +290,7 @@
   this->drainEarliest = ReadClock() + detail::kDrainNotice;
   Log(LogEvent::DrainStarted,
       std::to_string(this->Unfinished()) + " requests are open");
-  this->network->Broadcast(DigestFrame{ this->OwnDigest(), true });
+  this->spread.Announce();
   this->OnDrain();
   this->CheckDrained();
 }
--- a/src/transport/http-client.cc
+++ b/src/transport/http-client.cc
@@ -1,5 +1,6 @@
 #include "marigoldpitch/transport/http-client.h"
 
+#include "marigoldpitch/protocol/settings.h"
 #include "marigoldpitch/transport/socket-address.h"
 
 namespace marigoldpitch {
--- a/src/transport/peer-network.cc
+++ b/src/transport/peer-network.cc
@@ -115,15 +115,21 @@
 
 void
 PeerNetwork::SendTo(const std::string& aPeer, const Frame& aFrame)
+{
+  this->SendTo(aPeer, EncodeFrame(aFrame));
+}
+
+void
+PeerNetwork::SendTo(const std::string& aPeer, const std::string& aEncoded)
 {
   const Peer* outbound = this->FindOutbound(aPeer);
   if (outbound != nullptr && outbound->up) {
-    outbound->link->Send(EncodeFrame(aFrame));
+    outbound->link->Send(aEncoded);
     return;
   }
   for (auto it = this->peers.rbegin(); it != this->peers.rend(); ++it) {
     if (it->second.up && it->second.name == aPeer) {
-      it->second.link->Send(EncodeFrame(aFrame));
+      it->second.link->Send(aEncoded);
       return;
     }
   }
--- a/src/transport/socket-address.cc
+++ b/src/transport/socket-address.cc
@@ -27,10 +27,4 @@
   return Error{ ErrorCode::BadSettings, aEndpoint.address, "not an IP number" };
 }
 
-std::string
-FormatEndpoint(const Endpoint& aEndpoint)
-{
-  return aEndpoint.address + ":" + std::to_string(aEndpoint.port);
-}
-
 } // namespace marigoldpitch
--- a/src/transport/stream-link.cc
+++ b/src/transport/stream-link.cc
@@ -1,5 +1,6 @@
 #include "marigoldpitch/transport/stream-link.h"
 
+#include "marigoldpitch/protocol/settings.h"
 #include "marigoldpitch/transport/socket-address.h"
 
 #include <netinet/tcp.h>
--- a/src/transport/tcp-listener.cc
+++ b/src/transport/tcp-listener.cc
@@ -1,5 +1,6 @@
 #include "marigoldpitch/transport/tcp-listener.h"
 
+#include "marigoldpitch/protocol/settings.h"
 #include "marigoldpitch/transport/socket-address.h"
 #include "marigoldpitch/transport/unique-fd.h"
 
--- a/test/codec-test.cc
+++ b/test/codec-test.cc
@@ -2,6 +2,7 @@
 #include "marigoldpitch/protocol/documents.h"
 #include "marigoldpitch/protocol/frame-splitter.h"
 #include "marigoldpitch/protocol/metrics-text.h"
+#include "marigoldpitch/protocol/proxy-documents.h"
 #include "marigoldpitch/protocol/rpc.h"
 #include "marigoldpitch/protocol/settings.h"
 #include "marigoldpitch/protocol/store-messages.h"
@@ -72,6 +73,9 @@
     RC_ASSERT(NamesItsPlace(ParseSettings(bytes, DaemonRole::Entry, "x")));
     RC_ASSERT(NamesItsPlace(ParseConfiguration(bytes, 1, "x")));
     RC_ASSERT(NamesItsPlace(ParseHostList(bytes, 1)));
+    RC_ASSERT(NamesItsPlace(ParseUpstreams(bytes)));
+    RC_ASSERT(NamesItsPlace(ParseProxyHosts(bytes)));
+    RC_ASSERT(NamesItsPlace(ParseProxyHost(bytes)));
     RC_ASSERT(NamesItsPlace(ParseTermRecord(bytes)));
     RC_ASSERT(NamesItsPlace(DecodeStoreValue(bytes)));
     RC_ASSERT(NamesItsPlace(DecodeRecord(bytes)));
@@ -191,6 +195,47 @@
   cr_assert(frame.error().code == ErrorCode::TooLarge);
 }
 
+Test(codec, what_proxies_tell_each_other_comes_back_whole)
+{
+  cr_assert(rc::check("upstreams, hosts and ages survive their text", [] {
+    RegisteredUpstream upstream;
+    upstream.id = *rc::gen::string<std::string>();
+    upstream.service = *rc::gen::string<std::string>();
+    upstream.zone = "zone";
+    upstream.endpoint = { "10.0.0.1", *rc::gen::inRange<uint16_t>(1, 65535) };
+    upstream.leaving = *rc::gen::arbitrary<bool>();
+    upstream.role = *rc::gen::element<std::optional<Role>>(
+      std::nullopt, Role::Primary, Role::Replica);
+    std::string text = FormatUpstreams({ upstream, upstream });
+    auto upstreams = ParseUpstreams(text).value();
+    RC_ASSERT(upstreams.size() == 2u);
+    RC_ASSERT(FormatUpstreams(upstreams) == text);
+    RC_ASSERT(upstreams[1].endpoint.port == upstream.endpoint.port);
+    RC_ASSERT(upstreams[1].leaving == upstream.leaving);
+    RC_ASSERT(upstreams[1].role == upstream.role);
+
+    ProxyHosts hosts;
+    hosts.hosts.push_back({ "host", "zone", "host/run", upstream.endpoint });
+    hosts.isDutyTaken = upstream.leaving;
+    hosts.lastHolder = *rc::gen::arbitrary<std::string>();
+    hosts.lastHolderRevision = *rc::gen::arbitrary<uint64_t>();
+    auto back = ParseProxyHosts(FormatProxyHosts(hosts)).value();
+    RC_ASSERT(back.hosts[0].run == hosts.hosts[0].run);
+    RC_ASSERT(back.isDutyTaken == hosts.isDutyTaken);
+    RC_ASSERT(back.lastHolderRevision == hosts.lastHolderRevision);
+
+    DigestFrame digest;
+    digest.digest.revisions = { 1, *rc::gen::arbitrary<uint64_t>(), 3 };
+    digest.digest.ages = { std::nullopt,
+                           Millis(*rc::gen::inRange<int64_t>(0, 1 << 30)),
+                           Millis(0) };
+    auto frame = DecodeFrame(EncodeFrame(digest)).value();
+    const Digest& taken = std::get<DigestFrame>(frame).digest;
+    RC_ASSERT(taken.revisions == digest.digest.revisions);
+    RC_ASSERT(taken.ages == digest.digest.ages);
+  }));
+}
+
 Test(codec, records_come_back_whole)
 {
   cr_assert(rc::check("a record survives its text", [] {
--- a/test/spread-test.cc
+++ b/test/spread-test.cc
@@ -25,7 +25,8 @@
 class Fleet
 {
 public:
-  Fleet(size_t aHosts, size_t aZones)
+  explicit Fleet(size_t aHosts, size_t aZones, SpreadOptions aOptions = {})
+    : model(std::move(aOptions))
   {
     this->hosts.revision = 1;
     for (size_t i = 0; i < aHosts; ++i) {
@@ -35,8 +36,8 @@
       this->hosts.hosts.push_back(host);
     }
     for (const HostEntry& host : this->hosts.hosts) {
-      for (const char* role : { "/owner", "/entry" }) {
-        this->Add(host.name + role, host);
+      for (const std::string& role : this->model.roles) {
+        this->Add(host.name + "/" + role, host);
       }
     }
     for (auto& [name, daemon] : this->daemons) {
@@ -52,6 +53,7 @@
     bool cutFromStore = false;
     uint64_t highest = 0;
     uint64_t inForce = 0;
+    std::string upstreams; // the text in force
     bool reverted = false;
     uint64_t incarnation = 0;
   };
@@ -111,16 +113,20 @@
   bool storeDown = false;
   bool takesAnyRevision = false; // a mutant: whatever comes is in force
   uint64_t storeCalls = 0;
+  uint64_t documents = 0; // handed on
   uint64_t messages = 0;
+  std::string registry = "three upstreams";
+  Duration watchWait = Seconds(20);
 
 private:
   void Add(const std::string& aName, const HostEntry& aHost)
   {
     Daemon daemon;
+    daemon.options = this->model;
     daemon.options.peer = aName;
     daemon.options.host = aHost.name;
     daemon.options.zone = aHost.zone;
-    daemon.options.mayWatch = aName.find("/owner") != std::string::npos;
+    daemon.options.mayWatch = aName.find("/entry") == std::string::npos;
     daemon.spread = std::make_unique<Spread>(daemon.options);
     this->daemons[aName] = std::move(daemon);
   }
@@ -176,6 +182,9 @@
                const SpreadAction& aAction)
   {
     if (const auto* put = std::get_if<PutInForce>(&aAction)) {
+      if (put->document.kind == DocumentKind::Upstreams) {
+        aDaemon.upstreams = put->document.text;
+      }
       if (put->document.kind == DocumentKind::Configuration) {
         aDaemon.reverted =
           aDaemon.reverted || put->document.revision < aDaemon.highest;
@@ -183,6 +192,7 @@
         aDaemon.highest = std::max(aDaemon.highest, aDaemon.inForce);
       }
     } else if (const auto* send = std::get_if<SendDocument>(&aAction)) {
+      ++this->documents;
       this->Deliver(aName, send->peer, DocumentSeen{ send->document, aName });
     } else if (const auto* digest = std::get_if<SendDigest>(&aAction)) {
       this->Deliver(aName, digest->peer, DigestSeen{ aName, digest->digest });
@@ -201,6 +211,15 @@
       });
       return;
     }
+    if (aWatch.kind == DocumentKind::Upstreams) {
+      // Each upstream writes all the time, mostly the same.
+      Document read{ aWatch.kind, ++this->registryRevision, this->registry };
+      this->clock.After(Millis(5), [=] {
+        this->Step(aName, DocumentSeen{ read, {} });
+        this->Step(aName, StoreAnswered{ aWatch.kind, true });
+      });
+      return;
+    }
     if (aWatch.kind == DocumentKind::Hosts) {
       this->clock.After(Seconds(20), [=] {
         this->Step(aName, StoreAnswered{ aWatch.kind, true });
@@ -208,6 +227,10 @@
       return;
     }
     auto answer = [=] {
+      if (this->storeDown || this->daemons[aName].cutFromStore) {
+        this->Step(aName, StoreAnswered{ aWatch.kind, false });
+        return;
+      }
       Document document{ aWatch.kind, this->revision, "text" };
       this->clock.After(Millis(5), [=] {
         if (document.revision > aWatch.after) {
@@ -219,13 +242,22 @@
     bool isWatcher = this->daemons[aName].spread->IsWatcher();
     if (this->revision > aWatch.after || !isWatcher) {
       answer();
-    } else {
-      this->watches.push_back(answer);
+      return;
     }
+    auto waiting = std::make_shared<bool>(true);
+    auto once = [=] {
+      if (std::exchange(*waiting, false)) {
+        answer();
+      }
+    };
+    this->watches.push_back(once);
+    this->clock.After(this->watchWait, once);
   }
 
+  SpreadOptions model;
   EventQueue clock;
   uint64_t revision = 0;
+  uint64_t registryRevision = 100;
   std::vector<std::function<void()>> watches;
 };
 
@@ -324,6 +356,129 @@
 
 namespace {
 
+// As the proxies of one host each have it.
+SpreadOptions
+ZoneOptions()
+{
+  SpreadOptions options;
+  options.roles = { "proxy" };
+  options.kinds = { DocumentKind::Configuration, DocumentKind::Upstreams };
+  options.polled = { DocumentKind::Upstreams };
+  options.neighbourhood = Neighbourhood::ZoneWatchers;
+  options.digestInterval = Millis(500);
+  options.storeRetry = Millis(250);
+  options.longestUnconfirmed = Millis(2400);
+  return options;
+}
+
+// A change is in force everywhere within this, also where watchers are lost.
+constexpr Duration kZoneTarget = Millis(3000);
+
+Fleet
+ZoneFleet(size_t aHosts)
+{
+  Fleet fleet(aHosts, 4, ZoneOptions());
+  fleet.watchWait = Millis(1400);
+  fleet.Put(1);
+  fleet.RunFor(Seconds(10));
+  return fleet;
+}
+
+bool
+AllKnow(const Fleet& aFleet, const std::string& aRegistry)
+{
+  return std::all_of(
+    aFleet.daemons.begin(), aFleet.daemons.end(), [&](const auto& aDaemon) {
+      return aDaemon.second.upstreams == aRegistry;
+    });
+}
+
+} // namespace
+
+Test(zones, calls_of_the_store_do_not_grow_with_the_hosts)
+{
+  // Of four zones: two watches each, 1.4 s long, and one poll a second.
+  constexpr uint64_t kMostCallsASecond = 10;
+  for (size_t hosts : { 5, 30, 100, 300 }) {
+    Fleet fleet(hosts, 4, ZoneOptions());
+    fleet.watchWait = Millis(1400);
+    fleet.Put(1);
+    fleet.RunFor(Seconds(10));
+    uint64_t before = fleet.storeCalls;
+    fleet.RunFor(Seconds(10));
+    uint64_t calls = (fleet.storeCalls - before) / 10;
+    printf("zone_store_calls_a_second_%zu_hosts %lu count\n", hosts, calls);
+    cr_assert_leq(calls, kMostCallsASecond);
+  }
+}
+
+Test(zones, what_has_not_changed_is_not_handed_on)
+{
+  Fleet fleet = ZoneFleet(30);
+  uint64_t before = fleet.documents;
+  fleet.RunFor(Seconds(20));
+  cr_assert_eq(fleet.documents, before);
+  fleet.registry = "two upstreams";
+  fleet.RunFor(kZoneTarget);
+  cr_assert(AllKnow(fleet, "two upstreams"));
+}
+
+Test(zones, a_zone_whose_watchers_are_cut_off_learns_in_time)
+{
+  Fleet fleet = ZoneFleet(30);
+  size_t cut = 0;
+  for (auto& [name, daemon] : fleet.daemons) {
+    daemon.cutFromStore = daemon.spread->IsWatcher();
+    cut += daemon.cutFromStore ? 1 : 0;
+  }
+  cr_assert_eq(cut, 8);
+  fleet.registry = "two upstreams";
+  fleet.Put(2);
+  fleet.RunFor(kZoneTarget);
+  for (auto& [name, daemon] : fleet.daemons) {
+    bool knows = daemon.inForce == 2 && daemon.upstreams == "two upstreams";
+    cr_assert(daemon.cutFromStore || knows, "%s", name.c_str());
+  }
+}
+
+Test(zones, a_zone_whose_watchers_stand_still_learns_in_time)
+{
+  Fleet fleet = ZoneFleet(30);
+  for (auto& [name, daemon] : fleet.daemons) {
+    if (daemon.spread->IsWatcher()) {
+      daemon.frozenUntil = fleet.Now() + Seconds(60);
+    }
+  }
+  fleet.Put(2);
+  fleet.RunFor(kZoneTarget);
+  for (auto& [name, daemon] : fleet.daemons) {
+    cr_assert(daemon.spread->IsWatcher() || daemon.inForce == 2);
+  }
+}
+
+Test(mutants, a_daemon_that_trusts_silent_watchers_is_found)
+{
+  SpreadOptions options = ZoneOptions();
+  options.longestUnconfirmed = Seconds(3600);
+  Fleet fleet(30, 4, options);
+  fleet.watchWait = Millis(1400);
+  fleet.Put(1);
+  fleet.RunFor(Seconds(10));
+  for (auto& [name, daemon] : fleet.daemons) {
+    daemon.cutFromStore = daemon.spread->IsWatcher();
+  }
+  fleet.Put(2);
+  fleet.RunFor(kZoneTarget);
+  cr_assert(!fleet.AllHave(2));
+  bool anyoneElse = std::any_of(
+    fleet.daemons.begin(), fleet.daemons.end(), [](const auto& aDaemon) {
+      return !aDaemon.second.cutFromStore && aDaemon.second.inForce == 2;
+    });
+  cr_assert(!anyoneElse);
+}
+
+namespace {
+
 /** The store's side of a reservation, with its faults. */
 struct TermStore
 {
--- a/test/standin/site-store.cc
+++ b/test/standin/site-store.cc
@@ -1,5 +1,6 @@
 #include "standin/site-store.h"
 
+#include "marigoldpitch/protocol/settings.h"
 #include "marigoldpitch/transport/clock.h"
 #include "marigoldpitch/transport/socket-address.h"
 
@@ -183,6 +184,11 @@
                   { "currentRev", this->revision } });
   } else {
     Watch watch{ prefix, std::stoull(Argument(aRequest.query, "after")) };
+    Json past = this->EventsAfter(watch);
+    if (!past["events"].empty()) {
+      this->Reply(aExchange, 200, past);
+      return;
+    }
     auto wait = std::stoll(Argument(aRequest.query, "waitMs"));
     this->watches[aExchange] = watch;
     this->loop.After(Millis(wait), [this, aExchange, watch] {
