Count a primary as silent only while others answer

Change: a primary is silent when an attempt at it, begun while answers of others show that the way out of this host works, has gone unanswered for 250 ms and an answer to something sent later has come. Others are asked as soon as the primary fails, so that a host with little traffic is not slower than before.

Test: proxy-test a_host_that_was_cut_off_from_all_promotes_nothing, 81 lengths of the cut; fails without.

--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -151,6 +151,7 @@
   void On(const LinkOpened& aEvent);
   void On(const LinkLost& aEvent);
   void On(const LinkAnswered& aEvent);
+  void Heard(ProxyLink& aLink);
   void Answered(ProxyLink& aLink, const StatementReply& aReply);
   void PreludeAnswered(ProxyLink& aLink,
                        CallerSession& aSession,
@@ -214,6 +215,7 @@
   Time fewerSince = kNever;
   std::vector<SessionOpened> waitingToOpen; // for the first configuration
   bool mayAct = false;
+  Time pathProved = kLongAgo; // when the newest answered question was sent
   std::map<std::string, ProxyService> services;
   std::unordered_map<CallerId, CallerSession> sessions;
   std::unordered_map<ConnectionId, ProxyLink> links;
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -18,6 +18,9 @@
 /** How long a replica's word that a primary leads may be relied on. */
 constexpr Duration kLeadershipSpan = Millis(500);
 
+/** How long an upstream answers nothing until it counts as lost. */
+constexpr Duration kSilence = Millis(400);
+
 /** A log's end, and when it was asked for. */
 struct SeenEnd
 {
@@ -41,6 +44,7 @@
   Time lastAnswer = kLongAgo;
   uint32_t failures = 0; // since the last answer
   Time failingSince = kNever;
+  Time triedInVain = kNever; // since then, while the way out worked
   Time avoidUntil = kLongAgo;
   Time fullUntil = kLongAgo; // it takes no more connections
   LogPoint behind;           // a point that it lacked
@@ -97,6 +101,18 @@
   /** The upstream refused what only a primary does. */
   void LostLead(UpstreamIndex aUpstream);
 
+  /** Some upstream, of whatever service, answered what was sent then. */
+  void PathProved(Time aAsked);
+
+  /** Another attempt at the upstream begins. */
+  void Tried(UpstreamIndex aUpstream, Time aNow);
+
+  /**
+   * Whether the upstream answers nothing while others do. A host that is cut
+   * off or choked hears from nobody, and cannot tell who is lost.
+   */
+  bool IsSilent(UpstreamIndex aUpstream, Time aNow) const;
+
   void Answered(UpstreamIndex aUpstream, Time aNow);
   void Failed(UpstreamIndex aUpstream, Time aNow);
 
@@ -162,6 +178,7 @@
   Time provedAsked = kLongAgo;
   std::map<ConnectionId, Time> openCommits; // when they were sent
   Time lastConfirmed = kLongAgo;
+  Time pathProved = kLongAgo;
   LogPoint highestConfirmed;
   SeenEnd primaryEnd;
   std::deque<Sample> unproved; // of the present term, oldest first
--- a/src/coordination/promotion.cc
+++ b/src/coordination/promotion.cc
@@ -4,7 +4,6 @@
 
 namespace detail {
 
-constexpr Duration kSilence = Millis(400);
 constexpr Duration kCommitsStalled = Millis(900);
 constexpr Duration kUnknownPrimary = Millis(2000);
 constexpr Duration kAskAgain = Millis(150);
@@ -29,14 +28,14 @@
                   : std::nullopt;
   }
   const ProxyUpstream& upstream = aView.At(*primary);
-  if (aNow - upstream.failingSince >= detail::kSilence) {
+  if (aView.IsSilent(*primary, aNow)) {
     return PromotionReason::PrimarySilent;
   }
   if (upstream.entry.leaving) {
     return PromotionReason::PrimaryLeaving;
   }
   // A primary that is merely slow acknowledges commits all the while.
-  bool answers = aNow - upstream.lastAnswer <= detail::kSilence;
+  bool answers = aNow - upstream.lastAnswer <= kSilence;
   if (answers && aView.CommitStall(aNow) >= detail::kCommitsStalled) {
     return PromotionReason::CommitsStalled;
   }
@@ -48,7 +47,7 @@
 {
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
     const ProxyUpstream& upstream = aView.At(i);
-    bool isLost = aNow - upstream.failingSince >= detail::kSilence;
+    bool isLost = aNow - upstream.failingSince >= kSilence;
     if (upstream.listed && !upstream.report && !isLost) {
       return false;
     }
--- a/src/coordination/proxy-answers.cc
+++ b/src/coordination/proxy-answers.cc
@@ -31,6 +31,15 @@
 
 } // namespace detail
 
+/** Whatever came over it, its upstream is there. */
+void
+ProxyEngine::Heard(ProxyLink& aLink)
+{
+  this->ServiceOf(aLink.service).view.Answered(aLink.upstream, this->now);
+  this->pathProved = std::max(this->pathProved, aLink.asked);
+  aLink.lastAnswer = this->now;
+}
+
 void
 ProxyEngine::On(const LinkOpened& aEvent)
 {
@@ -41,10 +50,9 @@
   ProxyLink& link = found->second;
   ProxyService& service = this->ServiceOf(link.service);
   service.connections.Opened(link.id, this->now);
-  service.view.Answered(link.upstream, this->now);
+  this->Heard(link);
   link.isOpening = false;
   link.limit = kNever;
-  link.lastAnswer = this->now;
   this->AskWanted(service);
 }
 
@@ -80,8 +88,7 @@
   }
   ProxyLink& link = found->second;
   ServiceView& view = this->ServiceOf(link.service).view;
-  view.Answered(link.upstream, this->now);
-  link.lastAnswer = this->now;
+  this->Heard(link);
   view.CommitEnded(link.id);
   if (aEvent.reply.position) {
     view.Saw(link.upstream, *aEvent.reply.position, link.asked);
--- a/src/coordination/proxy-placing.cc
+++ b/src/coordination/proxy-placing.cc
@@ -32,7 +32,9 @@
   link.id = aService.connections.Open(aUpstream, this->now);
   link.service = aService.name;
   link.upstream = aUpstream;
+  link.asked = this->now;
   link.limit = this->now + detail::kOpenLimit;
+  aService.view.Tried(aUpstream, this->now);
   this->links[link.id] = link;
   this->Emit(OpenLink{
     link.id, aService.name, upstream.entry.id, upstream.entry.endpoint });
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -10,7 +10,6 @@
 constexpr Duration kQuietPrimary = Millis(1000);
 constexpr Duration kProofInterval = Millis(30);
 constexpr Duration kUnusedSpan = Millis(700);
-constexpr Duration kDoubtfulPrimary = Millis(150);
 // While reads lack a point that a primary would have given.
 constexpr Duration kPointDemand = Millis(500);
 constexpr Duration kPointInterval = Millis(200);
@@ -36,9 +35,10 @@
 ProxyEngine::Watch(ProxyService& aService)
 {
   ServiceView& view = aService.view;
-  bool isDoubtful =
-    !view.Primary() || this->now - view.At(*view.Primary()).failingSince >=
-                         detail::kDoubtfulPrimary;
+  view.PathProved(this->pathProved);
+  // Others are asked at once: their answers show whether it is the primary, or
+  // the way out of this host.
+  bool isDoubtful = !view.Primary() || view.At(*view.Primary()).failures > 0;
   if (isDoubtful) {
     view.AskAll();
   }
@@ -136,6 +136,7 @@
     link.sequence = aService.connections.StartBatch(*idle, this->now);
     link.asked = this->now;
     link.limit = this->now + detail::kAskLimit;
+    aService.view.Tried(ask.upstream, this->now);
     aService.view.At(ask.upstream).lastAsked = this->now;
     SessionStatement statement{ ask.kind };
     statement.term = ask.term;
@@ -179,8 +180,7 @@
   ProxyService& service = this->ServiceOf(link.service);
   ServiceView& view = service.view;
   UpstreamIndex index = link.upstream;
-  view.Answered(index, this->now);
-  link.lastAnswer = this->now;
+  this->Heard(link);
   ProxyUpstream& upstream = view.At(index);
   upstream.askOpen = false;
   service.proofOpen = false;
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -12,6 +12,10 @@
 constexpr Duration kFirstBackoff = Millis(100);
 constexpr Duration kLongestBackoff = Millis(300);
 constexpr size_t kMaxUnproved = 64;
+// How long an answer shows that the way out of this host works.
+constexpr Duration kPathSpan = Millis(300);
+// How long an attempt goes unanswered before it counts.
+constexpr Duration kInVain = Millis(250);
 
 } // namespace detail
 
@@ -288,6 +292,32 @@
   }
 }
 
+void
+ServiceView::PathProved(Time aAsked)
+{
+  this->pathProved = std::max(this->pathProved, aAsked);
+}
+
+void
+ServiceView::Tried(UpstreamIndex aUpstream, Time aNow)
+{
+  ProxyUpstream& upstream = this->upstreams[aUpstream];
+  if (aNow - this->pathProved > detail::kPathSpan) {
+    upstream.triedInVain = kNever;
+  } else if (upstream.failures > 0) {
+    upstream.triedInVain = std::min(upstream.triedInVain, aNow);
+  }
+}
+
+bool
+ServiceView::IsSilent(UpstreamIndex aUpstream, Time aNow) const
+{
+  const ProxyUpstream& upstream = this->upstreams[aUpstream];
+  return aNow - upstream.failingSince >= kSilence &&
+         aNow - upstream.triedInVain >= detail::kInVain &&
+         this->pathProved >= upstream.triedInVain;
+}
+
 void
 ServiceView::Answered(UpstreamIndex aUpstream, Time aNow)
 {
@@ -295,6 +325,7 @@
   upstream.lastAnswer = aNow;
   upstream.failures = 0;
   upstream.failingSince = kNever;
+  upstream.triedInVain = kNever;
   upstream.avoidUntil = kLongAgo;
 }
 
--- a/test/proxy-test.cc
+++ b/test/proxy-test.cc
@@ -308,6 +308,26 @@
   }
 }
 
+Test(proxy, a_host_that_was_cut_off_from_all_promotes_nothing)
+{
+  for (int64_t span = 400; span <= 2000; span += 20) {
+    ProxyWorld world(Options(Freshness::Newest));
+    Settle(world);
+    CallerId caller = world.OpenSession(1);
+    for (size_t i = 0; i < 3; ++i) {
+      world.Upstream(i).cutFrom.insert(0);
+      world.Silence(0, i);
+    }
+    world.RunFor(Millis(span));
+    for (size_t i = 0; i < 3; ++i) {
+      world.Upstream(i).cutFrom.clear();
+    }
+    world.RunFor(Seconds(2));
+    cr_assert_eq(world.Promotions(), 0, "cut off for %ld ms", span);
+    cr_assert(IsOk(world.Do(1, caller, WriteOf("a", "1"))));
+  }
+}
+
 Test(proxy, a_leaving_primary_is_replaced_while_writes_go_on)
 {
   ProxyWorld world(Options(Freshness::Newest));
