Add a fault soak of real proxies behind relays and signals

Cause: the process tests bring one fault after the other; nothing of ours brought them overlapping, from outside the programs, and held what callers see against what upstreams keep.

Change: marigoldpitch's soak starts proxies, the stand-in of the platform and a relay before each upstream and before each host's store, and draws 19 kinds of faults from a seed (every fourth seed: planned work alone). The stand-in's upstreams lag, go deaf and come back, its store is slow, loses answers and lets leases lapse; the relay delays, resets and lets questions through without answers.

--- /dev/null
+++ b/test/soak/faults.cc
@@ -0,0 +1,231 @@
+#include "soak/faults.h"
+
+#include "marigoldpitch/transport/clock.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+
+namespace marigoldpitch::soak {
+
+namespace {
+
+// A host counts as calm so long after a fault.
+constexpr Duration kCalmAfter = Seconds(5);
+constexpr int64_t kShortestPauseMs = 150;
+constexpr int64_t kLongestPauseMs = 1200;
+constexpr int64_t kShortestSpanMs = 200;
+constexpr int64_t kLongestSpanMs = 3500;
+constexpr size_t kUpstreams = 3;
+// Each so many seeds bring planned work alone, which may cut off nothing.
+constexpr uint32_t kPlannedSeeds = 4;
+constexpr FaultKind kPlanned[] = { FaultKind::ProxyTerm,
+                                   FaultKind::ProxyReload,
+                                   FaultKind::ConfigChange };
+
+} // namespace
+
+Faults::Faults(Loop& aLoop, FaultTarget& aTarget, uint32_t aSeed)
+  : loop(aLoop)
+  , target(aTarget)
+  , random(aSeed)
+  , isPlanned(aSeed % kPlannedSeeds == 0)
+  , hostDisturbed(aTarget.Hosts(), kLongAgo)
+{
+}
+
+void
+Faults::Start(Duration aSpan)
+{
+  this->started = ReadBootClock();
+  this->end = this->started + aSpan;
+  this->Next();
+}
+
+bool
+Faults::IsCalm(size_t aHost) const
+{
+  Time since = std::max(this->disturbed, this->hostDisturbed[aHost]);
+  return ReadBootClock() - since >= kCalmAfter;
+}
+
+void
+Faults::Disturb(Duration aSpan)
+{
+  this->disturbed = std::max(this->disturbed, ReadBootClock() + aSpan);
+}
+
+void
+Faults::DisturbHost(size_t aHost, Duration aSpan)
+{
+  Time& until = this->hostDisturbed[aHost];
+  until = std::max(until, ReadBootClock() + aSpan);
+}
+
+void
+Faults::Log(FaultKind aKind, size_t aIndex, Duration aSpan) const
+{
+  fmt::print("{:6} ms {} {} for {} ms\n",
+             (ReadBootClock() - this->started).ms,
+             kFaultKindNames.TextOf(aKind),
+             aIndex,
+             aSpan.ms);
+}
+
+void
+Faults::Next()
+{
+  if (ReadBootClock() >= this->end) {
+    return;
+  }
+  size_t dice = this->random();
+  this->Inject(this->isPlanned
+                 ? kPlanned[dice % std::size(kPlanned)]
+                 : kFaultKindNames.rows[dice % kFaultKindNames.Size()].value);
+  std::uniform_int_distribution<int64_t> pause(kShortestPauseMs,
+                                               kLongestPauseMs);
+  this->loop.After(Millis(pause(this->random)), [this] { this->Next(); });
+}
+
+void
+Faults::Inject(FaultKind aKind)
+{
+  std::uniform_int_distribution<int64_t> draw(kShortestSpanMs, kLongestSpanMs);
+  Duration span = Millis(draw(this->random));
+  if (aKind < FaultKind::UpstreamKill) {
+    this->InjectHost(aKind, span);
+  } else if (aKind < FaultKind::StoreDown) {
+    this->InjectUpstream(aKind, span);
+  } else {
+    this->InjectStore(aKind, span);
+  }
+}
+
+void
+Faults::InjectHost(FaultKind aKind, Duration aSpan)
+{
+  size_t host = this->random() % this->target.Hosts();
+  this->Log(aKind, host, aSpan);
+  ++this->counts[aKind];
+  switch (aKind) {
+    case FaultKind::ProxyKill:
+      this->DisturbHost(host, Seconds(1));
+      this->target.SignalHost(host, SIGKILL);
+      return;
+    case FaultKind::ProxyPause:
+      this->DisturbHost(host, aSpan);
+      this->target.SignalHost(host, SIGSTOP);
+      this->loop.After(
+        aSpan, [this, host] { this->target.SignalHost(host, SIGCONT); });
+      return;
+    case FaultKind::ProxyReload:
+      this->target.SignalHost(host, SIGHUP);
+      return;
+    default:
+      this->target.SignalHost(host, SIGTERM);
+      return;
+  }
+}
+
+/** One at a time is lost or deaf: commits need two that receive. */
+void
+Faults::InjectUpstream(FaultKind aKind, Duration aSpan)
+{
+  size_t upstream = this->random() % kUpstreams;
+  bool isHard = aKind != FaultKind::UpstreamLag &&
+                aKind != FaultKind::UpstreamReset &&
+                aKind != FaultKind::UpstreamSilence;
+  if (isHard && ReadBootClock() < this->upstreamBusy) {
+    return;
+  }
+  this->Log(aKind, upstream, aSpan);
+  ++this->counts[aKind];
+  this->Disturb(aSpan);
+  if (isHard) {
+    constexpr Duration kBetween = Millis(1500);
+    this->upstreamBusy = ReadBootClock() + aSpan + kBetween;
+  }
+  auto control = [&](const char* aBegins, const char* aEnds, size_t aValue) {
+    this->target.Control(fmt::format(R"({{"{}":{}}})", aBegins, aValue));
+    std::string back = fmt::format(R"({{"{}":{}}})", aEnds, upstream);
+    this->loop.After(aSpan, [this, back] { this->target.Control(back); });
+  };
+  auto relay = [&](const std::string& aOrder) {
+    this->target.TellUpstreamRelay(upstream, aOrder);
+    this->loop.After(aSpan, [this, upstream] {
+      this->target.TellUpstreamRelay(upstream, "heal");
+    });
+  };
+  switch (aKind) {
+    case FaultKind::UpstreamKill:
+      control("kill", "revive", upstream);
+      return;
+    case FaultKind::UpstreamDeaf:
+      control("deafen", "hear", upstream);
+      return;
+    case FaultKind::UpstreamLag:
+      this->target.Control(
+        fmt::format(R"({{"lag":{}}})", this->random() % 600));
+      return;
+    case FaultKind::UpstreamSilence:
+      this->target.TellUpstreamRelay(upstream, "silence");
+      return;
+    case FaultKind::UpstreamReset:
+      this->target.TellUpstreamRelay(upstream, "reset");
+      return;
+    case FaultKind::UpstreamDelay:
+      relay(fmt::format("delay?{}", 5 + this->random() % 300));
+      return;
+    case FaultKind::UpstreamCut:
+      relay("cut");
+      return;
+    default:
+      relay("half");
+      return;
+  }
+}
+
+void
+Faults::InjectStore(FaultKind aKind, Duration aSpan)
+{
+  size_t host = this->random() % this->target.Hosts();
+  this->Log(aKind, host, aSpan);
+  ++this->counts[aKind];
+  auto control = [&](const std::string& aBegins, const std::string& aEnds) {
+    this->Disturb(aSpan);
+    this->target.Control(aBegins);
+    this->loop.After(aSpan, [this, aEnds] { this->target.Control(aEnds); });
+  };
+  switch (aKind) {
+    case FaultKind::StoreDown:
+      control(R"({"down":true})", R"({"down":false})");
+      return;
+    case FaultKind::StoreSlow:
+      control(fmt::format(R"({{"slow":{}}})", this->random() % 900),
+              R"({"slow":0})");
+      return;
+    case FaultKind::StoreLoses:
+      control(R"({"lose":["/v1/kv-txn"]})", R"({"lose":[]})");
+      return;
+    case FaultKind::StoreLapse:
+      this->Disturb(aSpan);
+      this->target.Control(R"({"lapse":true})");
+      return;
+    case FaultKind::StoreSilence:
+      this->DisturbHost(host, aSpan);
+      this->target.TellStoreRelay(host, "silence");
+      return;
+    case FaultKind::StoreCut:
+      this->DisturbHost(host, aSpan);
+      this->target.TellStoreRelay(host, "cut");
+      this->loop.After(
+        aSpan, [this, host] { this->target.TellStoreRelay(host, "heal"); });
+      return;
+    default:
+      this->target.ChangeConfig();
+      return;
+  }
+}
+
+} // namespace marigoldpitch::soak
--- /dev/null
+++ b/test/soak/soak.cc
@@ -0,0 +1,441 @@
+#include "soak/callers.h"
+#include "soak/faults.h"
+
+#include "marigoldpitch/transport/clock.h"
+#include "marigoldpitch/transport/command-line.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <fstream>
+
+// marigoldpitch-soak: real proxies before the stand-in of the platform, relays
+// between them, callers, and faults drawn from a seed. Prints each promise that
+// was broken.
+
+namespace marigoldpitch::soak {
+
+namespace {
+
+constexpr size_t kUpstreams = 3;
+constexpr size_t kZones = 2;
+constexpr Duration kWarmUp = Seconds(8); // until the duty may be used
+constexpr Duration kRecovery = Seconds(12);
+constexpr Duration kQuiet = Seconds(4); // for what is still on its way
+constexpr Duration kStep = Millis(100);
+constexpr Duration kInForce = Seconds(3);
+constexpr size_t kSessionsOfHost = 6;
+
+struct Options
+{
+  std::string build;
+  std::string directory;
+  uint32_t seed = 1;
+  size_t hosts = 4;
+  Duration span = Seconds(20);
+  uint16_t port = 28000;
+};
+
+Endpoint
+Local(int aPort)
+{
+  return { "127.0.0.1", static_cast<uint16_t>(aPort) };
+}
+
+} // namespace
+
+class Run
+  : public FaultTarget
+  , public HostWatch
+{
+public:
+  Run(Loop& aLoop, Options aOptions)
+    : loop(aLoop)
+    , options(std::move(aOptions))
+    , children(this->options.directory)
+    , faults(aLoop, *this, this->options.seed)
+    , callers(aLoop, this->ledger, this->Fronts(), this->options.seed, *this)
+    , up(this->options.hosts, true)
+    , leavingSince(this->options.hosts, kNever)
+  {
+  }
+
+  int Start()
+  {
+    this->StartSite();
+    this->control =
+      HttpClient::Create(this->loop, Local(this->Port(0))).value();
+    this->loop.After(Millis(300), [this] {
+      for (size_t host = 0; host < this->options.hosts; ++host) {
+        this->StartHost(host);
+      }
+      this->KeepHosts();
+    });
+    this->loop.After(Seconds(2), [this] {
+      if (!this->children.IsRunning("site")) {
+        this->ledger.Report(Promise::Recover, "the site did not start");
+      }
+      this->callers.Start(this->options.hosts * kSessionsOfHost);
+    });
+    this->loop.After(kWarmUp,
+                     [this] { this->faults.Start(this->options.span); });
+    this->loop.After(kWarmUp + this->options.span + Millis(3600),
+                     [this] { this->Heal(); });
+    this->loop.Run();
+    return this->ledger.Wrongs().empty() ? 0 : 1;
+  }
+
+  size_t Hosts() const override { return this->options.hosts; }
+
+  bool IsCalm(size_t aHost) const override
+  {
+    return this->faults.IsCalm(aHost);
+  }
+
+  bool TakesCallers(size_t aHost) const override
+  {
+    constexpr Duration kBalancerNotices = Seconds(2);
+    return this->up[aHost] &&
+           ReadBootClock() - this->leavingSince[aHost] < kBalancerNotices;
+  }
+
+  void Control(const std::string& aBody) override
+  {
+    HttpCall call{ "POST", "/control" };
+    call.body = aBody;
+    this->control->Send(call, [](const Result<HttpReply>&) {});
+  }
+
+  void TellUpstreamRelay(size_t aUpstream, const std::string& aOrder) override
+  {
+    this->Tell(this->Port(30) + static_cast<int>(aUpstream), aOrder);
+  }
+
+  void TellStoreRelay(size_t aHost, const std::string& aOrder) override
+  {
+    this->Tell(this->Port(60) + static_cast<int>(aHost), aOrder);
+  }
+
+  void SignalHost(size_t aHost, int aSignal) override
+  {
+    if (aSignal == SIGTERM && this->leavingSince[aHost] == kNever) {
+      this->leavingSince[aHost] = ReadBootClock();
+    }
+    this->children.Signal(this->NameOf(aHost), aSignal);
+  }
+
+  void ChangeConfig() override
+  {
+    ++this->version;
+    nlohmann::json routes;
+    auto add = [&](const std::string& aDatabase, const char* aKind) {
+      routes.push_back({ { "name", aDatabase },
+                         { "host", aDatabase },
+                         { "kind", aKind },
+                         { "maxStaleMs", 500 },
+                         { "timeoutMs", 1000 },
+                         { "targetLatencyMs", 300 },
+                         { "service", "svc" } });
+    };
+    add("ledger", "primary");
+    add("stock", "bounded");
+    add("visits", "session");
+    std::string extra = fmt::format("extra{}", this->version);
+    add(extra, "primary");
+    nlohmann::json config{ { "version", this->version },
+                           { "routes", routes },
+                           { "services",
+                             { { { "name", "svc" },
+                                 { "maxConns", 12 * this->options.hosts },
+                                 { "syncReplicas", 1 } } } },
+                           { "limits", { { "txIdleMs", 3000 } } } };
+    this->Control(nlohmann::json{ { "config", config } }.dump());
+    uint64_t asked = this->version;
+    this->loop.After(kInForce, [this, asked, extra] {
+      for (size_t host = 0; host < this->options.hosts; ++host) {
+        if (asked == this->version && this->faults.IsCalm(host) &&
+            this->up[host]) {
+          this->Probe(host, extra);
+        }
+      }
+    });
+  }
+
+private:
+  /** Asks a host for a database that was just added. */
+  struct Prober : public LineLinkListener
+  {
+    Run* run = nullptr;
+    size_t host = 0;
+    std::string database;
+    std::shared_ptr<LineLink> link;
+    void OnLinkUp(LineLink& aLink) override
+    {
+      aLink.Send(fmt::format("START {} probe\r\n", this->database));
+    }
+    void OnLine(LineLink& aLink, std::string_view aLine) override
+    {
+      if (aLine.substr(0, 8) == "ERR NODB" &&
+          this->run->faults.IsCalm(this->host)) {
+        this->run->ledger.Report(
+          Promise::Config,
+          fmt::format("host {} lacks {}", this->host, this->database));
+      }
+      ++this->run->probes;
+      aLink.Close();
+    }
+    void OnLinkDown(LineLink&, const Error&) override {}
+  };
+
+  int Port(int aOffset) const { return this->options.port + aOffset; }
+  std::string NameOf(size_t aHost) const
+  {
+    return fmt::format("host-{}", aHost);
+  }
+
+  std::vector<Endpoint> Fronts() const
+  {
+    std::vector<Endpoint> fronts;
+    for (size_t i = 0; i < this->options.hosts; ++i) {
+      fronts.push_back(Local(this->Port(100) + static_cast<int>(i)));
+    }
+    return fronts;
+  }
+
+  void StartSite()
+  {
+    auto text = [](int aPort) { return std::to_string(aPort); };
+    this->children.Start("site",
+                         { this->options.build + "/test/standin-site",
+                           "--store",
+                           text(this->Port(0)),
+                           "--upstreams",
+                           text(this->Port(10)),
+                           "--advertise",
+                           text(this->Port(20)) });
+    auto relay =
+      [&](const std::string& aName, int aPort, int aTo, int aOrders) {
+        this->children.Start(aName,
+                             { this->options.build + "/test/standin-relay",
+                               "--port",
+                               text(aPort),
+                               "--target",
+                               text(aTo),
+                               "--control",
+                               text(aOrders) });
+      };
+    for (int i = 0; i < static_cast<int>(kUpstreams); ++i) {
+      relay(fmt::format("upstream-relay-{}", i),
+            this->Port(20) + i,
+            this->Port(10) + i,
+            this->Port(30) + i);
+    }
+    for (int i = 0; i < static_cast<int>(this->options.hosts); ++i) {
+      relay(fmt::format("store-relay-{}", i),
+            this->Port(40) + i,
+            this->Port(0),
+            this->Port(60) + i);
+    }
+  }
+
+  void StartHost(size_t aHost)
+  {
+    auto index = static_cast<int>(aHost);
+    auto at = [&](int aOffset) {
+      return fmt::format("127.0.0.1:{}", this->Port(aOffset) + index);
+    };
+    std::string path =
+      this->options.directory + "/" + this->NameOf(aHost) + ".json";
+    nlohmann::json settings{ { "host", this->NameOf(aHost) },
+                             { "zone", fmt::format("zone-{}", aHost % kZones) },
+                             { "callers", at(100) },
+                             { "health", at(120) },
+                             { "metrics", at(140) },
+                             { "peers", at(160) },
+                             { "store", at(40) },
+                             { "duties", at(40) },
+                             { "grace_seconds", 6 } };
+    std::ofstream(path) << settings.dump();
+    this->children.Start(
+      this->NameOf(aHost),
+      { this->options.build + "/marigoldpitch-proxy", "--settings", path });
+  }
+
+  /** Starts again what has ended, as the platform does. */
+  void KeepHosts()
+  {
+    for (size_t host = 0; host < this->options.hosts; ++host) {
+      bool isUp = this->children.IsRunning(this->NameOf(host));
+      if (!isUp && this->up[host]) {
+        constexpr Duration kRestart = Millis(300);
+        this->loop.After(kRestart, [this, host] {
+          this->StartHost(host);
+          this->up[host] = true;
+          this->leavingSince[host] = kNever;
+        });
+      }
+      this->up[host] = this->up[host] && isUp;
+    }
+    this->loop.After(kStep, [this] { this->KeepHosts(); });
+  }
+
+  void Tell(int aPort, const std::string& aOrder)
+  {
+    auto& client = this->relays[aPort];
+    if (!client) {
+      client = HttpClient::Create(this->loop, Local(aPort)).value();
+    }
+    HttpCall call{ "POST", "/" + aOrder };
+    client->Send(call, [](const Result<HttpReply>&) {});
+  }
+
+  void Probe(size_t aHost, const std::string& aDatabase)
+  {
+    auto prober = std::make_unique<Prober>();
+    prober->run = this;
+    prober->host = aHost;
+    prober->database = aDatabase;
+    auto link =
+      LineLink::Connect(this->loop, this->Fronts()[aHost], 0, *prober);
+    if (link) {
+      prober->link = link.value();
+      this->probers.push_back(std::move(prober));
+    }
+  }
+
+  void Heal()
+  {
+    this->Control(R"({"down":false,"slow":0,"lose":[],"lag":0})");
+    for (size_t i = 0; i < kUpstreams; ++i) {
+      this->Control(fmt::format(R"({{"revive":{},"hear":{}}})", i, i));
+      this->TellUpstreamRelay(i, "heal");
+    }
+    for (size_t host = 0; host < this->options.hosts; ++host) {
+      this->TellStoreRelay(host, "heal");
+      this->SignalHost(host, SIGCONT);
+    }
+    this->AwaitRecovery(kRecovery);
+  }
+
+  /** Each host has to serve writes again. */
+  void AwaitRecovery(Duration aLeft)
+  {
+    constexpr uint64_t kEnough = 5;
+    bool isWhole = true;
+    for (size_t host = 0; host < this->options.hosts; ++host) {
+      this->recovered[host] += this->callers.TakeServed(host);
+      isWhole = isWhole && this->recovered[host] >= kEnough;
+    }
+    if (isWhole || aLeft <= Millis(0)) {
+      for (size_t host = 0; host < this->options.hosts; ++host) {
+        if (this->recovered[host] < kEnough) {
+          this->ledger.Report(Promise::Recover, this->NameOf(host));
+        }
+      }
+      this->callers.Stop();
+      this->loop.After(kQuiet, [this] { this->Finish(); });
+      return;
+    }
+    this->loop.After(kStep,
+                     [this, aLeft] { this->AwaitRecovery(aLeft - kStep); });
+  }
+
+  void Finish()
+  {
+    HttpCall call{ "POST", "/control" };
+    call.body = R"({"log":true})";
+    this->control->Send(call, [this](const Result<HttpReply>& aReply) {
+      auto body = nlohmann::json::parse(
+        aReply ? aReply.value().body : "", nullptr, false);
+      if (body.is_discarded()) {
+        this->ledger.Report(Promise::Recover, "no log of the upstreams");
+      } else {
+        this->ledger.CheckLog(
+          body["log"].get<std::vector<std::pair<std::string, std::string>>>());
+        if (body["strange"] != 0) {
+          this->ledger.Report(Promise::Unasked, "a statement of no protocol");
+        }
+      }
+      this->Print();
+      this->loop.Stop();
+    });
+  }
+
+  void Print() const
+  {
+    const Tally& tally = this->callers.Counts();
+    uint64_t all = 0;
+    for (const auto& [kind, count] : this->faults.Counts()) {
+      all += count;
+    }
+    for (const std::string& wrong : this->ledger.Wrongs()) {
+      fmt::print("WRONG {}\n", wrong);
+    }
+    fmt::print("seed {}: {} faults, {} served, {} refused, {} unsure, {} ended "
+               "under a question, {} probes, {} wrong\n",
+               this->options.seed,
+               all,
+               tally.served,
+               tally.refused,
+               tally.unsure,
+               tally.failed,
+               this->probes,
+               this->ledger.Wrongs().size());
+  }
+
+  Loop& loop;
+  Options options;
+  Ledger ledger;
+  Children children;
+  Faults faults;
+  Callers callers;
+  std::unique_ptr<HttpClient> control;
+  std::map<int, std::unique_ptr<HttpClient>> relays;
+  std::vector<std::unique_ptr<Prober>> probers;
+  std::vector<bool> up;
+  std::vector<Time> leavingSince;
+  std::map<size_t, uint64_t> recovered;
+  uint64_t version = 10;
+  uint64_t probes = 0;
+};
+
+int
+Main(int aCount, char** aArguments)
+{
+  auto line =
+    ParseCommandLine(aCount,
+                     const_cast<const char**>(aArguments),
+                     "--dir DIRECTORY",
+                     { { "build", "DIRECTORY", "where the programs are" },
+                       { "dir", "DIRECTORY", "for settings and output" },
+                       { "seed", "NUMBER", "of the faults" },
+                       { "seconds", "NUMBER", "how long faults come" },
+                       { "hosts", "NUMBER", "proxies" },
+                       { "port", "PORT", "the first of 200" } });
+  if (!line || !line.value().Has("dir")) {
+    return static_cast<int>(ExitCode::Usage);
+  }
+  auto number = [&](const char* aName, const char* aDefault) {
+    return std::strtoul(line.value().Get(aName, aDefault).c_str(), nullptr, 10);
+  };
+  Options options;
+  options.build = line.value().Get("build", "build");
+  options.directory = line.value().Get("dir");
+  options.seed = static_cast<uint32_t>(number("seed", "1"));
+  options.hosts = number("hosts", "4");
+  options.span = Seconds(static_cast<int64_t>(number("seconds", "20")));
+  options.port = static_cast<uint16_t>(number("port", "28000"));
+  signal(SIGPIPE, SIG_IGN);
+  auto loop = Loop::Create();
+  Run run(*loop.value(), options);
+  return run.Start();
+}
+
+} // namespace marigoldpitch::soak
+
+int
+main(int aCount, char** aArguments)
+{
+  return marigoldpitch::soak::Main(aCount, aArguments);
+}
--- a/test/standin/relay.cc
+++ b/test/standin/relay.cc
@@ -10,7 +10,9 @@
 
 // A relay between two parties. POST /silence stops what is open for good, as a
 // middlebox that has lost track of it; new connections work. POST /cut stops
-// new ones too, until POST /heal.
+// new ones too, POST /half lets questions through and no answers, and POST
+// /delay?MS holds up all bytes, until POST /heal. POST /reset ends what is
+// open.
 
 namespace marigoldpitch::standin {
 
@@ -36,8 +38,19 @@
   }
 
   void Silence() { this->silent = true; }
+  void DropAnswers() { this->dropsAnswers = true; }
+  void SetDelay(Duration aDelay) { this->delay = aDelay; }
   bool IsOpen() const { return this->sides[0].socket != nullptr; }
 
+  void Close()
+  {
+    for (Side& side : this->sides) {
+      if (side.socket != nullptr) {
+        h2o_socket_close(std::exchange(side.socket, nullptr));
+      }
+    }
+  }
+
 private:
   struct Side
   {
@@ -74,9 +87,26 @@
     }
     std::string bytes(aSocket->input->bytes, aSocket->input->size);
     h2o_buffer_consume(&aSocket->input, aSocket->input->size);
-    if (!pipe->silent) {
-      pipe->sides[side->other].queued += bytes;
-      pipe->Write(pipe->sides[side->other]);
+    bool isAnswer = side->other == 0;
+    if (pipe->silent || (isAnswer && pipe->dropsAnswers)) {
+      return;
+    }
+    pipe->Forward(side->other, bytes);
+  }
+
+  void Forward(size_t aTo, const std::string& aBytes)
+  {
+    auto forward = [self = this->shared_from_this(), aTo, aBytes] {
+      Side& side = self->sides[aTo];
+      if (side.socket != nullptr) {
+        side.queued += aBytes;
+        self->Write(side);
+      }
+    };
+    if (this->delay == Millis(0)) {
+      forward();
+    } else {
+      this->loop.After(this->delay, forward);
     }
   }
 
@@ -102,17 +132,10 @@
     h2o_socket_write(aSide.socket, &bytes, 1, OnWritten);
   }
 
-  void Close()
-  {
-    for (Side& side : this->sides) {
-      if (side.socket != nullptr) {
-        h2o_socket_close(std::exchange(side.socket, nullptr));
-      }
-    }
-  }
-
   Loop& loop;
   bool silent = false;
+  bool dropsAnswers = false;
+  Duration delay = Millis(0);
   Side sides[2];
 };
 
@@ -132,7 +155,11 @@
   void OnAccept(h2o_socket_t* aSocket) override
   {
     auto pipe = std::make_shared<Pipe>(this->loop, aSocket);
+    for (auto it = this->pipes.begin(); it != this->pipes.end();) {
+      it = (*it)->IsOpen() ? std::next(it) : this->pipes.erase(it);
+    }
     this->pipes.insert(pipe);
+    this->Treat(*pipe);
     if (!this->isCut) {
       pipe->Start(this->target);
     }
@@ -140,14 +167,28 @@
 
   void OnHttp(ExchangeId aExchange, const HttpRequest& aRequest) override
   {
-    bool isCut = aRequest.path == "/cut";
-    if (isCut || aRequest.path == "/silence") {
-      for (const auto& pipe : this->pipes) {
+    const std::string& path = aRequest.path;
+    if (path == "/cut" || path == "/heal") {
+      this->isCut = path == "/cut";
+    }
+    if (path == "/half" || path == "/heal") {
+      this->isHalf = path == "/half";
+    }
+    if (path == "/delay" || path == "/heal") {
+      int64_t ms = path == "/delay" ? std::stoll(aRequest.query) : 0;
+      this->delay = Millis(ms);
+    }
+    for (const auto& pipe : this->pipes) {
+      this->Treat(*pipe);
+      if (this->isCut || path == "/silence") {
         pipe->Silence();
       }
     }
-    if (isCut || aRequest.path == "/heal") {
-      this->isCut = isCut;
+    if (path == "/reset") {
+      for (const auto& pipe : this->pipes) {
+        pipe->Close();
+      }
+      this->pipes.clear();
     }
     this->server->Respond(aExchange, { 200, "text/plain", "done\n" });
   }
@@ -155,10 +196,20 @@
   void OnHttpGone(ExchangeId) override {}
 
 private:
+  void Treat(Pipe& aPipe) const
+  {
+    aPipe.SetDelay(this->delay);
+    if (this->isHalf) {
+      aPipe.DropAnswers();
+    }
+  }
+
   Loop& loop;
   SocketAddress target;
   HttpServer* server = nullptr;
   bool isCut = false;
+  bool isHalf = false;
+  Duration delay = Millis(0);
   std::set<std::shared_ptr<Pipe>> pipes;
 };
 
--- a/test/standin/site-store.cc
+++ b/test/standin/site-store.cc
@@ -74,7 +74,7 @@
       continue;
     }
     Json entry{ { "service", "svc" },
-                { "addr", FormatEndpoint(upstream.endpoint) },
+                { "addr", FormatEndpoint(upstream.advertised) },
                 { "zone", "zone-" + upstream.id.substr(2) },
                 { "state", upstream.isLeaving ? "draining" : "ready" },
                 { "dbRole", upstream.isPrimary ? "primary" : "replica" } };
@@ -128,8 +128,14 @@
 void
 Store::Reply(ExchangeId aExchange, int aStatus, const Json& aBody)
 {
-  this->server->Respond(aExchange,
-                        { aStatus, "application/json", aBody.dump() });
+  HttpResponse response{ aStatus, "application/json", aBody.dump() };
+  if (this->slowness == Millis(0)) {
+    this->server->Respond(aExchange, response);
+    return;
+  }
+  this->loop.After(this->slowness, [this, aExchange, response] {
+    this->server->Respond(aExchange, response);
+  });
 }
 
 void
@@ -217,6 +223,7 @@
       return;
     }
   }
+  bool isLost = this->losesTo.count("/v1/kv-txn") != 0;
   ++this->revision; // one for the whole change
   for (const auto& put : aBody.at("puts")) {
     this->Write(put.at("key").get<std::string>(),
@@ -227,7 +234,9 @@
   for (const auto& key : aBody.at("deletes")) {
     this->items.erase(key.get<std::string>());
   }
-  this->Reply(aExchange, 200, { { "rev", this->revision } });
+  if (!isLost) {
+    this->Reply(aExchange, 200, { { "rev", this->revision } });
+  }
 }
 
 void
@@ -251,16 +260,21 @@
 void
 Store::Control(ExchangeId aExchange, const Json& aBody)
 {
-  if (aBody.contains("kill")) {
-    this->upstreams.Kill(aBody["kill"].get<size_t>());
-  }
-  if (aBody.contains("leave")) {
-    this->upstreams.All()[aBody["leave"].get<size_t>()].isLeaving = true;
-  }
+  this->ControlUpstreams(aBody);
   if (aBody.contains("config")) {
     this->Put("op/config", aBody["config"].dump());
   }
   this->isDown = aBody.value("down", this->isDown);
+  this->slowness = Millis(aBody.value("slow", this->slowness.ms));
+  if (aBody.contains("lose")) {
+    this->losesTo = aBody["lose"].get<std::set<std::string>>();
+  }
+  if (aBody.contains("lapse")) {
+    for (auto& [id, end] : this->leases) {
+      end = kLongAgo;
+    }
+    this->EndLeases();
+  }
   Json primary = "none";
   for (const Upstream& upstream : this->upstreams.All()) {
     if (upstream.isPrimary && upstream.isAlive) {
@@ -270,7 +284,45 @@
   this->Reply(
     aExchange,
     200,
-    { { "primary", primary }, { "strange", this->upstreams.Strange() } });
+    { { "primary", primary },
+      { "strange", this->upstreams.Strange() },
+      { "log", aBody.contains("log") ? this->Log() : Json::array() } });
+}
+
+void
+Store::ControlUpstreams(const Json& aBody)
+{
+  auto of = [&](const char* aName) -> std::optional<size_t> {
+    return aBody.contains(aName)
+             ? std::make_optional(aBody[aName].get<size_t>())
+             : std::nullopt;
+  };
+  if (auto index = of("kill")) {
+    this->upstreams.Kill(*index);
+  }
+  if (auto index = of("revive")) {
+    this->upstreams.Revive(*index);
+  }
+  if (auto index = of("deafen")) {
+    this->upstreams.SetDeaf(*index, true);
+  }
+  if (auto index = of("hear")) {
+    this->upstreams.SetDeaf(*index, false);
+  }
+  if (auto lag = of("lag")) {
+    this->upstreams.SetLag(Millis(static_cast<int64_t>(*lag)));
+  }
+  if (auto index = of("leave")) {
+    this->upstreams.All()[*index].isLeaving = true;
+  }
+}
+
+/** What the primary keeps, as pairs of item and value. */
+Store::Json
+Store::Log()
+{
+  const Upstream* leader = this->upstreams.Leader();
+  return leader == nullptr ? Json::array() : Json(leader->log);
 }
 
 } // namespace marigoldpitch::standin
--- a/test/standin/site-store.h
+++ b/test/standin/site-store.h
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <set>
+
 /** The platform's store, the promoting call, and switches for faults. */
 namespace marigoldpitch::standin {
 
@@ -49,6 +51,8 @@
   void Change(ExchangeId aExchange, const Json& aBody);
   void Lease(ExchangeId aExchange, const std::string& aPath);
   void Control(ExchangeId aExchange, const Json& aBody);
+  void ControlUpstreams(const Json& aBody);
+  Json Log();
   void Write(const std::string& aKey, const Item& aItem);
   void EndLeases();
   Json Shown(const std::string& aKey, const Item& aItem) const;
@@ -63,6 +67,8 @@
   uint64_t revision = 10;
   uint64_t lastLease = 0;
   bool isDown = false;
+  Duration slowness = Millis(0); // of each answer
+  std::set<std::string> losesTo; // paths whose answers are lost
 };
 
 } // namespace marigoldpitch::standin
--- a/test/standin/site-upstreams.cc
+++ b/test/standin/site-upstreams.cc
@@ -18,9 +18,12 @@
 }
 
 Result<void>
-Upstreams::Listen(size_t aUpstream, const Endpoint& aEndpoint)
+Upstreams::Listen(size_t aUpstream,
+                  const Endpoint& aEndpoint,
+                  const Endpoint& aAdvertised)
 {
   this->upstreams[aUpstream].endpoint = aEndpoint;
+  this->upstreams[aUpstream].advertised = aAdvertised;
   Port& port = this->ports[aUpstream];
   BOOST_OUTCOME_TRY(auto listener,
                     TcpListener::Create(this->loop, aEndpoint, port));
@@ -59,6 +62,77 @@
   }
 }
 
+void
+Upstreams::Revive(size_t aUpstream)
+{
+  Upstream& upstream = this->upstreams[aUpstream];
+  if (upstream.isAlive ||
+      !this->Listen(aUpstream, upstream.endpoint, upstream.advertised)) {
+    return;
+  }
+  upstream.isAlive = true;
+  upstream.held = 0;
+  Upstream* leader = this->Leader();
+  upstream.isPrimary = leader == nullptr && upstream.isPrimary;
+  this->Follow(upstream);
+}
+
+void
+Upstreams::SetDeaf(size_t aUpstream, bool aIsDeaf)
+{
+  this->upstreams[aUpstream].isDeaf = aIsDeaf;
+  this->Follow(this->upstreams[aUpstream]);
+}
+
+Upstream*
+Upstreams::Leader()
+{
+  Upstream* leader = nullptr;
+  for (Upstream& upstream : this->upstreams) {
+    bool leads = upstream.isPrimary && upstream.isAlive &&
+                 (leader == nullptr || leader->term < upstream.term);
+    leader = leads ? &upstream : leader;
+  }
+  return leader;
+}
+
+/** Takes what the leader has, if nothing keeps the replica from it. */
+void
+Upstreams::Follow(Upstream& aReplica)
+{
+  Upstream* leader = this->Leader();
+  bool follows = leader != nullptr && !aReplica.isPrimary && aReplica.isAlive &&
+                 !aReplica.isDeaf && aReplica.held == 0;
+  if (follows) {
+    aReplica.term = leader->term;
+    this->Receive(aReplica, leader->log);
+  }
+}
+
+void
+Upstreams::Receive(Upstream& aReplica,
+                   const std::vector<std::pair<std::string, std::string>>& aLog)
+{
+  aReplica.log = aLog;
+  aReplica.shown = std::min(aReplica.shown, aLog.size());
+  size_t count = aLog.size();
+  if (this->lag == Millis(0)) {
+    aReplica.shown = count;
+    return;
+  }
+  this->loop.After(this->lag, [&aReplica, count] {
+    aReplica.shown =
+      std::min(std::max(aReplica.shown, count), aReplica.log.size());
+  });
+}
+
+std::string
+Upstreams::Signed(const Session& aSession, const char* aKind)
+{
+  std::string who = aSession.who.empty() ? "" : ".who=" + aSession.who;
+  return fmt::format("DONE sig.{}{}\r\n", aKind, who);
+}
+
 bool
 Upstreams::Promote(const std::string& aId)
 {
@@ -75,9 +149,8 @@
       ++upstream.term;
       for (Upstream& other : this->upstreams) {
         if (!other.isPrimary && other.isAlive) {
-          other.term = upstream.term;
           other.held = 0;
-          other.log = upstream.log;
+          this->Follow(other);
         }
       }
     });
@@ -144,7 +217,8 @@
     size_t dot = words[1].find('.');
     uint64_t position = std::stoull(words[1].substr(dot + 1));
     words.erase(words.begin(), words.begin() + 2);
-    if (position > upstream.log.size()) {
+    size_t shown = upstream.isPrimary ? upstream.log.size() : upstream.shown;
+    if (position > shown) {
       return "ERR BEHIND -\r\n";
     }
   }
@@ -155,13 +229,19 @@
     upstream.held = isHold ? std::stoull(words[1]) : upstream.held;
     upstream.held = verb == "RESUME" ? 0 : upstream.held;
     upstream.isPrimary = verb == "DEMOTE" ? false : upstream.isPrimary;
+    if (verb == "RESUME" || verb == "DEMOTE") {
+      this->Follow(upstream);
+    }
     return this->Report(upstream);
   }
   if (verb == "RESET") {
     aSession.prepared.clear();
+    aSession.who.clear();
     return done;
   }
   if (verb == "SET") {
+    bool isWho = words.size() > 2 && words[1] == "who";
+    aSession.who = isWho ? words[2] : aSession.who;
     return done;
   }
   if (verb == "PREPARE" && words.size() > 2) {
@@ -179,7 +259,7 @@
     aSession.state = 'I';
     auto written = std::exchange(aSession.written, {});
     bool keeps = verb == "COMMIT" && !written.empty();
-    return keeps ? this->Keep(aSession, written) : "DONE sig.end\r\n";
+    return keeps ? this->Keep(aSession, written) : Signed(aSession, "end");
   }
   bool executesWrite = verb == "EXEC" && words.size() > 3 &&
                        aSession.prepared[words[1]] == "WRITE";
@@ -190,7 +270,7 @@
     }
     if (aSession.state == 'T') {
       aSession.written.emplace_back(words[item], words[item + 1]);
-      return "DONE sig.write\r\n";
+      return Signed(aSession, "write");
     }
     return this->Keep(aSession, { { words[item], words[item + 1] } });
   }
@@ -206,10 +286,11 @@
 {
   const Upstream& upstream = this->upstreams[aSession.upstream];
   std::string value = "nothing";
-  for (const auto& [item, text] : upstream.log) {
-    value = item == aItem ? text : value;
+  size_t shown = upstream.isPrimary ? upstream.log.size() : upstream.shown;
+  for (size_t i = 0; i < shown; ++i) {
+    value = upstream.log[i].first == aItem ? upstream.log[i].second : value;
   }
-  return "ROW " + value + "\r\nDONE sig.read\r\n";
+  return "ROW " + value + "\r\n" + Signed(aSession, "read");
 }
 
 std::string
@@ -220,15 +301,15 @@
   primary.log.insert(primary.log.end(), aEntries.begin(), aEntries.end());
   bool isConfirmed = false;
   for (Upstream& other : this->upstreams) {
-    bool follows = !other.isPrimary && other.isAlive && other.held == 0 &&
-                   other.term == primary.term;
+    bool follows = !other.isPrimary && other.isAlive && !other.isDeaf &&
+                   other.held == 0 && other.term == primary.term;
     if (follows) {
-      other.log = primary.log;
+      this->Receive(other, primary.log);
       isConfirmed = true;
     }
   }
   // Without a replica that has it, it is never answered.
-  return isConfirmed ? "DONE sig.write\r\n" : "";
+  return isConfirmed ? Signed(aSession, "write") : "";
 }
 
 } // namespace marigoldpitch::standin
--- a/test/standin/site-upstreams.h
+++ b/test/standin/site-upstreams.h
@@ -16,13 +16,16 @@
 struct Upstream
 {
   std::string id;
-  Endpoint endpoint;
+  Endpoint endpoint;   // where it listens
+  Endpoint advertised; // where it says that it does
   bool isPrimary = false;
   uint64_t term = 1;
   uint64_t held = 0;
   bool isAlive = true;
   bool isLeaving = false;
-  std::vector<std::pair<std::string, std::string>> log;
+  bool isDeaf = false;                                  // receives nothing
+  std::vector<std::pair<std::string, std::string>> log; // received
+  size_t shown = 0;                                     // of it, by reads
 };
 
 class Upstreams : public LineLinkListener
@@ -30,12 +33,22 @@
 public:
   explicit Upstreams(Loop& aLoop);
 
-  Result<void> Listen(size_t aUpstream, const Endpoint& aEndpoint);
+  Result<void> Listen(size_t aUpstream,
+                      const Endpoint& aEndpoint,
+                      const Endpoint& aAdvertised);
   std::array<Upstream, 3>& All() { return this->upstreams; }
 
+  /** The living primary of the newest term. */
+  Upstream* Leader();
+
   /** False when the upstream does not run. */
   bool Promote(const std::string& aId);
   void Kill(size_t aUpstream);
+
+  /** It comes back with its log, as a replica if another leads now. */
+  void Revive(size_t aUpstream);
+  void SetDeaf(size_t aUpstream, bool aIsDeaf);
+  void SetLag(Duration aLag) { this->lag = aLag; }
   uint64_t Strange() const { return this->strange; }
 
   void OnLinkUp(LineLink&) override {}
@@ -58,6 +71,7 @@
     bool hasStarted = false;
     char state = 'I';
     std::map<std::string, std::string> prepared; // `READ` or `WRITE`
+    std::string who; // the session value of that name, shown in signatures
     std::vector<std::pair<std::string, std::string>> written;
   };
 
@@ -66,13 +80,18 @@
   std::string Keep(Session& aSession,
                    std::vector<std::pair<std::string, std::string>> aEntries);
   std::string Report(Upstream& aUpstream);
+  void Follow(Upstream& aReplica);
+  void Receive(Upstream& aReplica,
+               const std::vector<std::pair<std::string, std::string>>& aLog);
+  static std::string Signed(const Session& aSession, const char* aKind);
 
   Loop& loop;
   std::array<Upstream, 3> upstreams;
   std::array<Port, 3> ports;
   std::map<uint64_t, Session> sessions;
   uint64_t lastSession = 0;
-  uint64_t strange = 0; // lines that no proxy may send
+  Duration lag = Millis(0); // until a replica shows what it received
+  uint64_t strange = 0;     // lines that no proxy may send
 };
 
 } // namespace marigoldpitch::standin
--- a/test/standin/site.cc
+++ b/test/standin/site.cc
@@ -15,12 +15,14 @@
   R"({"name":"a","host":"ledger","kind":"primary","timeoutMs":1000,)"
   R"("targetLatencyMs":300,"priority":1,"service":"svc"},)"
   R"({"name":"b","host":"stock","kind":"bounded","maxStaleMs":500,)"
+  R"("timeoutMs":1000,"targetLatencyMs":300,"priority":2,"service":"svc"},)"
+  R"({"name":"c","host":"visits","kind":"session","maxStaleMs":500,)"
   R"("timeoutMs":1000,"targetLatencyMs":300,"priority":2,"service":"svc"}],)"
   R"("services":[{"name":"svc","maxConns":12,"syncReplicas":1}],)"
   R"("limits":{"txIdleMs":3000}})";
 
 int
-Run(uint16_t aStorePort, uint16_t aFirstPort)
+Run(uint16_t aStorePort, uint16_t aFirstPort, uint16_t aAdvertised)
 {
   auto loop = Loop::Create();
   Upstreams upstreams(*loop.value());
@@ -33,7 +35,9 @@
   store.Attach(*server.value());
   for (uint16_t i = 0; i < 3; ++i) {
     auto port = static_cast<uint16_t>(aFirstPort + i);
-    auto opened = upstreams.Listen(i, { "127.0.0.1", port });
+    auto advertised = static_cast<uint16_t>(aAdvertised + i);
+    auto opened =
+      upstreams.Listen(i, { "127.0.0.1", port }, { "127.0.0.1", advertised });
     if (!opened) {
       return static_cast<int>(FailWith(ExitCode::Failed, opened.error()));
     }
@@ -55,11 +59,16 @@
                      const_cast<const char**>(aArguments),
                      "--store PORT --upstreams PORT",
                      { { "store", "PORT", "the store's port" },
-                       { "upstreams", "PORT", "the first of three" } });
+                       { "upstreams", "PORT", "the first of three" },
+                       { "advertise", "PORT", "where they say to be" } });
   if (!line) {
     return static_cast<int>(FailWith(ExitCode::Usage, line.error()));
   }
+  auto port = [&](const char* aName, const std::string& aDefault) {
+    std::string text = line.value().Get(aName, aDefault);
+    return static_cast<uint16_t>(std::atoi(text.c_str()));
+  };
+  std::string first = line.value().Get("upstreams");
   return standin::Run(
-    static_cast<uint16_t>(std::atoi(line.value().Get("store").c_str())),
-    static_cast<uint16_t>(std::atoi(line.value().Get("upstreams").c_str())));
+    port("store", ""), port("upstreams", ""), port("advertise", first));
 }
