Write the logs of entries and owners as structured lines on standard output

Change: they use the proxy's DecisionLog, which is bounded and never blocks. Each line has its severity. Refusals of requests share the rate of lines that come with requests.

--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -1,6 +1,8 @@
 #ifndef MARIGOLDPITCH_STATE_LOG_EVENT_H
 #define MARIGOLDPITCH_STATE_LOG_EVENT_H
 
+#include "marigoldpitch/state/names.h"
+
 #include <array>
 #include <cstdint>
 #include <string_view>
@@ -15,6 +17,12 @@
   Error,
 };
 
+constexpr NameTable<Severity, 3> kSeverityNames{ {
+  { Severity::Info, "info" },
+  { Severity::Warning, "warning" },
+  { Severity::Error, "error" },
+} };
+
 enum class LogEvent
 {
   Started,
--- a/include/marigoldpitch/transport/log.h
+++ b/include/marigoldpitch/transport/log.h
@@ -6,13 +6,14 @@
 #include <string>
 #include <string_view>
 
-/** One line on standard error for each numbered event. */
+/** The log of a process that has one engine's events and its own. */
 namespace marigoldpitch {
 
-/** Names the process on each line from now on, such as `host-1/owner`. */
+/** Begins the log; each line names the process, such as `host-1/owner`. */
 void
-SetLogName(std::string aName);
+SetLogName(const std::string& aName);
 
+/** One structured line on standard output; nothing before `SetLogName`. */
 void
 Log(LogEvent aEvent, std::string_view aText);
 
--- a/src/transport/decision-log.cc
+++ b/src/transport/decision-log.cc
@@ -23,6 +23,7 @@
   return aEvent == LogEvent::StatementPlaced ||
          aEvent == LogEvent::StatementRetried ||
          aEvent == LogEvent::StatementRefused ||
+         aEvent == LogEvent::RequestRefused ||
          aEvent == LogEvent::DatabaseUnknown;
 }
 
@@ -81,6 +82,7 @@
   line["host"] = this->host;
   line["event"] = fmt::format("E{}", row.number);
   line["name"] = row.name;
+  line["severity"] = kSeverityNames.TextOf(row.severity);
   if (!aRequestId.empty()) {
     line["request"] = aRequestId;
   }
--- a/src/transport/log.cc
+++ b/src/transport/log.cc
@@ -1,47 +1,36 @@
 #include "marigoldpitch/transport/log.h"
 
-#include "marigoldpitch/state/names.h"
+#include "marigoldpitch/transport/decision-log.h"
 
-#include <fmt/format.h>
-
-#include <cstdio>
+#include <memory>
 
 namespace marigoldpitch {
 
 namespace detail {
 
-constexpr NameTable<Severity, 3> kSeverityNames{ {
-  { Severity::Info, "info" },
-  { Severity::Warning, "warning" },
-  { Severity::Error, "error" },
-} };
-
-std::string&
-LogName()
+std::unique_ptr<DecisionLog>&
+ProcessLog()
 {
-  static std::string sName;
-  return sName;
+  static std::unique_ptr<DecisionLog> sLog;
+  return sLog;
 }
 
 } // namespace detail
 
 void
-SetLogName(std::string aName)
+SetLogName(const std::string& aName)
 {
-  detail::LogName() = std::move(aName);
+  detail::ProcessLog() = std::make_unique<DecisionLog>(aName);
 }
 
 void
 Log(LogEvent aEvent, std::string_view aText)
 {
-  const LogEventRow& row = RowOf(aEvent);
-  fmt::print(stderr,
-             "{} E{} {} {}: {}\n",
-             detail::LogName(),
-             row.number,
-             detail::kSeverityNames.NameOf(row.severity),
-             row.name,
-             aText);
+  auto& log = detail::ProcessLog();
+  if (log) {
+    log->Put(aEvent, "", { { "text", std::string(aText) } });
+    log->Flush();
+  }
 }
 
 } // namespace marigoldpitch
--- a/test/soak/callers.cc
+++ b/test/soak/callers.cc
@@ -13,7 +13,7 @@
 constexpr Duration kMaxAge = Millis(500); // of the site's two other routes
 constexpr Duration kPatience = Seconds(3);
 constexpr Duration kReconnect = Millis(60);
-constexpr Duration kLongestRest = Millis(120);
+constexpr Duration kLongestRest = Millis(40);
 // A question that crosses the end of its connection was never read.
 constexpr Duration kCrossing = Millis(200);
 
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -67,6 +67,7 @@
     this->control =
       HttpClient::Create(this->loop, Local(this->Port(0))).value();
     this->loop.After(Millis(300), [this] {
+      this->Control(R"({"work":6})"); // so that faults meet open questions
       for (size_t host = 0; host < this->options.hosts; ++host) {
         this->StartHost(host);
       }
--- a/test/standin/site-store.cc
+++ b/test/standin/site-store.cc
@@ -312,6 +312,9 @@
   if (auto lag = of("lag")) {
     this->upstreams.SetLag(Millis(static_cast<int64_t>(*lag)));
   }
+  if (auto work = of("work")) {
+    this->upstreams.SetWork(Millis(static_cast<int64_t>(*work)));
+  }
   if (auto index = of("leave")) {
     this->upstreams.All()[*index].isLeaving = true;
   }
--- a/test/standin/site-upstreams.cc
+++ b/test/standin/site-upstreams.cc
@@ -162,13 +162,27 @@
 void
 Upstreams::OnLine(LineLink& aLink, std::string_view aLine)
 {
-  auto found = this->sessions.find(aLink.Tag());
+  uint64_t session = aLink.Tag();
+  std::string line(aLine);
+  if (this->work == Millis(0)) {
+    this->Run(session, line);
+  } else {
+    this->loop.After(this->work,
+                     [this, session, line] { this->Run(session, line); });
+  }
+}
+
+void
+Upstreams::Run(uint64_t aSession, const std::string& aLine)
+{
+  auto found = this->sessions.find(aSession);
   if (found == this->sessions.end()) {
     return;
   }
   Session& session = found->second;
+  LineLink& link = *session.link;
   Upstream& upstream = this->upstreams[session.upstream];
-  std::istringstream text{ std::string(aLine) };
+  std::istringstream text{ aLine };
   std::vector<std::string> words;
   for (std::string word; text >> word;) {
     words.push_back(word);
@@ -179,7 +193,7 @@
     bool isUs = words.size() >= 4 && words[0] == "START" && words[1] == "svc" &&
                 words[3] == upstream.id;
     session.hasStarted = isUs;
-    aLink.Send(isUs ? end : "ERR MISROUTED -\r\n");
+    link.Send(isUs ? end : "ERR MISROUTED -\r\n");
     return;
   }
   if (words.size() < 3 || words[0] != "QUERY") {
@@ -189,10 +203,10 @@
   std::vector<std::string> statement(words.begin() + 2, words.end());
   std::string answer = this->Answer(session, statement);
   if (!answer.empty()) {
-    aLink.Send(answer + fmt::format("READY {} {}.{}\r\n",
-                                    session.state,
-                                    upstream.term,
-                                    upstream.log.size()));
+    link.Send(answer + fmt::format("READY {} {}.{}\r\n",
+                                   session.state,
+                                   upstream.term,
+                                   upstream.log.size()));
   }
 }
 
--- a/test/standin/site-upstreams.h
+++ b/test/standin/site-upstreams.h
@@ -49,6 +49,7 @@
   void Revive(size_t aUpstream);
   void SetDeaf(size_t aUpstream, bool aIsDeaf);
   void SetLag(Duration aLag) { this->lag = aLag; }
+  void SetWork(Duration aWork) { this->work = aWork; }
   uint64_t Strange() const { return this->strange; }
 
   void OnLinkUp(LineLink&) override {}
@@ -75,6 +76,7 @@
     std::vector<std::pair<std::string, std::string>> written;
   };
 
+  void Run(uint64_t aSession, const std::string& aLine);
   std::string Answer(Session& aSession, const std::vector<std::string>& aWords);
   std::string Read(Session& aSession, const std::string& aItem);
   std::string Keep(Session& aSession,
@@ -90,8 +92,9 @@
   std::array<Port, 3> ports;
   std::map<uint64_t, Session> sessions;
   uint64_t lastSession = 0;
-  Duration lag = Millis(0); // until a replica shows what it received
-  uint64_t strange = 0;     // lines that no proxy may send
+  Duration lag = Millis(0);  // until a replica shows what it received
+  Duration work = Millis(0); // of each statement
+  uint64_t strange = 0;      // lines that no proxy may send
 };
 
 } // namespace marigoldpitch::standin
