--- a/test/soak/callers.cc
+++ b/test/soak/callers.cc
@@ -147,8 +147,8 @@
   session.step = aStep;
   ++session.questions;
   session.asked = ReadBootClock();
-  session.link->Send(
-    fmt::format("QUERY q{}x{} {}\r\n", aSession, session.questions, aText));
+  session.requestId = fmt::format("q{}x{}", aSession, session.questions);
+  session.link->Send(fmt::format("QUERY {} {}\r\n", session.requestId, aText));
   this->WatchSilence(aSession);
 }
 
@@ -247,6 +247,7 @@
     size_t epoch = aSession.item.rfind('e');
     aSession.item =
       fmt::format("{}e{}", aSession.item.substr(0, epoch), ++aSession.epoch);
+    aSession.ownNewest = 0;
     ++this->tally.unsure;
   } else if (aFate == Fate::Refused) {
     ++this->tally.refused;
@@ -320,7 +321,8 @@
 Callers::CheckRead(Session& aSession)
 {
   std::string place =
-    fmt::format("a read by {} at host {}",
+    fmt::format("{}: a read by {} at host {}",
+                aSession.requestId,
                 kFreshnessNames.TextOf(aSession.route.freshness),
                 aSession.host);
   this->ledger.CheckRead(
--- a/test/soak/callers.h
+++ b/test/soak/callers.h
@@ -97,6 +97,7 @@
     std::string done;
     std::string error;
     uint64_t questions = 0;
+    std::string requestId; // of the newest one
     Time asked = kLongAgo; // the newest one
   };
 
--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -133,9 +133,9 @@
 Faults::InjectUpstream(FaultKind aKind, Duration aSpan)
 {
   size_t upstream = this->random() % kUpstreams;
-  bool isHard = aKind != FaultKind::UpstreamLag &&
-                aKind != FaultKind::UpstreamReset &&
-                aKind != FaultKind::UpstreamSilence;
+  bool isHard =
+    aKind != FaultKind::UpstreamLag && aKind != FaultKind::AnswersLost &&
+    aKind != FaultKind::UpstreamReset && aKind != FaultKind::UpstreamSilence;
   if (isHard && ReadBootClock() < this->upstreamBusy) {
     return;
   }
@@ -180,6 +180,16 @@
     case FaultKind::UpstreamCut:
       relay("cut");
       return;
+    case FaultKind::UpstreamApart:
+      relay(
+        fmt::format("cut-from?host-{}", this->random() % this->target.Hosts()));
+      return;
+    case FaultKind::AnswersLost:
+      this->target.Control(
+        fmt::format(R"({{"lose_answers":{}}})", 20 + this->random() % 60));
+      this->loop.After(
+        aSpan, [this] { this->target.Control(R"({"lose_answers":0})"); });
+      return;
     default:
       relay("half");
       return;
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -27,7 +27,9 @@
   UpstreamReset,
   UpstreamDelay,
   UpstreamCut,
-  UpstreamHalf, // questions arrive, answers do not
+  UpstreamHalf,  // questions arrive, answers do not
+  UpstreamApart, // one host cannot reach it
+  AnswersLost,   // after their statements ran
   StoreDown,
   StoreSlow,
   StoreLoses, // changes take effect without an answer
@@ -37,7 +39,7 @@
   ConfigChange,
 };
 
-constexpr NameTable<FaultKind, 19> kFaultKindNames{ {
+constexpr NameTable<FaultKind, 21> kFaultKindNames{ {
   { FaultKind::ProxyKill, "proxy-kill" },
   { FaultKind::ProxyTerm, "proxy-term" },
   { FaultKind::ProxyPause, "proxy-pause" },
@@ -50,6 +52,8 @@
   { FaultKind::UpstreamDelay, "upstream-delay" },
   { FaultKind::UpstreamCut, "upstream-cut" },
   { FaultKind::UpstreamHalf, "upstream-half" },
+  { FaultKind::UpstreamApart, "upstream-apart" },
+  { FaultKind::AnswersLost, "answers-lost" },
   { FaultKind::StoreDown, "store-down" },
   { FaultKind::StoreSlow, "store-slow" },
   { FaultKind::StoreLoses, "store-loses" },
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -307,7 +307,8 @@
 
   void Heal()
   {
-    this->Control(R"({"down":false,"slow":0,"lose":[],"lag":0})");
+    this->Control(
+      R"({"down":false,"slow":0,"lose":[],"lag":0,"lose_answers":0})");
     for (size_t i = 0; i < kUpstreams; ++i) {
       this->Control(fmt::format(R"({{"revive":{},"hear":{}}})", i, i));
       this->TellUpstreamRelay(i, "heal");
--- a/test/standin/relay.cc
+++ b/test/standin/relay.cc
@@ -8,11 +8,11 @@
 #include <memory>
 #include <set>
 
-// A relay between two parties. POST /silence stops what is open for good, as a
-// middlebox that has lost track of it; new connections work. POST /cut stops
-// new ones too, POST /half lets questions through and no answers, and POST
-// /delay?MS holds up all bytes, until POST /heal. POST /reset ends what is
-// open.
+// A relay between two parties, which takes orders by POST until /heal. /silence
+// stops what is open for good, as a middlebox that has lost track of it; new
+// connections work. /cut stops new ones too, /cut-from?WORD those whose first
+// line holds the word. /half lets questions through and no answers, /delay?MS
+// holds up all bytes. /reset ends what is open.
 
 namespace marigoldpitch::standin {
 
@@ -39,6 +39,13 @@
 
   void Silence() { this->silent = true; }
   void DropAnswers() { this->dropsAnswers = true; }
+  void CutIf(const std::string& aWord)
+  {
+    this->cutWord = aWord;
+    bool isMeant = !aWord.empty() &&
+                   this->greeting.find(" " + aWord + " ") != std::string::npos;
+    this->silent = this->silent || isMeant;
+  }
   void SetDelay(Duration aDelay) { this->delay = aDelay; }
   bool IsOpen() const { return this->sides[0].socket != nullptr; }
 
@@ -88,6 +95,10 @@
     std::string bytes(aSocket->input->bytes, aSocket->input->size);
     h2o_buffer_consume(&aSocket->input, aSocket->input->size);
     bool isAnswer = side->other == 0;
+    if (!isAnswer && pipe->greeting.empty()) {
+      pipe->greeting = bytes.substr(0, bytes.find('\r'));
+      pipe->CutIf(pipe->cutWord);
+    }
     if (pipe->silent || (isAnswer && pipe->dropsAnswers)) {
       return;
     }
@@ -135,6 +146,8 @@
   Loop& loop;
   bool silent = false;
   bool dropsAnswers = false;
+  std::string greeting; // the client's first line
+  std::string cutWord;
   Duration delay = Millis(0);
   Side sides[2];
 };
@@ -174,6 +187,9 @@
     if (path == "/half" || path == "/heal") {
       this->isHalf = path == "/half";
     }
+    if (path == "/cut-from" || path == "/heal") {
+      this->cutWord = path == "/cut-from" ? aRequest.query : "";
+    }
     if (path == "/delay" || path == "/heal") {
       int64_t ms = path == "/delay" ? std::stoll(aRequest.query) : 0;
       this->delay = Millis(ms);
@@ -199,6 +215,7 @@
   void Treat(Pipe& aPipe) const
   {
     aPipe.SetDelay(this->delay);
+    aPipe.CutIf(this->cutWord);
     if (this->isHalf) {
       aPipe.DropAnswers();
     }
@@ -209,6 +226,7 @@
   HttpServer* server = nullptr;
   bool isCut = false;
   bool isHalf = false;
+  std::string cutWord;
   Duration delay = Millis(0);
   std::set<std::shared_ptr<Pipe>> pipes;
 };
--- a/test/standin/site-store.cc
+++ b/test/standin/site-store.cc
@@ -312,6 +312,9 @@
   if (auto lag = of("lag")) {
     this->upstreams.SetLag(Millis(static_cast<int64_t>(*lag)));
   }
+  if (auto count = of("lose_answers")) {
+    this->upstreams.LoseEach(*count);
+  }
   if (auto work = of("work")) {
     this->upstreams.SetWork(Millis(static_cast<int64_t>(*work)));
   }
--- a/test/standin/site-upstreams.cc
+++ b/test/standin/site-upstreams.cc
@@ -202,6 +202,15 @@
   }
   std::vector<std::string> statement(words.begin() + 2, words.end());
   std::string answer = this->Answer(session, statement);
+  bool isLost = this->losesEach != 0 && ++this->answers % this->losesEach == 0;
+  if (isLost) {
+    // By turns the connection ends with it, or says nothing more.
+    if (this->answers / this->losesEach % 2 == 0) {
+      link.Close();
+      this->sessions.erase(aSession);
+    }
+    return;
+  }
   if (!answer.empty()) {
     link.Send(answer + fmt::format("READY {} {}.{}\r\n",
                                    session.state,
@@ -313,6 +322,7 @@
 {
   Upstream& primary = this->upstreams[aSession.upstream];
   primary.log.insert(primary.log.end(), aEntries.begin(), aEntries.end());
+  primary.shown = primary.log.size();
   bool isConfirmed = false;
   for (Upstream& other : this->upstreams) {
     bool follows = !other.isPrimary && other.isAlive && !other.isDeaf &&
--- a/test/standin/site-upstreams.h
+++ b/test/standin/site-upstreams.h
@@ -50,6 +50,9 @@
   void SetDeaf(size_t aUpstream, bool aIsDeaf);
   void SetLag(Duration aLag) { this->lag = aLag; }
   void SetWork(Duration aWork) { this->work = aWork; }
+
+  /** Each so many answers are lost after the statement ran; 0: none. */
+  void LoseEach(uint64_t aCount) { this->losesEach = aCount; }
   uint64_t Strange() const { return this->strange; }
 
   void OnLinkUp(LineLink&) override {}
@@ -94,7 +97,9 @@
   uint64_t lastSession = 0;
   Duration lag = Millis(0);  // until a replica shows what it received
   Duration work = Millis(0); // of each statement
-  uint64_t strange = 0;      // lines that no proxy may send
+  uint64_t losesEach = 0;
+  uint64_t answers = 0;
+  uint64_t strange = 0; // lines that no proxy may send
 };
 
 } // namespace marigoldpitch::standin
