Give the severity of a log line before its event

Cause: proxy-test and zone-test, and whoever searches for a name and its first field, found no line any more: the severity had come in between.

Change: the severity follows the host. proxy-test, zone-test, drain-test and bad-input-test pass.

--- a/src/transport/decision-log.cc
+++ b/src/transport/decision-log.cc
@@ -80,9 +80,9 @@
   nlohmann::ordered_json line;
   line["ms"] = ReadClock().ms;
   line["host"] = this->host;
+  line["severity"] = kSeverityNames.TextOf(row.severity);
   line["event"] = fmt::format("E{}", row.number);
   line["name"] = row.name;
-  line["severity"] = kSeverityNames.TextOf(row.severity);
   if (!aRequestId.empty()) {
     line["request"] = aRequestId;
   }
