Log whose word a read's log point rests on, and what a promotion knew

E601 names the source, how many of how many members said so, and how long ago they were asked. E403, E404 and E407 of a proxy list each upstream with the end of its log as held or as last reported, or 'unheard', and how the attempt ended.

--- a/include/marigoldpitch/coordination/promotion.h
+++ b/include/marigoldpitch/coordination/promotion.h
@@ -43,6 +43,28 @@
   { PromotionReason::CommitsStalled, "commits-stalled" },
 } };
 
+/** How an attempt ended. */
+enum class PromotionOutcome
+{
+  None, // it has not ended
+  Led,  // the candidate says that it leads
+  Needless,
+  Lacking, // no log is known to hold all that was acknowledged
+  NoCandidate,
+  NotOurs, // this host may not act any more
+  Overdue,
+};
+
+constexpr NameTable<PromotionOutcome, 7> kPromotionOutcomeNames{ {
+  { PromotionOutcome::None, "none" },
+  { PromotionOutcome::Led, "led" },
+  { PromotionOutcome::Needless, "needless" },
+  { PromotionOutcome::Lacking, "lacking" },
+  { PromotionOutcome::NoCandidate, "no-candidate" },
+  { PromotionOutcome::NotOurs, "not-ours" },
+  { PromotionOutcome::Overdue, "overdue" },
+} };
+
 /** A statement of the promoter's own for an upstream. */
 struct AskUpstream
 {
@@ -72,6 +94,10 @@
   bool IsRunning() const { return this->phase != PromotionPhase::Idle; }
   PromotionPhase Phase() const { return this->phase; }
   PromotionReason Reason() const { return this->reason; }
+  PromotionOutcome Outcome() const { return this->outcome; }
+
+  /** Where the logs of the held replicas end. */
+  const std::map<UpstreamIndex, LogPoint>& Held() const { return this->held; }
   std::optional<UpstreamIndex> Candidate() const { return this->candidate; }
 
   /** Called regularly while this host may act; `aMayAct` false gives up. */
@@ -94,7 +120,10 @@
   void Start(const ServiceView& aView, PromotionReason aReason, Time aNow);
   void AskHolds(const ServiceView& aView, PromotionSteps& aSteps, Time aNow);
   void Advance(const ServiceView& aView, PromotionSteps& aSteps, Time aNow);
-  void GiveUp(const ServiceView& aView, PromotionSteps& aSteps, Time aNow);
+  void GiveUp(const ServiceView& aView,
+              PromotionOutcome aOutcome,
+              PromotionSteps& aSteps,
+              Time aNow);
   void Finish(const ServiceView& aView, PromotionSteps& aSteps, Time aNow);
   bool MustBeHeld(const ServiceView& aView, UpstreamIndex aUpstream) const;
   bool IsEveryoneHeld(const ServiceView& aView) const;
@@ -108,7 +137,8 @@
 
   PromotionPhase phase = PromotionPhase::Idle;
   PromotionReason reason = PromotionReason::PrimarySilent;
-  Term term = 0; // of the new primary
+  PromotionOutcome outcome = PromotionOutcome::None; // of the last attempt
+  Term term = 0;                                     // of the new primary
   std::optional<UpstreamIndex> replaced;
   std::optional<UpstreamIndex> candidate; // chosen before the holds, or by them
   bool holdsCandidate = true;
--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -123,16 +123,16 @@
   bool HasRoom(const ProxyService& aService, UpstreamIndex aUpstream) const;
   double WaitOf(const ProxyService& aService,
                 UpstreamIndex aUpstream,
-                const std::optional<LogPoint>& aAfter) const;
-  std::optional<LogPoint> PointFor(const ProxyService& aService,
-                                   const CallerSession& aSession) const;
+                const std::optional<FreshPoint>& aAfter) const;
+  std::optional<FreshPoint> PointFor(const ProxyService& aService,
+                                     const CallerSession& aSession) const;
   std::optional<UpstreamIndex> Choose(ProxyService& aService,
                                       const CallerSession& aSession,
-                                      const std::optional<LogPoint>& aAfter);
+                                      const std::optional<FreshPoint>& aAfter);
   bool MayServe(ProxyService& aService,
                 const CallerSession& aSession,
                 UpstreamIndex aUpstream,
-                const std::optional<LogPoint>& aAfter) const;
+                const std::optional<FreshPoint>& aAfter) const;
   std::optional<ConnectionId> FindLink(const ProxyService& aService,
                                        UpstreamIndex aUpstream,
                                        const CallerSession& aSession) const;
@@ -144,6 +144,7 @@
               ConnectionId aConnection);
   void PutValues(ProxyLink& aLink, CallerSession& aSession);
   void SendNext(ProxyLink& aLink, CallerSession& aSession);
+  void ReportPlaced(const ProxyLink& aLink, const PendingStatement& aPending);
   Duration ReadLimit(const ProxyService& aService,
                      const PendingStatement& aPending) const;
 
@@ -199,6 +200,8 @@
                            UpstreamIndex aUpstream,
                            const UpstreamReport& aReport);
   void MendLeftovers(ProxyService& aService);
+  void ReportPromotion(const ProxyService& aService, PromotionPhase aBefore);
+  std::string DescribeMembers(const ProxyService& aService) const;
   void ReportLeader(ProxyService& aService,
                     std::optional<UpstreamIndex> aBefore,
                     Term aTermBefore);
--- a/include/marigoldpitch/coordination/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy-session.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_COORDINATION_PROXY_SESSION_H
 
 #include "marigoldpitch/coordination/proxy-io.h"
+#include "marigoldpitch/state/freshness.h"
 
 #include <deque>
 #include <map>
@@ -59,7 +60,7 @@
   Time sent = kLongAgo;
   ConnectionId connection = 0;
   bool onReplica = false;
-  std::optional<LogPoint> after; // what the replica must hold
+  std::optional<FreshPoint> after; // what the replica must hold
   uint32_t tries = 0;
   std::set<UpstreamIndex> refusedBy; // not asked again unless none is left
 };
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -135,7 +135,7 @@
   void WantPointSince(Time aTime);
 
   /** A point that covers all that was acknowledged before `aTime`. */
-  std::optional<LogPoint> PointSince(Time aTime) const
+  std::optional<FreshPoint> PointSince(Time aTime) const
   {
     return this->samples.OldestSince(aTime);
   }
--- a/include/marigoldpitch/state/position.h
+++ b/include/marigoldpitch/state/position.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_STATE_POSITION_H
 
 #include <cstdint>
+#include <string>
 
 /** Terms and log positions of a database group. */
 namespace marigoldpitch {
@@ -32,6 +33,13 @@
   }
 };
 
+/** TERM.POSITION, for log lines. */
+inline std::string
+FormatLogPoint(const LogPoint& aPoint)
+{
+  return std::to_string(aPoint.term) + "." + std::to_string(aPoint.position);
+}
+
 /**
  * How far a copy has got: the term it follows, where that term began, and the
  * position it has reached.
--- a/src/coordination/promotion.cc
+++ b/src/coordination/promotion.cc
@@ -83,9 +83,16 @@
     this->Start(aView, *need, aNow);
   }
   bool isOrdered = this->phase == PromotionPhase::Confirming;
-  if ((!aMayAct && !isOrdered) || this->IsNeedless(aView, aNow) ||
-      aNow - this->startedAt > detail::kAttemptLimit) {
-    this->GiveUp(aView, steps, aNow);
+  PromotionOutcome end = PromotionOutcome::None;
+  if (!aMayAct && !isOrdered) {
+    end = PromotionOutcome::NotOurs;
+  } else if (this->IsNeedless(aView, aNow)) {
+    end = PromotionOutcome::Needless;
+  } else if (aNow - this->startedAt > detail::kAttemptLimit) {
+    end = PromotionOutcome::Overdue;
+  }
+  if (end != PromotionOutcome::None) {
+    this->GiveUp(aView, end, steps, aNow);
     return steps;
   }
   this->Advance(aView, steps, aNow);
@@ -96,6 +103,7 @@
 Promotion::Start(const ServiceView& aView, PromotionReason aReason, Time aNow)
 {
   this->reason = aReason;
+  this->outcome = PromotionOutcome::None;
   this->term = aView.CurrentTerm() + 1;
   this->replaced = aView.Primary();
   this->holdsCandidate = aReason != PromotionReason::PrimaryLeaving;
@@ -227,14 +235,14 @@
       if (!this->HoldsAllCommits(aView, this->HighestHeld(), aNow)) {
         // Whoever has the rest may come back, and must find replicas free.
         if (aNow - this->phaseSince >= detail::kLackingLimit) {
-          this->GiveUp(aView, aSteps, aNow);
+          this->GiveUp(aView, PromotionOutcome::Lacking, aSteps, aNow);
           this->nextAttempt = aNow + detail::kPauseWhenLacking;
         }
         return;
       }
       this->ChooseHighest(aView);
       if (!this->candidate) {
-        this->GiveUp(aView, aSteps, aNow);
+        this->GiveUp(aView, PromotionOutcome::NoCandidate, aSteps, aNow);
         return;
       }
       this->phase = PromotionPhase::Ordering;
@@ -324,8 +332,12 @@
 }
 
 void
-Promotion::GiveUp(const ServiceView& aView, PromotionSteps& aSteps, Time aNow)
+Promotion::GiveUp(const ServiceView& aView,
+                  PromotionOutcome aOutcome,
+                  PromotionSteps& aSteps,
+                  Time aNow)
 {
+  this->outcome = aOutcome;
   for (const auto& [upstream, point] : this->held) {
     if (aView.At(upstream).listed) {
       aSteps.push_back(AskUpstream{ upstream, StatementKind::Resume });
@@ -342,6 +354,7 @@
     aSteps.push_back(
       AskUpstream{ *this->replaced, StatementKind::Demote, this->term });
   }
+  this->outcome = PromotionOutcome::Led;
   this->phase = PromotionPhase::Idle;
   this->nextAttempt = aNow + detail::kPauseBetween;
 }
--- a/src/coordination/proxy-answers.cc
+++ b/src/coordination/proxy-answers.cc
@@ -280,8 +280,8 @@
         upstream.lagMs =
           std::min(upstream.lagMs * detail::kLagGrowth, detail::kMostLagMs);
         bool isNews = upstream.behindUntil <= this->now ||
-                      pending.after->IsBehind(upstream.behind);
-        upstream.behind = isNews ? *pending.after : upstream.behind;
+                      pending.after->point.IsBehind(upstream.behind);
+        upstream.behind = isNews ? pending.after->point : upstream.behind;
         upstream.behindUntil =
           this->now + Duration{ static_cast<int64_t>(upstream.lagMs) };
       }
--- a/src/coordination/proxy-dispatch.cc
+++ b/src/coordination/proxy-dispatch.cc
@@ -191,7 +191,7 @@
 }
 
 /** What a replica must hold to serve it; unset when nothing proves enough. */
-std::optional<LogPoint>
+std::optional<FreshPoint>
 ProxyEngine::PointFor(const ProxyService& aService,
                       const CallerSession& aSession) const
 {
@@ -204,8 +204,9 @@
   auto point =
     aService.view.PointSince(from - pending.route.maxAge + detail::kClockGrain);
   bool seesItself = pending.route.freshness == Freshness::Session;
-  if (point && seesItself && point->IsBehind(aSession.lastCommit)) {
-    point = aSession.lastCommit;
+  if (point && seesItself && point->point.IsBehind(aSession.lastCommit)) {
+    point->point = aSession.lastCommit;
+    point->origin.source = SampleSource::OwnCommit;
   }
   return point;
 }
@@ -214,7 +215,7 @@
 ProxyEngine::MayServe(ProxyService& aService,
                       const CallerSession& aSession,
                       UpstreamIndex aUpstream,
-                      const std::optional<LogPoint>& aAfter) const
+                      const std::optional<FreshPoint>& aAfter) const
 {
   const PendingStatement& pending = *aSession.pending;
   const ServiceView& view = aService.view;
@@ -270,12 +271,12 @@
 double
 ProxyEngine::WaitOf(const ProxyService& aService,
                     UpstreamIndex aUpstream,
-                    const std::optional<LogPoint>& aAfter) const
+                    const std::optional<FreshPoint>& aAfter) const
 {
   const ProxyUpstream& upstream = aService.view.At(aUpstream);
   bool lacksIt = aService.view.Primary() != aUpstream && aAfter &&
                  upstream.behindUntil > this->now &&
-                 !aAfter->IsBehind(upstream.behind);
+                 !aAfter->point.IsBehind(upstream.behind);
   return lacksIt ? static_cast<double>((upstream.behindUntil - this->now).ms)
                  : 0;
 }
@@ -305,7 +306,7 @@
 std::optional<UpstreamIndex>
 ProxyEngine::Choose(ProxyService& aService,
                     const CallerSession& aSession,
-                    const std::optional<LogPoint>& aAfter)
+                    const std::optional<FreshPoint>& aAfter)
 {
   const PendingStatement& pending = *aSession.pending;
   std::optional<UpstreamIndex> best;
--- a/src/coordination/proxy-placing.cc
+++ b/src/coordination/proxy-placing.cc
@@ -119,7 +119,10 @@
 {
   PendingStatement& pending = *aSession.pending;
   ProxyService& service = this->ServiceOf(aLink.service);
-  auto after = pending.onReplica ? pending.after : std::nullopt;
+  std::optional<LogPoint> after;
+  if (pending.onReplica && pending.after) {
+    after = pending.after->point;
+  }
   aLink.asked = this->now;
   if (aSession.state == SessionState::InTransaction && aSession.pinned == 0) {
     pending.phase = StatementPhase::Beginning;
@@ -145,17 +148,39 @@
   if (this->IsCommit(aSession)) {
     service.view.CommitSent(aLink.id, this->now);
   }
+  this->ReportPlaced(aLink, pending);
+  this->Emit(AskLink{ aLink.id, pending.requestId, pending.statement, after });
+}
+
+void
+ProxyEngine::ReportPlaced(const ProxyLink& aLink,
+                          const PendingStatement& aPending)
+{
+  const ServiceView& view = this->ServiceOf(aLink.service).view;
+  std::string after = "none";
+  std::string from = "none";
+  std::string heard = "none";
+  std::string age = "none";
+  if (aPending.onReplica && aPending.after) {
+    const FreshPoint& fresh = *aPending.after;
+    after = FormatLogPoint(fresh.point);
+    from = kSampleSourceNames.TextOf(fresh.origin.source);
+    heard = std::to_string(fresh.origin.heard) + "/" +
+            std::to_string(fresh.origin.members);
+    age = std::to_string((this->now - fresh.asked).ms);
+  }
   this->Decide(
     LogEvent::StatementPlaced,
-    pending.requestId,
-    { { "upstream", service.view.At(aLink.upstream).entry.id },
-      { "as", pending.onReplica ? "replica" : "primary" },
-      { "after", after ? std::to_string(after->position) : "none" },
-      { "proof_age_ms",
-        std::to_string((this->now - service.view.ProvedAsked()).ms) },
-      { "waited_ms", std::to_string((this->now - pending.arrived).ms) },
-      { "try", std::to_string(pending.tries) } });
-  this->Emit(AskLink{ aLink.id, pending.requestId, pending.statement, after });
+    aPending.requestId,
+    { { "upstream", view.At(aLink.upstream).entry.id },
+      { "as", aPending.onReplica ? "replica" : "primary" },
+      { "after", after },
+      { "after_from", from },
+      { "after_heard", heard },
+      { "after_age_ms", age },
+      { "proof_age_ms", std::to_string((this->now - view.ProvedAsked()).ms) },
+      { "waited_ms", std::to_string((this->now - aPending.arrived).ms) },
+      { "try", std::to_string(aPending.tries) } });
 }
 
 } // namespace marigoldpitch
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -60,14 +60,7 @@
   PromotionPhase before = aService.promotion.Phase();
   this->Perform(aService,
                 aService.promotion.Step(view, this->mayAct, this->now));
-  if (before == PromotionPhase::Idle && aService.promotion.IsRunning()) {
-    this->Decide(
-      LogEvent::FailoverStarted,
-      "",
-      { { "service", aService.name },
-        { "why", kPromotionReasonNames.TextOf(aService.promotion.Reason()) },
-        { "term", std::to_string(view.CurrentTerm()) } });
-  }
+  this->ReportPromotion(aService, before);
   this->MendLeftovers(aService);
   this->CloseSurplus(aService);
   this->AskWanted(aService);
@@ -193,14 +186,65 @@
       view.Saw(index, aEvent.report->received, link.asked);
     }
     this->ReportLeader(service, before, termBefore);
+    PromotionPhase phaseBefore = service.promotion.Phase();
     this->Perform(
       service,
       service.promotion.Answered(view, index, *aEvent.report, this->now));
+    this->ReportPromotion(service, phaseBefore);
     this->NoteLeftover(service, index, *aEvent.report);
   }
   this->Release(link, SessionState::Idle);
 }
 
+void
+ProxyEngine::ReportPromotion(const ProxyService& aService,
+                             PromotionPhase aBefore)
+{
+  const Promotion& promotion = aService.promotion;
+  bool wasRunning = aBefore != PromotionPhase::Idle;
+  if (wasRunning == promotion.IsRunning()) {
+    return;
+  }
+  std::vector<std::pair<const char*, std::string>> fields{
+    { "service", aService.name },
+    { "why", kPromotionReasonNames.TextOf(promotion.Reason()) },
+    { "term", std::to_string(aService.view.CurrentTerm()) }
+  };
+  LogEvent event = LogEvent::FailoverStarted;
+  if (wasRunning) {
+    bool isWell = promotion.Outcome() == PromotionOutcome::Led ||
+                  promotion.Outcome() == PromotionOutcome::Needless;
+    event = isWell ? LogEvent::FailoverFinished : LogEvent::FailoverFailed;
+    fields.emplace_back("outcome",
+                        kPromotionOutcomeNames.TextOf(promotion.Outcome()));
+    fields.emplace_back("members", this->DescribeMembers(aService));
+  }
+  this->Decide(event, "", std::move(fields));
+}
+
+/** Each upstream with the end of its log, or why nothing is known of it. */
+std::string
+ProxyEngine::DescribeMembers(const ProxyService& aService) const
+{
+  const auto& held = aService.promotion.Held();
+  std::string text;
+  for (UpstreamIndex i = 0; i < aService.view.Size(); ++i) {
+    const ProxyUpstream& upstream = aService.view.At(i);
+    auto found = held.find(i);
+    text += (text.empty() ? "" : " ") + upstream.entry.id + "=";
+    if (found != held.end()) {
+      text += "held@" + FormatLogPoint(found->second);
+    } else if (upstream.report) {
+      text += "last@" + FormatLogPoint(upstream.report->received) + "/" +
+              std::to_string((this->now - upstream.reportAsked).ms) + "ms";
+    } else {
+      text += "unheard";
+    }
+    text += upstream.listed ? "" : "(unlisted)";
+  }
+  return text;
+}
+
 void
 ProxyEngine::ReportLeader(ProxyService& aService,
                           std::optional<UpstreamIndex> aBefore,
@@ -268,7 +312,8 @@
       { { "service", aService.name },
         { "upstream", upstream.entry.id },
         { "why", kPromotionReasonNames.TextOf(aService.promotion.Reason()) },
-        { "term", std::to_string(aService.view.CurrentTerm() + 1) } });
+        { "term", std::to_string(aService.view.CurrentTerm() + 1) },
+        { "members", this->DescribeMembers(aService) } });
     this->Emit(RequestPromotion{ aService.name, upstream.entry.id });
   }
 }
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -127,7 +127,8 @@
     highest = highest.IsBehind(point) ? point : highest;
   }
   this->samples.Sample(asked.back()->reportAsked,
-                       { highest.term, highest.position, highest.position });
+                       { highest.term, highest.position, highest.position },
+                       { SampleSource::Quorum, asked.size(), all });
 }
 
 bool
--- a/src/state/freshness.cc
+++ b/src/state/freshness.cc
@@ -10,7 +10,9 @@
 } // namespace detail
 
 void
-FreshnessTracker::Sample(Time aAsked, const CopyPoint& aPrimary)
+FreshnessTracker::Sample(Time aAsked,
+                         const CopyPoint& aPrimary,
+                         const SampleOrigin& aOrigin)
 {
   if (aPrimary.term < this->term) {
     return;
@@ -27,10 +29,12 @@
     if (aPrimary.position == last.position) {
       last.asked = aAsked;
       last.term = aPrimary.term;
+      last.origin = aOrigin;
       return;
     }
   }
-  this->samples.push_back({ aAsked, aPrimary.position, aPrimary.term });
+  this->samples.push_back(
+    { aAsked, aPrimary.position, aPrimary.term, aOrigin });
   if (this->samples.size() > detail::kMaxSamples) {
     this->samples.pop_front();
   }
@@ -70,7 +74,7 @@
   return std::nullopt;
 }
 
-std::optional<LogPoint>
+std::optional<FreshPoint>
 FreshnessTracker::OldestSince(Time aTime) const
 {
   auto isOlder = [](const Entry& aEntry, Time aLimit) {
@@ -81,7 +85,9 @@
   if (found == this->samples.end()) {
     return std::nullopt;
   }
-  return LogPoint{ found->term, found->position };
+  return FreshPoint{ { found->term, found->position },
+                     found->asked,
+                     found->origin };
 }
 
 } // namespace marigoldpitch
