Show that a young host serves stale reads beside a deaf replica

u2 is deaf, u0 dies and its entry runs out, u1 is promoted by an old host; a new host starts 0, 700 or 1400 ms after the entry ran out. Nothing was refused 1 s after start and promotion.

--- /dev/null
+++ b/test/fakes/proxy-upstreams.cc
@@ -0,0 +1,315 @@
+#include "fakes/proxy-world.h"
+
+#include <algorithm>
+
+// What the fake upstreams do with what they are asked.
+
+namespace marigoldpitch::fakes {
+
+namespace {
+
+constexpr Duration kPromoteSpan = Millis(300);
+constexpr Duration kOrderSpan = Millis(1);
+
+} // namespace
+
+LogPoint
+ProxyWorld::EndOf(const FakeUpstream& aUpstream, size_t aCount) const
+{
+  size_t count =
+    aUpstream.role == Role::Primary ? aUpstream.log.size() : aCount;
+  return { aUpstream.term, count };
+}
+
+bool
+ProxyWorld::Holds(const FakeUpstream& aUpstream, const LogPoint& aPoint) const
+{
+  size_t shown =
+    aUpstream.role == Role::Primary ? aUpstream.log.size() : aUpstream.applied;
+  return aPoint.term <= aUpstream.term && shown >= aPoint.position;
+}
+
+UpstreamReport
+ProxyWorld::Report(FakeUpstream& aUpstream, const AskLink& aAction)
+{
+  const SessionStatement& statement = aAction.statement;
+  bool isReplica = aUpstream.role == Role::Replica;
+  if (statement.kind == StatementKind::Hold && isReplica &&
+      statement.term > aUpstream.term) {
+    aUpstream.held = statement.term;
+  } else if (statement.kind == StatementKind::Resume) {
+    aUpstream.held = 0;
+  } else if (statement.kind == StatementKind::Demote && !isReplica &&
+             aUpstream.term < statement.term) {
+    const FakeUpstream& leader = this->upstreams[this->PrimaryIndex()];
+    aUpstream.role = Role::Replica;
+    aUpstream.term = leader.term;
+    aUpstream.log = leader.log;
+    aUpstream.applied = leader.log.size();
+  }
+  UpstreamReport report;
+  report.role = aUpstream.role;
+  report.term = aUpstream.term;
+  report.received = { aUpstream.term, aUpstream.log.size() };
+  report.held = aUpstream.held;
+  return report;
+}
+
+void
+ProxyWorld::CheckValues(const FakeLink& aLink, FakeRequest& aRequest) const
+{
+  if (aLink.values != aRequest.values) {
+    aRequest.wrong = "ran with another session's values";
+  }
+}
+
+StatementReply
+ProxyWorld::Execute(FakeLink& aLink, const AskLink& aAction)
+{
+  StatementReply reply;
+  reply.state = aLink.state;
+  const SessionStatement& statement = aAction.statement;
+  bool writes = statement.writes && (statement.kind == StatementKind::Write ||
+                                     statement.kind == StatementKind::Execute);
+  switch (statement.kind) {
+    case StatementKind::Reset:
+      aLink.values.clear();
+      aLink.prepared.clear();
+      return reply;
+    case StatementKind::SetValue:
+      aLink.values[statement.name] = statement.arguments;
+      return reply;
+    case StatementKind::Prepare:
+      aLink.prepared[statement.name] = { statement.writes, statement.shape };
+      return reply;
+    case StatementKind::RollBack:
+      aLink.written.clear();
+      aLink.state = SessionState::Idle;
+      reply.state = aLink.state;
+      return reply;
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+      if (aAction.after &&
+          !this->Holds(this->upstreams[aLink.upstream], *aAction.after)) {
+        reply.refusal = Refusal{ RefusalCode::Behind, "" };
+        return reply;
+      }
+      aLink.readOnly = statement.kind == StatementKind::BeginReadOnly;
+      if (!aLink.readOnly &&
+          this->upstreams[aLink.upstream].role != Role::Primary) {
+        reply.refusal = Refusal{ RefusalCode::ReadOnly, "" };
+        return reply;
+      }
+      aLink.state = SessionState::InTransaction;
+      reply.state = aLink.state;
+      return reply;
+    case StatementKind::Commit:
+      return this->Commit(aLink, aAction);
+    default:
+      return writes ? this->Write(aLink, aAction) : this->Read(aLink, aAction);
+  }
+}
+
+StatementReply
+ProxyWorld::Read(FakeLink& aLink, const AskLink& aAction)
+{
+  StatementReply reply;
+  reply.state = aLink.state;
+  FakeUpstream& upstream = this->upstreams[aLink.upstream];
+  if (aAction.after && !this->Holds(upstream, *aAction.after)) {
+    reply.refusal = Refusal{ RefusalCode::Behind, "" };
+    return reply;
+  }
+  FakeRequest& request = *this->Find(aAction.requestId);
+  ++request.runs;
+  this->CheckValues(aLink, request);
+  size_t shown =
+    upstream.role == Role::Primary ? upstream.log.size() : upstream.applied;
+  if (shown < request.mustShow) {
+    request.wrong = "read a log that lacks an acknowledged commit";
+  }
+  for (size_t i = 0; i < request.mustShow && i < shown; ++i) {
+    if (upstream.log[i].value != this->acknowledged[i].value) {
+      request.wrong = "read a log with another history";
+    }
+  }
+  reply.rows = { std::to_string(shown) };
+  reply.signature = "s-" + aAction.requestId;
+  return reply;
+}
+
+StatementReply
+ProxyWorld::Write(FakeLink& aLink, const AskLink& aAction)
+{
+  StatementReply reply;
+  reply.state = aLink.state;
+  FakeUpstream& upstream = this->upstreams[aLink.upstream];
+  if (upstream.role != Role::Primary) {
+    reply.refusal = Refusal{ RefusalCode::ReadOnly, "" };
+    return reply;
+  }
+  FakeRequest& request = *this->Find(aAction.requestId);
+  ++request.runs;
+  this->CheckValues(aLink, request);
+  LogEntry entry{ upstream.term,
+                  aAction.statement.name,
+                  aAction.statement.arguments };
+  reply.signature = "s-" + aAction.requestId;
+  if (aLink.state == SessionState::InTransaction) {
+    aLink.written.push_back(entry);
+    return reply;
+  }
+  bool isConfirmed = this->Append(upstream, { entry });
+  ++request.effects;
+  if (!isConfirmed) {
+    reply.signature = "none";
+  }
+  return reply;
+}
+
+StatementReply
+ProxyWorld::Commit(FakeLink& aLink, const AskLink& aAction)
+{
+  StatementReply reply;
+  aLink.state = SessionState::Idle;
+  reply.signature = "s-" + aAction.requestId;
+  std::vector<LogEntry> written = std::exchange(aLink.written, {});
+  if (written.empty()) {
+    return reply;
+  }
+  FakeUpstream& upstream = this->upstreams[aLink.upstream];
+  if (upstream.role != Role::Primary) {
+    reply.refusal = Refusal{ RefusalCode::ReadOnly, "" };
+    return reply;
+  }
+  FakeRequest& request = *this->Find(aAction.requestId);
+  ++request.effects;
+  if (!this->Append(upstream, written)) {
+    reply.signature = "none";
+  }
+  return reply;
+}
+
+/** False when no replica holds it, so that it is not acknowledged. */
+bool
+ProxyWorld::Append(FakeUpstream& aPrimary,
+                   const std::vector<LogEntry>& aEntries)
+{
+  aPrimary.log.insert(aPrimary.log.end(), aEntries.begin(), aEntries.end());
+  bool isConfirmed = false;
+  for (size_t i = 0; i < this->upstreams.size(); ++i) {
+    FakeUpstream& replica = this->upstreams[i];
+    bool follows = replica.role == Role::Replica && replica.isAlive &&
+                   !replica.isDeaf && replica.held <= aPrimary.term &&
+                   replica.term == aPrimary.term;
+    if (!follows) {
+      continue;
+    }
+    replica.log = aPrimary.log;
+    isConfirmed = true;
+    size_t end = replica.log.size();
+    this->queue.After(replica.lag, [this, i, end] {
+      FakeUpstream& late = this->upstreams[i];
+      late.applied = std::max(late.applied, std::min(end, late.log.size()));
+    });
+  }
+  if (isConfirmed) {
+    this->acknowledged = aPrimary.log;
+    this->acknowledgedAt.resize(aPrimary.log.size(), this->Now());
+  }
+  return isConfirmed;
+}
+
+void
+ProxyWorld::Promote(const RequestPromotion& aAction, size_t aHost)
+{
+  for (size_t i = 0; i < this->upstreams.size(); ++i) {
+    if (this->upstreams[i].entry.id == aAction.upstream) {
+      this->queue.After(kPromoteSpan, [this, i] { this->Lead(i); });
+    }
+  }
+  std::string service = aAction.service;
+  this->After(aHost, kOrderSpan, [this, aHost, service] {
+    this->Send(aHost, PromotionOrdered{ service, true });
+  });
+}
+
+void
+ProxyWorld::Lead(size_t aUpstream)
+{
+  FakeUpstream& leader = this->upstreams[aUpstream];
+  if (leader.role == Role::Primary || !leader.isAlive) {
+    return;
+  }
+  ++this->promotions;
+  Term highest = 0;
+  for (const FakeUpstream& one : this->upstreams) {
+    highest = std::max(highest, one.term);
+  }
+  leader.role = Role::Primary;
+  leader.term = highest + 1;
+  leader.held = 0;
+  leader.applied = leader.log.size();
+  for (FakeUpstream& one : this->upstreams) {
+    bool follows = one.role == Role::Replica && one.isAlive;
+    if (follows) {
+      one.term = leader.term;
+      one.held = 0;
+    }
+    if (follows && !one.isDeaf) {
+      one.log = leader.log;
+      one.applied = one.log.size();
+    }
+  }
+}
+
+void
+ProxyWorld::Kill(size_t aUpstream)
+{
+  this->upstreams[aUpstream].isAlive = false;
+  for (size_t host = 0; host < this->hosts.size(); ++host) {
+    this->Reset(host, aUpstream);
+  }
+}
+
+void
+ProxyWorld::Reset(size_t aHost, size_t aUpstream)
+{
+  std::vector<LinkKey> lost;
+  for (const auto& [key, link] : this->links) {
+    if (key.first == aHost && link.upstream == aUpstream) {
+      lost.push_back(key);
+    }
+  }
+  for (const LinkKey& key : lost) {
+    this->links.erase(key);
+    this->Send(key.first, LinkLost{ key.second, {} });
+  }
+}
+
+void
+ProxyWorld::Restart(size_t aUpstream)
+{
+  FakeUpstream& upstream = this->upstreams[aUpstream];
+  const FakeUpstream& leader = this->upstreams[this->PrimaryIndex()];
+  upstream.isAlive = true;
+  upstream.held = 0;
+  if (leader.entry.id != upstream.entry.id && leader.term > upstream.term) {
+    upstream.role = Role::Replica;
+    upstream.term = leader.term;
+    upstream.log = leader.log;
+    upstream.applied = upstream.log.size();
+  }
+}
+
+void
+ProxyWorld::Silence(size_t aHost, size_t aUpstream)
+{
+  for (auto& [key, link] : this->links) {
+    if (key.first == aHost && link.upstream == aUpstream) {
+      link.isSilent = true;
+    }
+  }
+}
+
+} // namespace marigoldpitch::fakes
--- a/test/fakes/proxy-world.h
+++ b/test/fakes/proxy-world.h
@@ -5,6 +5,7 @@
 
 #include "marigoldpitch/coordination/proxy-engine.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -31,10 +32,12 @@
   size_t applied = 0;        // of it, shown by reads
   Term held = 0;
   bool isAlive = true;
+  bool isListed = true;     // in the registry, while it is alive
   bool isDeaf = false;      // receives nothing
   std::set<size_t> cutFrom; // hosts
   Duration lag = Millis(5);
   Duration work = Millis(4);
+  Duration distance = Millis(0); // added to each of its answers
 };
 
 /** One connection of a proxy, as its upstream keeps it. */
@@ -74,6 +77,7 @@
 {
   uint32_t seed = 1;
   size_t hosts = 2;
+  size_t upstreams = 3; // the first is the primary
   Freshness freshness = Freshness::Newest;
   Duration maxAge = Millis(300);
   uint32_t connections = 12;
@@ -114,6 +118,12 @@
   /** Tells every host what the registry holds. */
   void ReadRegistry();
 
+  /** Starts a process on a new host and returns the host. */
+  size_t AddHost();
+
+  /** A new process in place of the host's; its sessions and links are lost. */
+  void ReplaceHost(size_t aHost);
+
   void Kill(size_t aUpstream);
   void Restart(size_t aUpstream);
 
@@ -146,6 +156,10 @@
 private:
   using LinkKey = std::pair<size_t, ConnectionId>;
 
+  std::unique_ptr<ProxyEngine> NewProcess(size_t aHost);
+  void Greet(size_t aHost);
+  RegistryRead Registry();
+  void After(size_t aHost, Duration aSpan, std::function<void()> aCall);
   void Tick();
   Duration Hop(Time& aNewest);
   void Perform(size_t aHost, const ProxyAction& aAction);
@@ -169,6 +183,9 @@
   std::mt19937 random;
   EventQueue queue;
   std::vector<std::unique_ptr<ProxyEngine>> hosts;
+  std::map<size_t, size_t> processes; // by host: the number of its process
+  size_t lastProcess = 0;
+  ConfigArrived config;
   std::vector<FakeUpstream> upstreams;
   std::map<LinkKey, FakeLink> links;
   std::vector<std::shared_ptr<FakeRequest>> requests;
