Declare the members of groups as values, an event and an action

The engine is to learn the members from the store and to have changes of them recorded.

Change: GroupMember and GroupRecord, the event GroupsRead and the action RecordGroup. Nothing sends or carries them out yet.

--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -190,6 +190,7 @@
   void On(const LinkReported& aEvent);
   void On(const DutyChanged& aEvent);
   void On(const PromotionOrdered& aEvent);
+  void On(const GroupsRead& aEvent);
   void Watch(ProxyService& aService);
   void AskProof(ProxyService& aService);
   void Ask(ProxyService& aService, const AskUpstream& aAsk);
--- a/include/marigoldpitch/coordination/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy-io.h
@@ -82,6 +82,16 @@
   std::vector<RegisteredUpstream> upstreams;
 };
 
+/**
+ * The groups that the store records, as of one read. A service that is not
+ * among them has no record, or one that cannot be read: its members are not
+ * known.
+ */
+struct GroupsRead
+{
+  std::vector<GroupRecord> groups;
+};
+
 /** How many hosts share the upstreams' connections. */
 struct HostsCounted
 {
@@ -119,6 +129,7 @@
                                 LinkReported,
                                 ConfigArrived,
                                 RegistryRead,
+                                GroupsRead,
                                 HostsCounted,
                                 DutyChanged,
                                 PromotionOrdered,
@@ -174,6 +185,16 @@
   std::string upstream;
 };
 
+/**
+ * Asks the store to record the group's members, if this host holds the duty and
+ * the record is still at `record.revision`; 0: there is none. What became of it
+ * shows in the next `GroupsRead`; it is not tried again.
+ */
+struct RecordGroup
+{
+  GroupRecord record;
+};
+
 /** A decision, with what decided it. */
 struct Decided
 {
@@ -195,6 +216,7 @@
                                  CloseLink,
                                  AskLink,
                                  RequestPromotion,
+                                 RecordGroup,
                                  Decided,
                                  ObserveLatency>;
 
--- a/include/marigoldpitch/state/proxy-config.h
+++ b/include/marigoldpitch/state/proxy-config.h
@@ -81,6 +81,22 @@
   uint64_t lastHolderRevision = 0; // of that word; 0: there was none
 };
 
+/** An upstream that may hold or confirm commits of its group. */
+struct GroupMember
+{
+  std::string id;
+  Endpoint endpoint;
+  std::string zone;
+};
+
+/** Who belongs to a service's group, as the store has it. */
+struct GroupRecord
+{
+  std::string service;
+  std::vector<GroupMember> members;
+  uint64_t revision = 0;
+};
+
 } // namespace marigoldpitch
 
 #endif
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -31,6 +31,12 @@
   }
 }
 
+/** Not used yet. */
+void
+ProxyEngine::On(const GroupsRead&)
+{
+}
+
 void
 ProxyEngine::Watch(ProxyService& aService)
 {
