Take a group's members from a record in the store, not from the registry

GroupMembership is the one answer to who may hold or confirm an acknowledged commit: who is recorded in the store, who is listed, and whom this process has seen and no record has dropped. A missing entry says nothing of the group; one that another upstream's address shows to be succeeded is none any more. Quorums, the proof that all are held, holds before a promotion and the judgement whether a log has all commits ask it. Without a record there is no quorum and no promotion. Members are asked and held at their recorded address, listed or not; a promotion needs all members but one held or made good. GroupRecorder, on the holder of the duty, writes the first record once a primary is proved and the list has settled, then adds or drops one member at a time.

--- /dev/null
+++ b/include/marigoldpitch/coordination/group-recorder.h
@@ -0,0 +1,40 @@
+#ifndef MARIGOLDPITCH_COORDINATION_GROUP_RECORDER_H
+#define MARIGOLDPITCH_COORDINATION_GROUP_RECORDER_H
+
+#include "marigoldpitch/coordination/service-view.h"
+
+#include <optional>
+
+/** Keeping the store's record of a group's members. */
+namespace marigoldpitch {
+
+/**
+ * Works out the next record of one group, on the host that orders promotions.
+ * The first one names all that are known, once a primary is proved among them
+ * and no more of them register; after that one member is added or dropped at a
+ * time.
+ */
+class GroupRecorder
+{
+public:
+  /** The record to be written now, if any; asks what it needs for the next. */
+  std::optional<GroupRecord> Step(ServiceView& aView, Time aNow);
+
+private:
+  std::optional<GroupRecord> First(const ServiceView& aView, Time aNow);
+  static std::optional<UpstreamIndex> Unrecorded(const ServiceView& aView);
+  static std::optional<UpstreamIndex> Dispensable(ServiceView& aView,
+                                                  Time aNow);
+  static bool IsGone(const ServiceView& aView,
+                     UpstreamIndex aUpstream,
+                     Time aNow);
+  static bool IsHeldWithout(const ServiceView& aView, UpstreamIndex aUpstream);
+
+  size_t knownUpstreams = 0;
+  Time lastNewUpstream = kNever;
+  Time nextWrite = kLongAgo;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- a/include/marigoldpitch/coordination/promotion.h
+++ b/include/marigoldpitch/coordination/promotion.h
@@ -120,18 +120,18 @@
   void Start(const ServiceView& aView, PromotionReason aReason, Time aNow);
   void AskHolds(const ServiceView& aView, PromotionSteps& aSteps, Time aNow);
   void Advance(const ServiceView& aView, PromotionSteps& aSteps, Time aNow);
-  void GiveUp(const ServiceView& aView,
-              PromotionOutcome aOutcome,
-              PromotionSteps& aSteps,
-              Time aNow);
+  void GiveUp(PromotionOutcome aOutcome, PromotionSteps& aSteps, Time aNow);
   void Finish(const ServiceView& aView, PromotionSteps& aSteps, Time aNow);
-  bool MustBeHeld(const ServiceView& aView, UpstreamIndex aUpstream) const;
-  bool IsEveryoneHeld(const ServiceView& aView) const;
+  bool MustBeHeld(const ServiceView& aView,
+                  UpstreamIndex aUpstream,
+                  Time aNow) const;
+  bool IsEveryoneHeld(const ServiceView& aView, Time aNow) const;
   bool HoldsAllCommits(const ServiceView& aView,
                        const LogPoint& aPoint,
                        Time aNow) const;
   LogPoint HighestHeld() const;
   void ChooseHighest(const ServiceView& aView);
+  static bool IsWorse(const ServiceView& aView, UpstreamIndex aUpstream);
   static std::optional<UpstreamIndex> BestReplica(const ServiceView& aView,
                                                   Time aNow);
 
--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -1,6 +1,7 @@
 #ifndef MARIGOLDPITCH_COORDINATION_PROXY_ENGINE_H
 #define MARIGOLDPITCH_COORDINATION_PROXY_ENGINE_H
 
+#include "marigoldpitch/coordination/group-recorder.h"
 #include "marigoldpitch/coordination/policies.h"
 #include "marigoldpitch/coordination/promotion.h"
 #include "marigoldpitch/coordination/proxy-session.h"
@@ -35,6 +36,7 @@
   ServiceView view;
   ConnectionTable connections;
   Promotion promotion;
+  GroupRecorder recorder;
   std::set<QueueKey> queue;
   uint32_t share = 1; // connections that this host may open to one upstream
   // By database: the slowest answer of late, forgotten slowly.
@@ -192,6 +194,7 @@
   void On(const PromotionOrdered& aEvent);
   void On(const GroupsRead& aEvent);
   void Watch(ProxyService& aService);
+  void KeepRecord(ProxyService& aService);
   void AskProof(ProxyService& aService);
   void Ask(ProxyService& aService, const AskUpstream& aAsk);
   void AskWanted(ProxyService& aService);
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -1,6 +1,7 @@
 #ifndef MARIGOLDPITCH_COORDINATION_SERVICE_VIEW_H
 #define MARIGOLDPITCH_COORDINATION_SERVICE_VIEW_H
 
+#include "marigoldpitch/coordination/group-membership.h"
 #include "marigoldpitch/coordination/statement.h"
 #include "marigoldpitch/state/connection-table.h"
 #include "marigoldpitch/state/freshness.h"
@@ -28,14 +29,9 @@
   LogPoint point;
 };
 
-/** One that is not listed any more may still hold, or confirm, commits. */
-constexpr Duration kMayStillConfirm = Seconds(30);
-
 struct ProxyUpstream
 {
   RegisteredUpstream entry;
-  bool listed = true;
-  Time unlistedAt = kNever;
   std::optional<UpstreamReport> report;
   Time reportAsked = kLongAgo; // when the question was sent
   bool askWanted = true;
@@ -68,6 +64,11 @@
   /** Takes the whole registry of the service; returns the new upstreams. */
   size_t List(const std::vector<RegisteredUpstream>& aEntries, Time aNow);
 
+  /** Takes the store's record of the group; returns the new upstreams. */
+  size_t TakeRecord(const GroupRecord& aRecord, Time aNow);
+
+  const GroupMembership& Members() const { return this->members; }
+
   void Learn(UpstreamIndex aUpstream,
              const UpstreamReport& aReport,
              Time aAsked,
@@ -88,8 +89,17 @@
   /** The newest word of the present primary about its log. */
   const SeenEnd& PrimaryEnd() const { return this->primaryEnd; }
 
-  /** Whether the upstream may hold commits that others lack. */
-  bool MayHoldCommits(UpstreamIndex aUpstream, Time aNow) const;
+  /** Whether nothing is heard from it over any connection. */
+  bool IsUnheard(UpstreamIndex aUpstream, Time aNow) const;
+
+  /** The same of one that is not listed either. */
+  bool IsMissing(UpstreamIndex aUpstream, Time aNow) const;
+
+  /**
+   * Whether a log that ends there has all that a missing member may have
+   * confirmed: the primary spoke of its own log since.
+   */
+  bool IsMadeGood(UpstreamIndex aUpstream, const LogPoint& aPoint) const;
 
   /** A commit was sent, or is not waited for any more. */
   void CommitSent(ConnectionId aConnection, Time aNow);
@@ -169,7 +179,11 @@
   void NoteHolds(Time aNow);
   std::optional<UpstreamIndex> Find(const std::string& aId) const;
 
+  UpstreamIndex Add(const RegisteredUpstream& aEntry);
+  void NoteSuccessors();
+
   std::vector<ProxyUpstream> upstreams;
+  GroupMembership members;
   std::optional<UpstreamIndex> primary;
   Term term = 0;
   Term usableTerm = 0; // whose primary may be used from `usableFrom`
--- /dev/null
+++ b/src/coordination/group-recorder.cc
@@ -0,0 +1,153 @@
+#include "marigoldpitch/coordination/group-recorder.h"
+
+namespace marigoldpitch {
+
+namespace detail {
+
+// Upstreams that start together register within so long of each other.
+constexpr Duration kRegistrationSpan = Millis(2500);
+// Until the record that was written has been read again.
+constexpr Duration kWriteInterval = Millis(1500);
+// A member that crashed may come back with its log.
+constexpr Duration kGoneForGood = Seconds(10);
+constexpr Duration kProbeInterval = Millis(1000);
+
+GroupRecord
+RecordOf(const ServiceView& aView,
+         std::optional<UpstreamIndex> aAdded,
+         std::optional<UpstreamIndex> aDropped)
+{
+  GroupRecord record;
+  record.revision = aView.Members().Revision();
+  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+    bool isIn = aView.Members().IsRecorded(i) || aAdded == i;
+    if (isIn && aDropped != i) {
+      const RegisteredUpstream& entry = aView.At(i).entry;
+      record.members.push_back({ entry.id, entry.endpoint, entry.zone });
+    }
+  }
+  return record;
+}
+
+} // namespace detail
+
+std::optional<GroupRecord>
+GroupRecorder::Step(ServiceView& aView, Time aNow)
+{
+  if (aNow < this->nextWrite) {
+    return std::nullopt;
+  }
+  std::optional<GroupRecord> record;
+  if (!aView.Members().IsKnown()) {
+    record = this->First(aView, aNow);
+  } else if (auto added = Unrecorded(aView)) {
+    record = detail::RecordOf(aView, added, std::nullopt);
+  } else if (auto dropped = Dispensable(aView, aNow)) {
+    record = detail::RecordOf(aView, std::nullopt, dropped);
+  }
+  if (record) {
+    this->nextWrite = aNow + detail::kWriteInterval;
+  }
+  return record;
+}
+
+std::optional<GroupRecord>
+GroupRecorder::First(const ServiceView& aView, Time aNow)
+{
+  if (aView.Size() != this->knownUpstreams) {
+    this->knownUpstreams = aView.Size();
+    this->lastNewUpstream = aNow;
+  }
+  bool isSettled = aNow - this->lastNewUpstream >= detail::kRegistrationSpan;
+  auto primary = aView.Primary();
+  bool isLed = primary && aView.Members().IsListed(*primary) &&
+               aView.ProvedAsked() != kLongAgo;
+  if (!isLed || !isSettled) {
+    return std::nullopt;
+  }
+  GroupRecord record;
+  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+    if (aView.Members().MayConfirm(i, aNow)) {
+      const RegisteredUpstream& entry = aView.At(i).entry;
+      record.members.push_back({ entry.id, entry.endpoint, entry.zone });
+    }
+  }
+  return record;
+}
+
+std::optional<UpstreamIndex>
+GroupRecorder::Unrecorded(const ServiceView& aView)
+{
+  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+    if (aView.Members().IsListed(i) && !aView.Members().IsRecorded(i)) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<UpstreamIndex>
+GroupRecorder::Dispensable(ServiceView& aView, Time aNow)
+{
+  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+    bool isMissing =
+      aView.Members().IsRecorded(i) && !aView.Members().IsListed(i);
+    if (!isMissing) {
+      continue;
+    }
+    ProxyUpstream& upstream = aView.At(i);
+    if (aView.Members().IsSucceeded(i)) {
+      return i;
+    }
+    if (aNow - upstream.lastAsked >= detail::kProbeInterval) {
+      upstream.askWanted = true;
+    }
+    if (!IsGone(aView, i, aNow)) {
+      continue;
+    }
+    Duration missing = aNow - aView.Members().MissingSince(i);
+    if (IsHeldWithout(aView, i) || missing >= kMayStillConfirm) {
+      return i;
+    }
+    aView.WantPointSince(aNow - detail::kProbeInterval);
+  }
+  return std::nullopt;
+}
+
+/** Whether it confirms nothing any more and is not expected back. */
+bool
+GroupRecorder::IsGone(const ServiceView& aView,
+                      UpstreamIndex aUpstream,
+                      Time aNow)
+{
+  if (!aView.IsMissing(aUpstream, aNow)) {
+    return false;
+  }
+  Duration missing = aNow - aView.Members().MissingSince(aUpstream);
+  return aView.At(aUpstream).entry.leaving || missing >= detail::kGoneForGood;
+}
+
+/** Whether primary and a replica hold all that it may have confirmed. */
+bool
+GroupRecorder::IsHeldWithout(const ServiceView& aView, UpstreamIndex aUpstream)
+{
+  bool isProved =
+    aView.Primary() && aView.IsLeaderProvedAt(aView.PrimaryEnd().asked);
+  if (!isProved) {
+    return false;
+  }
+  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+    const ProxyUpstream& other = aView.At(i);
+    bool isOther = i != aUpstream && i != *aView.Primary() &&
+                   aView.Members().IsRecorded(i) && aView.Members().IsListed(i);
+    bool follows = other.report && other.report->role == Role::Replica &&
+                   other.report->term == aView.CurrentTerm();
+    if (isOther && follows &&
+        aView.IsMadeGood(aUpstream, other.report->received)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace marigoldpitch
--- a/src/coordination/promotion.cc
+++ b/src/coordination/promotion.cc
@@ -47,8 +47,9 @@
 {
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
     const ProxyUpstream& upstream = aView.At(i);
-    bool isLost = aNow - upstream.failingSince >= kSilence;
-    if (upstream.listed && !upstream.report && !isLost) {
+    bool isLost = aView.IsUnheard(i, aNow);
+    bool mayConfirm = aView.Members().MayConfirm(i, aNow);
+    if (mayConfirm && !upstream.report && !isLost) {
       return false;
     }
   }
@@ -76,7 +77,8 @@
   if (!this->IsRunning()) {
     auto need = this->Need(aView, aNow);
     bool mayStart = aMayAct && aNow >= this->nextAttempt && need &&
-                    aView.CurrentTerm() != 0 && BestReplica(aView, aNow);
+                    aView.Members().IsKnown() && aView.CurrentTerm() != 0 &&
+                    BestReplica(aView, aNow);
     if (!mayStart) {
       return steps;
     }
@@ -92,7 +94,7 @@
     end = PromotionOutcome::Overdue;
   }
   if (end != PromotionOutcome::None) {
-    this->GiveUp(aView, end, steps, aNow);
+    this->GiveUp(end, steps, aNow);
     return steps;
   }
   this->Advance(aView, steps, aNow);
@@ -124,7 +126,7 @@
   std::optional<UpstreamIndex> best;
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
     const ProxyUpstream& upstream = aView.At(i);
-    bool isReplica = upstream.listed && aView.Primary() != i &&
+    bool isReplica = aView.Members().IsListed(i) && aView.Primary() != i &&
                      upstream.report && upstream.report->role == Role::Replica;
     if (!isReplica || !aView.IsUsable(i, aNow)) {
       continue;
@@ -137,27 +139,39 @@
 }
 
 bool
-Promotion::MustBeHeld(const ServiceView& aView, UpstreamIndex aUpstream) const
+Promotion::MustBeHeld(const ServiceView& aView,
+                      UpstreamIndex aUpstream,
+                      Time aNow) const
 {
   bool isFree = !this->holdsCandidate && this->candidate == aUpstream;
-  return aView.At(aUpstream).listed && this->replaced != aUpstream && !isFree;
+  return aView.Members().MayConfirm(aUpstream, aNow) &&
+         this->replaced != aUpstream && !isFree;
 }
 
+/**
+ * Those that are missing are judged by `HoldsAllCommits`. While the primary is
+ * not known, one that is listed and says nothing is taken for it.
+ */
 bool
-Promotion::IsEveryoneHeld(const ServiceView& aView) const
+Promotion::IsEveryoneHeld(const ServiceView& aView, Time aNow) const
 {
+  bool isPrimaryFound = this->replaced.has_value();
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
-    if (this->MustBeHeld(aView, i) && this->held.count(i) == 0) {
+    bool isOpen = this->MustBeHeld(aView, i, aNow) && this->held.count(i) == 0;
+    if (!isOpen || aView.IsMissing(i, aNow)) {
+      continue;
+    }
+    if (isPrimaryFound || !aView.IsUnheard(i, aNow)) {
       return false;
     }
+    isPrimaryFound = true;
   }
   return true;
 }
 
 /**
- * Whether a log that ends there has all that was acknowledged. A commit may lie
- * on an upstream that left or was lost; it does not matter if the primary spoke
- * of its log after that and this one reaches as far.
+ * Whether a log that ends there has all that was acknowledged. Two members hold
+ * each such commit, so one of them may be unheard, as the lost primary is.
  */
 bool
 Promotion::HoldsAllCommits(const ServiceView& aView,
@@ -167,21 +181,15 @@
   if (aPoint.IsBehind(aView.HighestConfirmed())) {
     return false;
   }
+  size_t unheard = 0;
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
-    const ProxyUpstream& upstream = aView.At(i);
-    bool isMissing =
-      !upstream.listed && this->replaced != i && aView.MayHoldCommits(i, aNow);
-    if (!isMissing) {
-      continue;
-    }
-    const SeenEnd& end = aView.PrimaryEnd();
-    bool isMadeGood =
-      end.asked >= upstream.unlistedAt && !aPoint.IsBehind(end.point);
-    if (!isMadeGood) {
-      return false;
-    }
+    bool isFree = !this->holdsCandidate && this->candidate == i;
+    bool isHeard = this->held.count(i) != 0 || isFree;
+    bool isCovered = isHeard || aView.IsMadeGood(i, aPoint);
+    bool counts = aView.Members().MayConfirm(i, aNow) && !isCovered;
+    unheard += counts ? 1 : 0;
   }
-  return true;
+  return unheard <= 1;
 }
 
 LogPoint
@@ -203,20 +211,27 @@
     if (point.IsBehind(highest)) {
       continue;
     }
-    bool isFirst = !this->candidate || aView.At(*this->candidate).entry.leaving;
-    if (isFirst) {
-      this->candidate = upstream;
-    }
+    bool isBetter = !this->candidate || this->IsWorse(aView, *this->candidate);
+    this->candidate = isBetter ? upstream : *this->candidate;
   }
 }
 
+/** One that leaves, or that not all hosts know of, gives way to an equal. */
+bool
+Promotion::IsWorse(const ServiceView& aView, UpstreamIndex aUpstream)
+{
+  return aView.At(aUpstream).entry.leaving ||
+         !aView.Members().IsListed(aUpstream);
+}
+
 void
 Promotion::AskHolds(const ServiceView& aView, PromotionSteps& aSteps, Time aNow)
 {
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
     bool isDue =
       this->asked.count(i) == 0 || aNow - this->asked[i] >= detail::kAskAgain;
-    if (this->MustBeHeld(aView, i) && this->held.count(i) == 0 && isDue) {
+    bool isOpen = this->MustBeHeld(aView, i, aNow) && this->held.count(i) == 0;
+    if (isOpen && isDue) {
       this->asked[i] = aNow;
       aSteps.push_back(AskUpstream{ i, StatementKind::Hold, this->term });
     }
@@ -227,7 +242,7 @@
 Promotion::Advance(const ServiceView& aView, PromotionSteps& aSteps, Time aNow)
 {
   if (this->phase == PromotionPhase::Holding) {
-    if (!this->IsEveryoneHeld(aView)) {
+    if (!this->IsEveryoneHeld(aView, aNow)) {
       this->AskHolds(aView, aSteps, aNow);
       return;
     }
@@ -235,14 +250,14 @@
       if (!this->HoldsAllCommits(aView, this->HighestHeld(), aNow)) {
         // Whoever has the rest may come back, and must find replicas free.
         if (aNow - this->phaseSince >= detail::kLackingLimit) {
-          this->GiveUp(aView, PromotionOutcome::Lacking, aSteps, aNow);
+          this->GiveUp(PromotionOutcome::Lacking, aSteps, aNow);
           this->nextAttempt = aNow + detail::kPauseWhenLacking;
         }
         return;
       }
       this->ChooseHighest(aView);
       if (!this->candidate) {
-        this->GiveUp(aView, PromotionOutcome::NoCandidate, aSteps, aNow);
+        this->GiveUp(PromotionOutcome::NoCandidate, aSteps, aNow);
         return;
       }
       this->phase = PromotionPhase::Ordering;
@@ -305,7 +320,7 @@
   }
   bool isHeld = this->phase != PromotionPhase::Idle &&
                 aReport.role == Role::Replica && aReport.held >= this->term;
-  if (isHeld && this->MustBeHeld(aView, aUpstream)) {
+  if (isHeld && this->MustBeHeld(aView, aUpstream, aNow)) {
     this->held[aUpstream] = aReport.received;
   }
   this->Advance(aView, steps, aNow);
@@ -332,16 +347,11 @@
 }
 
 void
-Promotion::GiveUp(const ServiceView& aView,
-                  PromotionOutcome aOutcome,
-                  PromotionSteps& aSteps,
-                  Time aNow)
+Promotion::GiveUp(PromotionOutcome aOutcome, PromotionSteps& aSteps, Time aNow)
 {
   this->outcome = aOutcome;
   for (const auto& [upstream, point] : this->held) {
-    if (aView.At(upstream).listed) {
-      aSteps.push_back(AskUpstream{ upstream, StatementKind::Resume });
-    }
+    aSteps.push_back(AskUpstream{ upstream, StatementKind::Resume });
   }
   this->phase = PromotionPhase::Idle;
   this->nextAttempt = aNow + detail::kPauseBetween;
@@ -350,7 +360,9 @@
 void
 Promotion::Finish(const ServiceView& aView, PromotionSteps& aSteps, Time aNow)
 {
-  if (this->replaced && aView.At(*this->replaced).listed) {
+  bool isMember =
+    this->replaced && aView.Members().MayConfirm(*this->replaced, aNow);
+  if (isMember) {
     aSteps.push_back(
       AskUpstream{ *this->replaced, StatementKind::Demote, this->term });
   }
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -31,10 +31,24 @@
   }
 }
 
-/** Not used yet. */
 void
-ProxyEngine::On(const GroupsRead&)
+ProxyEngine::On(const GroupsRead& aEvent)
 {
+  for (const GroupRecord& record : aEvent.groups) {
+    ProxyService& service = this->ServiceOf(record.service);
+    size_t added = service.view.TakeRecord(record, this->now);
+    service.connections.AddUpstreams(added);
+  }
+}
+
+void
+ProxyEngine::KeepRecord(ProxyService& aService)
+{
+  auto record = aService.recorder.Step(aService.view, this->now);
+  if (record) {
+    record->service = aService.name;
+    this->Emit(RecordGroup{ *record });
+  }
 }
 
 void
@@ -53,8 +67,9 @@
     Time heard = std::max(upstream.lastAnswer, upstream.lastAsked);
     bool isQuiet =
       view.Primary() == i && this->now - heard >= detail::kQuietPrimary;
-    bool isDue = upstream.listed && (upstream.askWanted || isQuiet) &&
-                 !upstream.askOpen && upstream.avoidUntil <= this->now &&
+    bool isDue = view.Members().MayConfirm(i, this->now) &&
+                 (upstream.askWanted || isQuiet) && !upstream.askOpen &&
+                 upstream.avoidUntil <= this->now &&
                  this->now - upstream.lastAsked >= detail::kAskInterval;
     if (isDue) {
       this->Ask(aService, { i });
@@ -67,6 +82,9 @@
   this->Perform(aService,
                 aService.promotion.Step(view, this->mayAct, this->now));
   this->ReportPromotion(aService, before);
+  if (this->mayAct) {
+    this->KeepRecord(aService);
+  }
   this->MendLeftovers(aService);
   this->CloseSurplus(aService);
   this->AskWanted(aService);
@@ -82,8 +100,8 @@
   std::optional<UpstreamIndex> best;
   for (UpstreamIndex i = 0; i < view.Size(); ++i) {
     const ProxyUpstream& upstream = view.At(i);
-    bool mayAsk = view.Primary() != i && upstream.listed && !upstream.askOpen &&
-                  upstream.avoidUntil <= this->now &&
+    bool mayAsk = view.Primary() != i && view.Members().IsListed(i) &&
+                  !upstream.askOpen && upstream.avoidUntil <= this->now &&
                   this->now - upstream.lastAsked >= detail::kProofInterval;
     if (mayAsk &&
         (!best || this->CostOf(aService, i) < this->CostOf(aService, *best))) {
@@ -114,6 +132,11 @@
 {
   for (auto it = aService.wanted.begin(); it != aService.wanted.end();) {
     AskUpstream ask = it->second;
+    if (!aService.view.Members().MayConfirm(ask.upstream, this->now)) {
+      aService.view.At(ask.upstream).askOpen = false;
+      it = aService.wanted.erase(it);
+      continue;
+    }
     std::optional<ConnectionId> idle;
     bool isOpening = aService.connections.Use(ask.upstream).opening != 0;
     for (ConnectionId id : aService.connections.AllOf(ask.upstream)) {
@@ -151,8 +174,7 @@
 ProxyEngine::CloseSurplus(ProxyService& aService)
 {
   for (UpstreamIndex i = 0; i < aService.view.Size(); ++i) {
-    const ProxyUpstream& upstream = aService.view.At(i);
-    bool isGone = !upstream.listed && !aService.view.IsUsable(i, this->now);
+    bool isGone = !aService.view.Members().MayConfirm(i, this->now);
     uint32_t open = aService.connections.Use(i).open;
     bool isOverShare = open > aService.share;
     for (ConnectionId id : aService.connections.AllOf(i)) {
@@ -246,7 +268,7 @@
     } else {
       text += "unheard";
     }
-    text += upstream.listed ? "" : "(unlisted)";
+    text += aService.view.Members().IsListed(i) ? "" : "(unlisted)";
   }
   return text;
 }
@@ -294,7 +316,8 @@
   }
   for (const auto& [upstream, ask] : aService.leftovers) {
     const ProxyUpstream& target = aService.view.At(upstream);
-    bool isDue = target.listed && !target.askOpen &&
+    bool isDue = aService.view.Members().MayConfirm(upstream, this->now) &&
+                 !target.askOpen &&
                  this->now - target.lastAsked >= detail::kAskInterval;
     if (isDue) {
       this->Ask(aService, ask);
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -30,6 +30,16 @@
   return std::nullopt;
 }
 
+UpstreamIndex
+ServiceView::Add(const RegisteredUpstream& aEntry)
+{
+  ProxyUpstream upstream;
+  upstream.entry = aEntry;
+  this->upstreams.push_back(upstream);
+  this->members.Add();
+  return this->upstreams.size() - 1;
+}
+
 size_t
 ServiceView::List(const std::vector<RegisteredUpstream>& aEntries, Time aNow)
 {
@@ -38,28 +48,59 @@
   for (const RegisteredUpstream& entry : aEntries) {
     auto index = this->Find(entry.id);
     if (!index) {
-      ProxyUpstream upstream;
-      upstream.entry = entry;
-      this->upstreams.push_back(upstream);
-      seen.push_back(true);
+      index = this->Add(entry);
+      seen.push_back(false);
       ++added;
-      continue;
     }
     ProxyUpstream& upstream = this->upstreams[*index];
     bool sawItselfOtherwise = upstream.entry.role != entry.role;
     upstream.askWanted = upstream.askWanted || sawItselfOtherwise;
     upstream.entry = entry;
-    upstream.listed = true;
-    upstream.unlistedAt = kNever;
     seen[*index] = true;
   }
   for (UpstreamIndex i = 0; i < seen.size(); ++i) {
-    ProxyUpstream& upstream = this->upstreams[i];
-    if (!seen[i] && upstream.listed) {
-      upstream.listed = false;
-      upstream.unlistedAt = aNow;
+    this->members.SetListed(i, seen[i], aNow);
+  }
+  this->NoteSuccessors();
+  return added;
+}
+
+/** One that takes the address of another has taken over its log. */
+void
+ServiceView::NoteSuccessors()
+{
+  for (UpstreamIndex i = 0; i < this->upstreams.size(); ++i) {
+    for (UpstreamIndex next = 0; next < this->upstreams.size(); ++next) {
+      bool isSame = this->upstreams[i].entry.endpoint ==
+                    this->upstreams[next].entry.endpoint;
+      if (i != next && isSame && !this->members.IsListed(i) &&
+          this->members.IsListed(next)) {
+        this->members.SetSucceeded(i);
+      }
     }
   }
+}
+
+size_t
+ServiceView::TakeRecord(const GroupRecord& aRecord, Time aNow)
+{
+  size_t added = 0;
+  std::vector<UpstreamIndex> indices;
+  for (const GroupMember& member : aRecord.members) {
+    auto index = this->Find(member.id);
+    if (!index) {
+      RegisteredUpstream entry;
+      entry.id = member.id;
+      entry.service = aRecord.service;
+      entry.endpoint = member.endpoint;
+      entry.zone = member.zone;
+      index = this->Add(entry);
+      ++added;
+    }
+    indices.push_back(*index);
+  }
+  this->members.TakeRecord(aRecord.revision, indices, aNow);
+  this->NoteSuccessors();
   return added;
 }
 
@@ -98,17 +139,20 @@
 }
 
 /**
- * A commit is acknowledged when two upstreams hold it, so all but one of them,
+ * A commit is acknowledged when two members hold it, so all but one of them,
  * whoever leads, hold everything that was acknowledged before they were asked.
  */
 void
 ServiceView::SampleQuorum(Time aNow)
 {
+  if (!this->members.IsKnown()) {
+    return;
+  }
   std::vector<const ProxyUpstream*> asked;
   size_t all = 0;
   for (UpstreamIndex i = 0; i < this->upstreams.size(); ++i) {
     const ProxyUpstream& upstream = this->upstreams[i];
-    bool mayConfirm = this->MayHoldCommits(i, aNow);
+    bool mayConfirm = this->members.MayConfirm(i, aNow);
     all += mayConfirm ? 1 : 0;
     if (mayConfirm && upstream.report) {
       asked.push_back(&upstream);
@@ -132,10 +176,24 @@
 }
 
 bool
-ServiceView::MayHoldCommits(UpstreamIndex aUpstream, Time aNow) const
+ServiceView::IsUnheard(UpstreamIndex aUpstream, Time aNow) const
 {
-  const ProxyUpstream& upstream = this->upstreams[aUpstream];
-  return upstream.listed || aNow - upstream.unlistedAt < kMayStillConfirm;
+  return aNow - this->upstreams[aUpstream].failingSince >= kSilence;
+}
+
+bool
+ServiceView::IsMissing(UpstreamIndex aUpstream, Time aNow) const
+{
+  return !this->members.IsListed(aUpstream) && this->IsUnheard(aUpstream, aNow);
+}
+
+bool
+ServiceView::IsMadeGood(UpstreamIndex aUpstream, const LogPoint& aPoint) const
+{
+  Time lost = std::max(this->members.MissingSince(aUpstream),
+                       this->upstreams[aUpstream].failingSince);
+  return this->primaryEnd.asked >= lost &&
+         !aPoint.IsBehind(this->primaryEnd.point);
 }
 
 void
@@ -166,8 +224,8 @@
 bool
 ServiceView::IsLost(UpstreamIndex aUpstream) const
 {
-  const ProxyUpstream& upstream = this->upstreams[aUpstream];
-  return !upstream.listed || upstream.failures > 0;
+  return !this->members.IsListed(aUpstream) ||
+         this->upstreams[aUpstream].failures > 0;
 }
 
 void
@@ -241,13 +299,14 @@
 void
 ServiceView::NoteHolds(Time aNow)
 {
-  bool isEveryone = this->primary.has_value();
+  bool isEveryone = this->primary.has_value() && this->members.IsKnown();
   for (UpstreamIndex i = 0; i < this->upstreams.size(); ++i) {
     const ProxyUpstream& upstream = this->upstreams[i];
     bool isHeld = upstream.report && upstream.report->role == Role::Replica &&
                   upstream.report->held > this->term;
     bool isPrimary = this->primary == i;
-    isEveryone = isEveryone && (isPrimary || isHeld || !upstream.listed);
+    bool isNoMember = !this->members.MayConfirm(i, aNow);
+    isEveryone = isEveryone && (isPrimary || isHeld || isNoMember);
   }
   if (!isEveryone) {
     this->allHeldSince = kNever;
@@ -348,9 +407,11 @@
 ServiceView::IsUsable(UpstreamIndex aUpstream, Time aNow) const
 {
   const ProxyUpstream& upstream = this->upstreams[aUpstream];
-  bool isKnown =
-    upstream.listed || aNow - upstream.unlistedAt < detail::kUnlistedGrace;
-  return isKnown && !upstream.entry.leaving && upstream.avoidUntil <= aNow;
+  bool isLate =
+    this->members.WasListed(aUpstream) &&
+    aNow - this->members.MissingSince(aUpstream) < detail::kUnlistedGrace;
+  bool isThere = this->members.IsListed(aUpstream) || isLate;
+  return isThere && !upstream.entry.leaving && upstream.avoidUntil <= aNow;
 }
 
 bool
--- a/test/fakes/proxy-world.cc
+++ b/test/fakes/proxy-world.cc
@@ -45,13 +45,18 @@
     upstream.role = i == 0 ? Role::Primary : Role::Replica;
     upstream.entry.role = upstream.role;
     this->upstreams.push_back(upstream);
+    this->record.members.push_back(
+      { upstream.entry.id, upstream.entry.endpoint, upstream.entry.zone });
   }
+  this->record.service = kService;
+  this->record.revision = 1;
   for (size_t i = 0; i < aOptions.hosts; ++i) {
     this->hosts.push_back(this->NewProcess(i));
   }
   this->SetConfig(1, { "db" });
   this->ReadRegistry();
   for (size_t i = 0; i < aOptions.hosts; ++i) {
+    this->Send(i, GroupsRead{ { this->record } });
     this->Send(i, HostsCounted{ aOptions.hosts });
   }
   this->Tick();
@@ -97,6 +102,9 @@
 {
   this->Send(aHost, this->config);
   this->Send(aHost, this->Registry());
+  if (this->record.revision != 0) {
+    this->Send(aHost, GroupsRead{ { this->record } });
+  }
 }
 
 void
@@ -298,6 +306,8 @@
     }
   } else if (const auto* order = std::get_if<RequestPromotion>(&aAction)) {
     this->Promote(*order, aHost);
+  } else if (const auto* record = std::get_if<RecordGroup>(&aAction)) {
+    this->Record(record->record);
   } else if (const auto* decided = std::get_if<Decided>(&aAction)) {
     if (decided->event == LogEvent::StatementPlaced) {
       ++this->placed[decided->fields[1].second];
@@ -305,6 +315,21 @@
   }
 }
 
+void
+ProxyWorld::Record(const GroupRecord& aRecord)
+{
+  if (aRecord.revision != this->record.revision) {
+    return;
+  }
+  this->record = aRecord;
+  ++this->record.revision;
+  this->queue.After(kHop, [this] {
+    for (size_t i = 0; i < this->hosts.size(); ++i) {
+      this->Send(i, GroupsRead{ { this->record } });
+    }
+  });
+}
+
 size_t
 ProxyWorld::Placed(const std::string& aRole) const
 {
--- a/test/fakes/proxy-world.h
+++ b/test/fakes/proxy-world.h
@@ -164,6 +164,7 @@
   Duration Hop(Time& aNewest);
   void Perform(size_t aHost, const ProxyAction& aAction);
   void Open(size_t aHost, const OpenLink& aAction);
+  void Record(const GroupRecord& aRecord);
   void Run(LinkKey aKey, const AskLink& aAction);
   StatementReply Execute(FakeLink& aLink, const AskLink& aAction);
   StatementReply Read(FakeLink& aLink, const AskLink& aAction);
@@ -186,6 +187,7 @@
   std::map<size_t, size_t> processes; // by host: the number of its process
   size_t lastProcess = 0;
   ConfigArrived config;
+  GroupRecord record; // in the store
   std::vector<FakeUpstream> upstreams;
   std::map<LinkKey, FakeLink> links;
   std::vector<std::shared_ptr<FakeRequest>> requests;
