Take no quorum's point while one follows a term whose log it lacks

A replica that receives nothing follows a new term and states it with the end of its old log. That end counted as higher than the longer log of the term before, so a read could be placed on the deaf replica itself. Now the highest term must come with the highest position, or there is no point until the others were asked again.

--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -166,9 +166,14 @@
   });
   asked.resize(all - 1);
   LogPoint highest;
+  Position longest = 0;
   for (const ProxyUpstream* upstream : asked) {
     const LogPoint& point = upstream->report->received;
     highest = highest.IsBehind(point) ? point : highest;
+    longest = std::max(longest, point.position);
+  }
+  if (highest.position < longest) {
+    return; // one follows a new term and has yet to receive its log
   }
   this->samples.Sample(asked.back()->reportAsked,
                        { highest.term, highest.position, highest.position },
