Show that a young holder of the duty loses acknowledged commits

The fake upstreams follow as those of test/standin do: a deaf one hears of no new term, one that is deaf no more or released from its hold catches up with a living primary, and nobody copies the log of a dead one. An upstream may return without its log.

u0 and u1 alone hold the newer ten commits; a process that has just started takes the duty.

--- a/test/fakes/proxy-upstreams.cc
+++ b/test/fakes/proxy-upstreams.cc
@@ -39,13 +39,10 @@
     aUpstream.held = statement.term;
   } else if (statement.kind == StatementKind::Resume) {
     aUpstream.held = 0;
+    this->Follow(aUpstream);
   } else if (statement.kind == StatementKind::Demote && !isReplica &&
              aUpstream.term < statement.term) {
-    const FakeUpstream& leader = this->upstreams[this->PrimaryIndex()];
-    aUpstream.role = Role::Replica;
-    aUpstream.term = leader.term;
-    aUpstream.log = leader.log;
-    aUpstream.applied = leader.log.size();
+    this->StepDown(aUpstream);
   }
   UpstreamReport report;
   report.role = aUpstream.role;
@@ -201,11 +198,12 @@
     FakeUpstream& replica = this->upstreams[i];
     bool follows = replica.role == Role::Replica && replica.isAlive &&
                    !replica.isDeaf && replica.held <= aPrimary.term &&
-                   replica.term == aPrimary.term;
+                   replica.term <= aPrimary.term;
     if (!follows) {
       continue;
     }
     replica.log = aPrimary.log;
+    replica.term = aPrimary.term;
     isConfirmed = true;
     size_t end = replica.log.size();
     this->queue.After(replica.lag, [this, i, end] {
@@ -214,12 +212,29 @@
     });
   }
   if (isConfirmed) {
+    // What is missing now would not be found by a later comparison.
+    this->lost += this->LostFrom(aPrimary);
     this->acknowledged = aPrimary.log;
     this->acknowledgedAt.resize(aPrimary.log.size(), this->Now());
   }
   return isConfirmed;
 }
 
+/** The acknowledged commits that its log lacks, a line each. */
+std::string
+ProxyWorld::LostFrom(const FakeUpstream& aPrimary) const
+{
+  std::string text;
+  for (size_t i = 0; i < this->acknowledged.size(); ++i) {
+    const std::string& value = this->acknowledged[i].value;
+    bool isHeld = i < aPrimary.log.size() && aPrimary.log[i].value == value;
+    if (!isHeld) {
+      text += "an acknowledged commit is lost: " + value + "\n";
+    }
+  }
+  return text;
+}
+
 void
 ProxyWorld::Promote(const RequestPromotion& aAction, size_t aHost)
 {
@@ -251,18 +266,48 @@
   leader.held = 0;
   leader.applied = leader.log.size();
   for (FakeUpstream& one : this->upstreams) {
-    bool follows = one.role == Role::Replica && one.isAlive;
-    if (follows) {
-      one.term = leader.term;
+    // One that hears nothing does not hear of the new term either.
+    if (!one.isDeaf) {
       one.held = 0;
     }
-    if (follows && !one.isDeaf) {
-      one.log = leader.log;
-      one.applied = one.log.size();
-    }
+    this->Follow(one);
   }
 }
 
+/** Takes what the primary has, if nothing keeps the replica from it. */
+void
+ProxyWorld::Follow(FakeUpstream& aReplica)
+{
+  const FakeUpstream& leader = this->upstreams[this->PrimaryIndex()];
+  bool follows = leader.role == Role::Primary && leader.isAlive &&
+                 aReplica.role == Role::Replica && aReplica.isAlive &&
+                 !aReplica.isDeaf && aReplica.held <= leader.term &&
+                 aReplica.term <= leader.term;
+  if (follows) {
+    aReplica.term = leader.term;
+    aReplica.log = leader.log;
+    aReplica.applied = leader.log.size();
+  }
+}
+
+/** A primary becomes a replica of its successor, if it can reach it. */
+void
+ProxyWorld::StepDown(FakeUpstream& aPrimary)
+{
+  const FakeUpstream& leader = this->upstreams[this->PrimaryIndex()];
+  if (leader.isAlive && !aPrimary.isDeaf && leader.term > aPrimary.term) {
+    aPrimary.role = Role::Replica;
+    this->Follow(aPrimary);
+  }
+}
+
+void
+ProxyWorld::SetDeaf(size_t aUpstream, bool aIsDeaf)
+{
+  this->upstreams[aUpstream].isDeaf = aIsDeaf;
+  this->Follow(this->upstreams[aUpstream]);
+}
+
 void
 ProxyWorld::Kill(size_t aUpstream)
 {
@@ -291,17 +336,25 @@
 ProxyWorld::Restart(size_t aUpstream)
 {
   FakeUpstream& upstream = this->upstreams[aUpstream];
-  const FakeUpstream& leader = this->upstreams[this->PrimaryIndex()];
   upstream.isAlive = true;
   upstream.held = 0;
-  if (leader.entry.id != upstream.entry.id && leader.term > upstream.term) {
-    upstream.role = Role::Replica;
-    upstream.term = leader.term;
-    upstream.log = leader.log;
-    upstream.applied = upstream.log.size();
+  this->StepDown(upstream);
+  for (FakeUpstream& one : this->upstreams) {
+    this->Follow(one);
   }
 }
 
+void
+ProxyWorld::RestartEmpty(size_t aUpstream)
+{
+  FakeUpstream& upstream = this->upstreams[aUpstream];
+  upstream.role = Role::Replica;
+  upstream.term = 0;
+  upstream.log.clear();
+  upstream.applied = 0;
+  this->Restart(aUpstream);
+}
+
 void
 ProxyWorld::Silence(size_t aHost, size_t aUpstream)
 {
--- a/test/fakes/proxy-world.cc
+++ b/test/fakes/proxy-world.cc
@@ -454,16 +454,8 @@
       wrongs += "r" + std::to_string(i) + " " + wrong + "\n";
     }
   }
-  const FakeUpstream& leader = this->upstreams[this->PrimaryIndex()];
-  for (size_t i = 0; i < this->acknowledged.size(); ++i) {
-    bool isHeld = i < leader.log.size() &&
-                  leader.log[i].value == this->acknowledged[i].value;
-    if (!isHeld) {
-      wrongs +=
-        "an acknowledged commit is lost: " + this->acknowledged[i].value + "\n";
-    }
-  }
-  return wrongs;
+  return wrongs + this->lost +
+         this->LostFrom(this->upstreams[this->PrimaryIndex()]);
 }
 
 } // namespace marigoldpitch::fakes
--- a/test/fakes/proxy-world.h
+++ b/test/fakes/proxy-world.h
@@ -96,6 +96,7 @@
   {
     return this->upstreams[aUpstream];
   }
+  size_t Upstreams() const { return this->upstreams.size(); }
   size_t PrimaryIndex() const;
 
   /** Opens a session and returns the caller's number at the host. */
@@ -125,8 +126,16 @@
   void ReplaceHost(size_t aHost);
 
   void Kill(size_t aUpstream);
+
+  /** It comes back under its id with its log. */
   void Restart(size_t aUpstream);
 
+  /** It comes back under its id without its log. */
+  void RestartEmpty(size_t aUpstream);
+
+  /** It receives nothing from now on, or catches up. */
+  void SetDeaf(size_t aUpstream, bool aIsDeaf);
+
   /** Open connections between the host and the upstream say nothing more. */
   void Silence(size_t aHost, size_t aUpstream);
 
@@ -170,10 +179,13 @@
   StatementReply Read(FakeLink& aLink, const AskLink& aAction);
   StatementReply Write(FakeLink& aLink, const AskLink& aAction);
   StatementReply Commit(FakeLink& aLink, const AskLink& aAction);
+  std::string LostFrom(const FakeUpstream& aPrimary) const;
   bool Append(FakeUpstream& aPrimary, const std::vector<LogEntry>& aEntries);
   UpstreamReport Report(FakeUpstream& aUpstream, const AskLink& aAction);
   void Promote(const RequestPromotion& aAction, size_t aHost);
   void Lead(size_t aUpstream);
+  void Follow(FakeUpstream& aReplica);
+  void StepDown(FakeUpstream& aPrimary);
   bool Holds(const FakeUpstream& aUpstream, const LogPoint& aPoint) const;
   bool Reaches(size_t aHost, size_t aUpstream) const;
   LogPoint EndOf(const FakeUpstream& aUpstream, size_t aCount) const;
@@ -197,6 +209,7 @@
     values;
   std::vector<LogEntry> acknowledged;
   std::vector<Time> acknowledgedAt;
+  std::string lost; // of it, a line each
   std::map<std::string, size_t> placed;
   size_t promotions = 0;
   size_t reports = 0;
