--- a/test/fakes/proxy-world.cc
+++ b/test/fakes/proxy-world.cc
@@ -152,6 +152,17 @@
   }
 }
 
+void
+ProxyWorld::ListOnly(size_t aHost, const std::vector<size_t>& aUpstreams)
+{
+  RegistryRead event;
+  for (size_t i : aUpstreams) {
+    this->upstreams[i].entry.role = this->upstreams[i].role;
+    event.upstreams.push_back(this->upstreams[i].entry);
+  }
+  this->Send(aHost, event);
+}
+
 void
 ProxyWorld::Tick()
 {
--- a/test/fakes/proxy-world.h
+++ b/test/fakes/proxy-world.h
@@ -119,6 +119,9 @@
   /** Tells every host what the registry holds. */
   void ReadRegistry();
 
+  /** Tells one host a registry of just these. */
+  void ListOnly(size_t aHost, const std::vector<size_t>& aUpstreams);
+
   /** Starts a process on a new host and returns the host. */
   size_t AddHost();
 
