--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -67,6 +67,12 @@
   /** Takes the store's record of the group; returns the new upstreams. */
   size_t TakeRecord(const GroupRecord& aRecord, Time aNow);
 
+  /** Whether a commit is acknowledged only once a replica holds it. */
+  void SetConfirmedByReplica(bool aIsConfirmed)
+  {
+    this->isConfirmedByReplica = aIsConfirmed;
+  }
+
   const GroupMembership& Members() const { return this->members; }
 
   void Learn(UpstreamIndex aUpstream,
@@ -184,6 +190,7 @@
 
   std::vector<ProxyUpstream> upstreams;
   GroupMembership members;
+  bool isConfirmedByReplica = false;
   std::optional<UpstreamIndex> primary;
   Term term = 0;
   Term usableTerm = 0; // whose primary may be used from `usableFrom`
--- a/src/coordination/proxy-engine.cc
+++ b/src/coordination/proxy-engine.cc
@@ -172,6 +172,7 @@
   for (const auto& [name, serviceConfig] : this->config.services) {
     ProxyService& service = this->ServiceOf(name);
     service.config = serviceConfig;
+    service.view.SetConfirmedByReplica(serviceConfig.confirmedByReplica);
     this->ShareConnections(service);
   }
   this->Decide(LogEvent::ConfigurationInForce,
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -145,7 +145,7 @@
 void
 ServiceView::SampleQuorum(Time aNow)
 {
-  if (!this->members.IsKnown()) {
+  if (!this->isConfirmedByReplica || !this->members.IsKnown()) {
     return;
   }
   std::vector<const ProxyUpstream*> asked;
--- /dev/null
+++ b/test/group-record-test.cc
@@ -0,0 +1,238 @@
+#include "marigoldpitch/coordination/group-recorder.h"
+
+#include <criterion/criterion.h>
+
+// Points of a quorum, and the record of a group's members.
+
+using namespace marigoldpitch;
+
+namespace {
+
+RegisteredUpstream
+Entry(size_t aNumber, const std::string& aId = "")
+{
+  RegisteredUpstream entry;
+  entry.id = aId.empty() ? "u" + std::to_string(aNumber) : aId;
+  entry.service = "service";
+  entry.endpoint = { "10.0.0.1", static_cast<uint16_t>(aNumber + 1) };
+  return entry;
+}
+
+GroupRecord
+Record(uint64_t aRevision, const std::vector<size_t>& aNumbers)
+{
+  GroupRecord record{ "service", {}, aRevision };
+  for (size_t number : aNumbers) {
+    RegisteredUpstream entry = Entry(number);
+    record.members.push_back({ entry.id, entry.endpoint, entry.zone });
+  }
+  return record;
+}
+
+UpstreamReport
+Report(Role aRole, Term aTerm, const LogPoint& aEnd)
+{
+  UpstreamReport report;
+  report.role = aRole;
+  report.term = aTerm;
+  report.received = aEnd;
+  return report;
+}
+
+ServiceView
+View()
+{
+  ServiceView view;
+  view.SetConfirmedByReplica(true);
+  return view;
+}
+
+/** u0 leads and is proved, u1 and u2 follow; all end at 10. */
+void
+Lead(ServiceView& aView, Time aNow)
+{
+  aView.Learn(0, Report(Role::Primary, 1, { 1, 10 }), aNow, aNow);
+  aView.Learn(1, Report(Role::Replica, 1, { 1, 10 }), aNow, aNow);
+  aView.Learn(2, Report(Role::Replica, 1, { 1, 10 }), aNow, aNow);
+  aView.Saw(0, { 1, 10 }, aNow);
+}
+
+/** Steps until a record is due, 60 s at most. */
+std::optional<GroupRecord>
+NextRecord(GroupRecorder& aRecorder, ServiceView& aView, Time& aNow)
+{
+  for (int i = 0; i < 600; ++i) {
+    if (auto record = aRecorder.Step(aView, aNow)) {
+      return record;
+    }
+    aNow = aNow + Millis(100);
+  }
+  return std::nullopt;
+}
+
+std::string
+Ids(const std::optional<GroupRecord>& aRecord)
+{
+  std::string ids;
+  for (const GroupMember& member :
+       aRecord ? aRecord->members : std::vector<GroupMember>{}) {
+    ids += (ids.empty() ? "" : " ") + member.id;
+  }
+  return ids;
+}
+
+const Time kStart{ 100000 };
+
+} // namespace
+
+Test(quorum, gives_no_point_before_the_members_are_known)
+{
+  ServiceView view = View();
+  view.List({ Entry(1), Entry(2) }, kStart);
+  view.Learn(0, Report(Role::Replica, 1, { 1, 7 }), kStart, kStart);
+  cr_assert_not(view.PointSince(kStart));
+  view.TakeRecord(Record(5, { 0, 1, 2 }), kStart);
+  view.Learn(0, Report(Role::Replica, 1, { 1, 7 }), kStart, kStart);
+  cr_assert_not(view.PointSince(kStart));
+  view.Learn(1, Report(Role::Replica, 1, { 1, 9 }), kStart, kStart);
+  cr_assert_eq(view.PointSince(kStart)->point.position, 9);
+  cr_assert_eq(view.PointSince(kStart)->origin.members, 3);
+}
+
+Test(quorum, gives_no_point_where_no_replica_confirms)
+{
+  ServiceView view;
+  view.List({ Entry(0), Entry(1) }, kStart);
+  view.TakeRecord(Record(5, { 0, 1 }), kStart);
+  view.Learn(1, Report(Role::Replica, 1, { 1, 7 }), kStart, kStart);
+  cr_assert_not(view.PointSince(kStart));
+}
+
+// The shorter log of a replica that had heard of a promotion counted as higher.
+Test(quorum, gives_no_point_while_the_newest_term_has_a_shorter_log)
+{
+  ServiceView view = View();
+  view.List({ Entry(0), Entry(1), Entry(2) }, kStart);
+  view.TakeRecord(Record(5, { 0, 1, 2 }), kStart);
+  view.Learn(1, Report(Role::Replica, 1, { 1, 20 }), kStart, kStart);
+  view.Learn(2, Report(Role::Replica, 2, { 2, 10 }), kStart, kStart);
+  cr_assert_not(view.PointSince(kStart));
+  view.Learn(1, Report(Role::Replica, 2, { 2, 20 }), kStart, kStart);
+  cr_assert_eq(view.PointSince(kStart)->point.position, 20);
+}
+
+Test(record, a_first_one_waits_for_a_proved_primary_and_a_settled_list)
+{
+  ServiceView view = View();
+  GroupRecorder recorder;
+  Time now = kStart;
+  view.List({ Entry(0), Entry(1) }, now);
+  cr_assert_not(NextRecord(recorder, view, now));
+  view.List({ Entry(0), Entry(1), Entry(2) }, now);
+  Lead(view, now);
+  Time listed = now;
+  cr_assert_eq(Ids(NextRecord(recorder, view, now)), "u0 u1 u2");
+  cr_assert_geq((now - listed).ms, 2000);
+}
+
+Test(record, a_first_one_is_not_written_without_the_primarys_entry)
+{
+  ServiceView view = View();
+  GroupRecorder recorder;
+  Time now = kStart;
+  view.List({ Entry(0), Entry(1), Entry(2) }, now);
+  Lead(view, now);
+  view.List({ Entry(1), Entry(2) }, now);
+  cr_assert_not(NextRecord(recorder, view, now));
+}
+
+Test(record, members_are_added_one_at_a_time)
+{
+  ServiceView view = View();
+  GroupRecorder recorder;
+  Time now = kStart;
+  view.TakeRecord(Record(5, { 0 }), now);
+  view.List({ Entry(0), Entry(1), Entry(2) }, now);
+  auto next = NextRecord(recorder, view, now);
+  cr_assert_eq(Ids(next), "u0 u1");
+  cr_assert_eq(next->revision, 5);
+  next->revision = 6;
+  view.TakeRecord(*next, now);
+  cr_assert_eq(Ids(NextRecord(recorder, view, now)), "u0 u1 u2");
+}
+
+Test(record, one_whose_address_another_took_over_is_dropped)
+{
+  ServiceView view = View();
+  GroupRecorder recorder;
+  Time now = kStart;
+  view.TakeRecord(Record(5, { 0, 1, 2 }), now);
+  view.List({ Entry(0), Entry(1), Entry(2, "u9") }, now);
+  auto next = NextRecord(recorder, view, now);
+  cr_assert_eq(Ids(next), "u0 u1 u2 u9");
+  next->revision = 6;
+  view.TakeRecord(*next, now);
+  cr_assert_not(view.Members().MayConfirm(2, now));
+  cr_assert_eq(Ids(NextRecord(recorder, view, now)), "u0 u1 u9");
+}
+
+Test(record, a_missing_member_that_answers_stays)
+{
+  ServiceView view = View();
+  GroupRecorder recorder;
+  Time now = kStart;
+  view.TakeRecord(Record(5, { 0, 1, 2 }), now);
+  view.List({ Entry(0), Entry(1) }, now);
+  for (int i = 0; i < 600; ++i) {
+    now = now + Millis(100);
+    Lead(view, now);
+    view.Answered(2, now);
+    cr_assert_not(recorder.Step(view, now));
+  }
+}
+
+Test(record, a_lost_member_is_dropped_once_others_hold_what_it_confirmed)
+{
+  ServiceView view = View();
+  GroupRecorder recorder;
+  Time now = kStart;
+  view.TakeRecord(Record(5, { 0, 1, 2 }), now);
+  view.List({ Entry(0), Entry(1) }, now);
+  view.Failed(2, now);
+  Time lost = now;
+  // The other replica lags behind what the primary says of its log.
+  for (int i = 0; i < 200; ++i) {
+    now = now + Millis(100);
+    view.Learn(0, Report(Role::Primary, 1, { 1, 20 }), now, now);
+    view.Learn(1, Report(Role::Replica, 1, { 1, 10 }), now, now);
+    view.Saw(0, { 1, 20 }, now);
+    cr_assert_not(recorder.Step(view, now));
+  }
+  view.Learn(1, Report(Role::Replica, 1, { 1, 20 }), now, now);
+  cr_assert_eq(Ids(recorder.Step(view, now)), "u0 u1");
+  cr_assert_geq((now - lost).ms, 10000);
+}
+
+// No primary is left to say what the lost ones may have confirmed.
+Test(record, a_member_lost_with_the_primary_does_not_end_service_for_good)
+{
+  ServiceView view = View();
+  GroupRecorder recorder;
+  Time now = kStart;
+  view.TakeRecord(Record(5, { 0, 1, 2 }), now);
+  view.List({ Entry(1) }, now);
+  view.Failed(0, now);
+  view.Failed(2, now);
+  auto next = NextRecord(recorder, view, now);
+  cr_assert_eq(next->members.size(), 2);
+  cr_assert_geq((now - kStart).ms, kMayStillConfirm.ms);
+}
+
+Test(record, an_older_one_changes_nothing)
+{
+  ServiceView view = View();
+  view.TakeRecord(Record(9, { 0, 1, 2 }), kStart);
+  view.TakeRecord(Record(8, { 1 }), kStart);
+  cr_assert(view.Members().IsRecorded(0));
+  cr_assert_eq(view.Members().Revision(), 9);
+}
