Count reads that are given up for want of a proved log point

A host without the record of a group, or without enough members that answer, must not guess; what that costs callers was not to be seen.

--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -187,6 +187,7 @@
   void CheckLimits();
   Time LimitOf(const CallerSession& aSession) const;
   void Expire(CallerSession& aSession);
+  void ReportLack(const CallerSession& aSession);
 
   // proxy-watch.cc: reports of upstreams, proofs, promotions.
   void On(const LinkReported& aEvent);
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -61,6 +61,7 @@
   StrangeRecord,
   CallerRefused,
   LogDropped,
+  ReadUnproved,
 };
 
 struct LogEventRow
@@ -71,7 +72,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 36> kLogEvents{ {
+constexpr std::array<LogEventRow, 37> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -117,6 +118,7 @@
   { LogEvent::StrangeRecord, 205, Severity::Warning, "strange-record" },
   { LogEvent::CallerRefused, 604, Severity::Warning, "caller-refused" },
   { LogEvent::LogDropped, 106, Severity::Warning, "log-dropped" },
+  { LogEvent::ReadUnproved, 605, Severity::Warning, "read-unproved" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/state/metrics.h
+++ b/include/marigoldpitch/state/metrics.h
@@ -25,9 +25,10 @@
   Retries,
   StoreCalls,
   FramesRefused,
+  ReadsUnproved, // refused for want of a log point
 };
 
-constexpr NameTable<Counter, 9> kCounterNames{ {
+constexpr NameTable<Counter, 10> kCounterNames{ {
   { Counter::ReplicaReads, "replica_reads_total" },
   { Counter::PrimaryReads, "primary_reads_total" },
   { Counter::FallbackReads, "fallback_reads_total" },
@@ -37,6 +38,7 @@
   { Counter::Retries, "retries_total" },
   { Counter::StoreCalls, "store_calls_total" },
   { Counter::FramesRefused, "frames_refused_total" },
+  { Counter::ReadsUnproved, "reads_unproved_total" },
 } };
 
 enum class Measure
--- a/src/coordination/proxy-losses.cc
+++ b/src/coordination/proxy-losses.cc
@@ -161,6 +161,7 @@
   bool inTransaction = aSession.state == SessionState::InTransaction;
   bool wasSent = pending.phase == StatementPhase::Running;
   if (pending.phase == StatementPhase::Queued) {
+    this->ReportLack(aSession);
     this->Dequeue(aSession);
   }
   if (pending.connection != 0) {
@@ -186,4 +187,24 @@
   this->Refuse(aSession, code, "no answer in time");
 }
 
+/** A read that accepts age is given up, and nothing proved a copy fresh. */
+void
+ProxyEngine::ReportLack(const CallerSession& aSession)
+{
+  const PendingStatement& pending = *aSession.pending;
+  ProxyService& service = this->ServiceOf(pending.route.service);
+  bool lacksPoint = !pending.needsPrimary && aSession.pinned == 0 &&
+                    !this->PointFor(service, aSession);
+  if (!lacksPoint) {
+    return;
+  }
+  const ServiceView& view = service.view;
+  this->Decide(LogEvent::ReadUnproved,
+               pending.requestId,
+               { { "service", service.name },
+                 { "record", std::to_string(view.Members().Revision()) },
+                 { "primary", view.Primary() ? "known" : "unknown" },
+                 { "members", this->DescribeMembers(service) } });
+}
+
 } // namespace marigoldpitch
