--- a/test/registry-lapse-test.cc
+++ b/test/registry-lapse-test.cc
@@ -68,8 +68,9 @@
   ProxyWorld world(Options(Freshness::Newest, 2));
   Settle(world);
   world.SetDuty(0, false);
-  world.ReplaceHost(1);
-  world.ListOnly(1, { 1 });
+  world.Upstream(0).isListed = false;
+  world.Upstream(2).isListed = false;
+  world.ReplaceHost(1); // it never sees them listed
   world.SetDuty(1, true);
   PressWrites(world, 0, 300);
   world.RunFor(Seconds(3));
