Split the world of the fakes and the engine's tests by subject

test/fakes/world.cc (880 lines) becomes world.cc (construction and what is to be seen, 185), world-entries.cc (138), world-owners.cc (137), world-upstreams.cc (connections, batches, operators' calls, replication, 303) and world-faults.cc (156); the class and its header stay one. An operator's call hands over a SqlResult, so that its conversion stands in one file. Two members that nothing used are gone.

test/engine-test.cc (679 lines) keeps transactions, requests, limits, silence and reads (386); leaving and draining go to leaving-test.cc (127), the engine fed by hand to connections-test.cc (150), and the requests that they share to fakes/requests.h. docs/GUARANTEES.md names the new places.

No check is dropped: 25 tests and 64 lines with cr_assert or RC_ASSERT before; 16 + 6 + 3 tests and 64 such lines after.

--- /dev/null
+++ b/test/connections-test.cc
@@ -0,0 +1,150 @@
+#include "fakes/requests.h"
+
+#include <criterion/criterion.h>
+
+// Connections whose answers come late or never, event by event.
+
+using namespace marigoldpitch;
+using namespace marigoldpitch::fakes;
+
+namespace {
+
+/** An engine fed by hand: three upstreams that have all said who they are. */
+class BareEngine
+{
+public:
+  BareEngine()
+  {
+    GroupConfig config;
+    config.name = "g";
+    config.slots = 1;
+    config.connections = 2;
+    config.upstreams.resize(3);
+    this->engine = std::move(
+      GroupEngine::Create(config, MakeDefaultPolicies(config), {}).value());
+    for (const GroupAction& action : this->Step(Tick{})) {
+      if (const auto* ask = std::get_if<AskStatus>(&action)) {
+        this->Step(
+          StatusAnswered{ ask->upstream, ask->ask, Status(ask->upstream) });
+      }
+    }
+  }
+
+  static UpstreamStatus Status(UpstreamIndex aUpstream)
+  {
+    UpstreamStatus status;
+    status.role = aUpstream == 0 ? Role::Primary : Role::Replica;
+    status.term = status.followed = 1;
+    status.received = status.replayed = 10;
+    return status;
+  }
+
+  GroupActions Step(const GroupEvent& aEvent)
+  {
+    GroupActions actions = this->engine->Handle(this->now, aEvent);
+    for (const GroupAction& action : actions) {
+      if (const auto* open = std::get_if<OpenConnection>(&action)) {
+        this->opened = open->connection;
+      } else if (const auto* run = std::get_if<RunBatch>(&action)) {
+        this->batches.push_back(*run);
+      } else if (const auto* send = std::get_if<SendAnswer>(&action)) {
+        this->answers.push_back(*send);
+      }
+    }
+    return actions;
+  }
+
+  /** The result of a read that found `aText`. */
+  static BatchResult ReadResult(const std::string& aText)
+  {
+    BatchResult result;
+    result.steps.resize(4);
+    for (StepResult& step : result.steps) {
+      step.outcome = StepOutcome::Done;
+    }
+    result.steps[1].rows.rows = { { aText } };
+    result.steps[2].status = Status(0);
+    return result;
+  }
+
+  std::unique_ptr<GroupEngine> engine;
+  Time now{ 1000 };
+  ConnectionId opened = 0;
+  std::vector<RunBatch> batches;
+  std::vector<SendAnswer> answers;
+};
+
+} // namespace
+
+Test(connections, a_cancelled_callers_batch_blocks_its_connection_to_its_end)
+{
+  BareEngine bare;
+  bare.Step(RequestArrived{ 1, MakeRead("first", {}) });
+  bare.Step(ConnectionOpened{ bare.opened });
+  cr_assert_eq(bare.batches.size(), 1u);
+  bare.Step(RequestCancelled{ 1 });
+  bare.Step(RequestArrived{ 2, MakeRead("second", {}) });
+  cr_assert_eq(bare.batches.size(), 1u, "the slot is not free before its end");
+  RunBatch first = bare.batches[0];
+  bare.Step(BatchFinished{
+    first.connection, first.sequence, BareEngine::ReadResult("of first") });
+  cr_assert_eq(bare.batches.size(), 2u);
+  cr_assert_str_eq(bare.batches[1].batch[1].statement.parameters[0]->c_str(),
+                   "second");
+  cr_assert(bare.answers.empty(), "nobody waits for the first answer");
+}
+
+Test(connections, a_late_answer_of_the_statement_before_is_nobodys)
+{
+  BareEngine bare;
+  bare.Step(RequestArrived{ 1, MakeRead("first", {}) });
+  bare.Step(ConnectionOpened{ bare.opened });
+  RunBatch first = bare.batches[0];
+  bare.Step(BatchFinished{
+    first.connection, first.sequence, BareEngine::ReadResult("of first") });
+  bare.Step(RequestArrived{ 2, MakeRead("second", {}) });
+  RunBatch second = bare.batches.back();
+  cr_assert_eq(second.connection, first.connection);
+  bare.answers.clear();
+  bare.Step(BatchFinished{
+    first.connection, first.sequence, BareEngine::ReadResult("late") });
+  bare.Step(BatchFinished{
+    second.connection, second.sequence, BareEngine::ReadResult("of second") });
+  for (UpstreamIndex i = 1; i < 3; ++i) {
+    uint64_t ask = bare.engine->View().At(i).ask;
+    bare.Step(StatusAnswered{ i, ask, BareEngine::Status(i) });
+  }
+  bare.now = bare.now + Millis(5);
+  for (const GroupAction& action : bare.Step(Tick{})) {
+    if (const auto* ask = std::get_if<AskStatus>(&action)) {
+      bare.Step(StatusAnswered{
+        ask->upstream, ask->ask, BareEngine::Status(ask->upstream) });
+    }
+  }
+  size_t found = 0;
+  for (const SendAnswer& answer : bare.answers) {
+    if (answer.handle == 2) {
+      ++found;
+      cr_assert_str_eq(answer.answer.rows.rows[0][0]->c_str(), "of second");
+    }
+  }
+  cr_assert_eq(found, 1u);
+}
+
+Test(connections, a_silent_connection_is_closed_and_never_used_again)
+{
+  BareEngine bare;
+  bare.Step(RequestArrived{ 1, MakeRead("first", {}) });
+  bare.Step(ConnectionOpened{ bare.opened });
+  RunBatch first = bare.batches[0];
+  for (int i = 0; i < 30; ++i) {
+    bare.now = bare.now + Millis(50);
+    bare.Step(Tick{});
+  }
+  cr_assert(bare.engine->Connections().Find(first.connection) == nullptr);
+  bare.Step(BatchFinished{
+    first.connection, first.sequence, BareEngine::ReadResult("late") });
+  for (const SendAnswer& answer : bare.answers) {
+    cr_assert(answer.answer.rows.rows.empty());
+  }
+}
--- /dev/null
+++ b/test/fakes/requests.h
@@ -0,0 +1,46 @@
+#ifndef MARIGOLDPITCH_TEST_FAKES_REQUESTS_H
+#define MARIGOLDPITCH_TEST_FAKES_REQUESTS_H
+
+#include "world.h"
+
+/** The world and the requests that the tests of the engine share. */
+namespace marigoldpitch::fakes {
+
+constexpr uint32_t kSeeds = 30;
+
+inline WorldOptions
+ThreeOwners(uint32_t aSeed)
+{
+  WorldOptions options;
+  options.seed = aSeed;
+  options.owners = 3;
+  return options;
+}
+
+inline Request
+MakeWrite(const std::string& aId, const std::string& aKey)
+{
+  Request request;
+  request.operation = Operation::Write;
+  request.session = "s";
+  request.requestId = aId;
+  request.firstAttempt = true;
+  request.statement = { "INSERT INTO rows (key, value) VALUES ($1, $2)",
+                        { aKey, std::string("v") } };
+  return request;
+}
+
+inline Request
+MakeRead(const std::string& aKey, std::optional<Duration> aMaxAge)
+{
+  Request request;
+  request.operation = Operation::Read;
+  request.session = "reader";
+  request.maxAge = aMaxAge;
+  request.statement = { "SELECT value FROM rows WHERE key = $1", { aKey } };
+  return request;
+}
+
+} // namespace marigoldpitch::fakes
+
+#endif
--- /dev/null
+++ b/test/fakes/world-entries.cc
@@ -0,0 +1,138 @@
+#include "world.h"
+
+namespace marigoldpitch::fakes {
+
+namespace {
+
+constexpr Duration kEntryTick = Millis(20);
+
+} // namespace
+
+// Callers.
+
+void
+World::Ask(size_t aEntry, Request aRequest, Answered aDone)
+{
+  aRequest.group = this->config.name;
+  RequestHandle handle = ++this->lastHandle;
+  this->callers[handle] = std::move(aDone);
+  this->StepEntry(aEntry, CallerAsked{ handle, aRequest });
+}
+
+void
+World::AskOwner(size_t aOwner, Request aRequest, Answered aDone)
+{
+  aRequest.group = this->config.name;
+  RequestHandle handle = ++this->lastHandle;
+  this->ownerAsks[handle] = std::move(aDone);
+  this->StepOwner(aOwner, RequestArrived{ handle, aRequest });
+}
+
+// Entries.
+
+void
+World::TickEntry(size_t aEntry)
+{
+  this->StepEntry(aEntry, EntryTick{});
+  this->After(kEntryTick, [this, aEntry] { this->TickEntry(aEntry); });
+}
+
+void
+World::StepEntry(size_t aEntry, const EntryEvent& aEvent)
+{
+  EntryActions actions =
+    this->entries[aEntry].engine->Handle(this->Now(), aEvent);
+  for (const EntryAction& action : actions) {
+    this->Perform(aEntry, action);
+  }
+}
+
+void
+World::Perform(size_t aEntry, const EntryAction& aAction)
+{
+  if (const auto* answer = std::get_if<AnswerCaller>(&aAction)) {
+    auto found = this->callers.find(answer->handle);
+    Answered done = std::move(found->second);
+    this->callers.erase(found);
+    this->After({}, [done, result = answer->answer] { done(result); });
+  } else if (const auto* forward = std::get_if<ForwardRequest>(&aAction)) {
+    this->ForwardTo(aEntry, *forward);
+  } else if (const auto* connect = std::get_if<ConnectOwner>(&aAction)) {
+    this->ConnectTo(aEntry, connect->host);
+  } else if (const auto* drop = std::get_if<DropOwner>(&aAction)) {
+    this->entries[aEntry].links.erase(IndexOf(drop->host));
+  } else if (const auto* ping = std::get_if<PingOwner>(&aAction)) {
+    size_t owner = IndexOf(ping->host);
+    uint64_t link = this->entries[aEntry].links[owner];
+    std::string host = ping->host;
+    this->After(this->Latency() + this->Latency(), [=] {
+      bool isUp = this->owners[owner].alive &&
+                  this->owners[owner].frozenUntil <= this->Now() &&
+                  this->entryCuts.count({ aEntry, owner }) == 0 &&
+                  this->entries[aEntry].links[owner] == link && link != 0;
+      if (isUp) {
+        this->StepEntry(aEntry, OwnerHeard{ host });
+      }
+    });
+  }
+}
+
+void
+World::ConnectTo(size_t aEntry, const std::string& aHost)
+{
+  size_t owner = IndexOf(aHost);
+  if (this->entryCuts.count({ aEntry, owner }) != 0) {
+    return; // no answer at all
+  }
+  this->After(this->Latency() + this->Latency(), [=] {
+    if (!this->owners[owner].alive) {
+      this->StepEntry(aEntry, OwnerLost{ aHost });
+      return;
+    }
+    if (this->Now() < this->owners[owner].frozenUntil) {
+      return; // it does not greet
+    }
+    this->entries[aEntry].links[owner] = ++this->lastLink;
+    this->StepEntry(aEntry, OwnerConnected{ aHost });
+  });
+}
+
+void
+World::ForwardTo(size_t aEntry, const ForwardRequest& aAction)
+{
+  size_t owner = IndexOf(aAction.host);
+  uint64_t link = this->entries[aEntry].links[owner];
+  auto isCarried = [=] {
+    return link != 0 && this->entryCuts.count({ aEntry, owner }) == 0 &&
+           this->entries[aEntry].links[owner] == link;
+  };
+  this->After(this->Latency(), [=, request = aAction.request] {
+    if (!this->owners[owner].alive || link == 0 ||
+        this->entryCuts.count({ aEntry, owner }) != 0) {
+      return;
+    }
+    RequestHandle handle = ++this->lastHandle;
+    this->ownerAsks[handle] = [=](const Answer& aAnswer) {
+      this->After(this->Latency(), [=, answer = aAnswer] {
+        if (isCarried()) {
+          this->StepEntry(aEntry, OwnerHeard{ aAction.host });
+          bool isSwapped = this->options.swapsAnswers && this->Random(50) == 0;
+          uint64_t number = aAction.number + (isSwapped ? 1 : 0);
+          this->StepEntry(aEntry,
+                          OwnerAnswered{ aAction.host, number, answer });
+        }
+      });
+    };
+    this->StepOwner(owner, RequestArrived{ handle, request });
+  });
+}
+
+void
+World::LinkDown(size_t aEntry, size_t aOwner)
+{
+  if (this->entries[aEntry].links.erase(aOwner) != 0) {
+    this->StepEntry(aEntry, OwnerLost{ HostName(aOwner) });
+  }
+}
+
+} // namespace marigoldpitch::fakes
--- /dev/null
+++ b/test/fakes/world-owners.cc
@@ -0,0 +1,137 @@
+#include "world.h"
+
+#include "marigoldpitch/protocol/upstream-sql.h"
+
+#include <algorithm>
+
+namespace marigoldpitch::fakes {
+
+// Owners.
+
+void
+World::TickOwner(size_t aOwner, uint64_t aIncarnation)
+{
+  if (this->owners[aOwner].incarnation != aIncarnation) {
+    return;
+  }
+  this->StepOwner(aOwner, Tick{});
+  Duration next = this->owners[aOwner].engine->TickInterval();
+  Time frozen = this->owners[aOwner].frozenUntil;
+  if (this->Now() < frozen) {
+    next = frozen - this->Now() + Millis(1);
+  }
+  this->After(next, [=] { this->TickOwner(aOwner, aIncarnation); });
+}
+
+void
+World::StepOwner(size_t aOwner, const GroupEvent& aEvent)
+{
+  Owner& owner = this->owners[aOwner];
+  if (!owner.alive) {
+    return;
+  }
+  if (this->Now() < owner.frozenUntil) {
+    Duration left = owner.frozenUntil - this->Now();
+    if (!std::holds_alternative<Tick>(aEvent)) {
+      this->After(left, [=] { this->StepOwner(aOwner, aEvent); });
+    }
+    return;
+  }
+  GroupActions actions = owner.engine->Handle(this->Now(), aEvent);
+  for (const GroupAction& action : actions) {
+    this->Perform(aOwner, action);
+  }
+}
+
+void
+World::Perform(size_t aOwner, const GroupAction& aAction)
+{
+  if (const auto* open = std::get_if<OpenConnection>(&aAction)) {
+    this->OpenConnectionFor(aOwner, *open);
+  } else if (const auto* close = std::get_if<CloseConnection>(&aAction)) {
+    this->CloseConnectionFor(aOwner, close->connection);
+  } else if (const auto* run = std::get_if<RunBatch>(&aAction)) {
+    this->RunBatchFor(aOwner, *run);
+  } else if (const auto* send = std::get_if<SendAnswer>(&aAction)) {
+    auto found = this->ownerAsks.find(send->handle);
+    if (found != this->ownerAsks.end()) {
+      auto done = std::move(found->second);
+      this->ownerAsks.erase(found);
+      done(send->answer);
+    }
+  } else if (const auto* ask = std::get_if<AskStatus>(&aAction)) {
+    AskStatus askCopy = *ask;
+    if (askCopy.fresh) {
+      this->owners[aOwner].adminSilent.erase(askCopy.upstream);
+    }
+    this->Admin(
+      aOwner, askCopy.upstream, StatusSql(), [=](const auto* aResult) {
+        if (aResult == nullptr) {
+          this->StepOwner(aOwner,
+                          StatusFailed{ askCopy.upstream, askCopy.ask });
+          return;
+        }
+        auto status = ParseStatus(aResult->rows);
+        this->StepOwner(
+          aOwner,
+          StatusAnswered{ askCopy.upstream, askCopy.ask, status.value() });
+      });
+  } else if (const auto* adopt = std::get_if<AdoptTerm>(&aAction)) {
+    AdoptTerm adoptCopy = *adopt;
+    this->Admin(
+      aOwner,
+      adoptCopy.upstream,
+      AdoptTermSql(adoptCopy.term),
+      [=](const auto* aResult) {
+        if (aResult == nullptr) {
+          return;
+        }
+        if (!aResult->done) {
+          Term current = std::stoull(aResult->message);
+          this->StepOwner(
+            aOwner, TermRefused{ adoptCopy.upstream, adoptCopy.term, current });
+          return;
+        }
+        auto log = ParseAdopted(aResult->rows);
+        this->StepOwner(
+          aOwner,
+          TermAdopted{ adoptCopy.upstream, adoptCopy.term, log.value() });
+      });
+  } else if (const auto* promote = std::get_if<Promote>(&aAction)) {
+    Promote promoteCopy = *promote;
+    this->Admin(
+      aOwner,
+      promoteCopy.upstream,
+      PromoteSql(promoteCopy.term),
+      [=](const auto* aResult) {
+        if (aResult == nullptr || !aResult->done) {
+          this->StepOwner(
+            aOwner, PromotionFailed{ promoteCopy.upstream, promoteCopy.term });
+          return;
+        }
+        auto start = ParsePromoted(aResult->rows);
+        this->StepOwner(
+          aOwner,
+          Promoted{ promoteCopy.upstream, promoteCopy.term, start.value() });
+      });
+  } else if (const auto* follow = std::get_if<Follow>(&aAction)) {
+    const Endpoint& primary = this->config.upstreams[follow->primary].endpoint;
+    this->Admin(aOwner,
+                follow->upstream,
+                FollowSql(follow->term, primary),
+                [](const auto*) {});
+  } else if (const auto* reserve = std::get_if<ReserveTerms>(&aAction)) {
+    ReserveTerms reserveCopy = *reserve;
+    if (!this->storeDown) {
+      Term first = std::max(reserveCopy.above, this->lastReserved) + 1;
+      this->lastReserved = first + 7;
+      this->After(this->Latency() + this->Latency(), [=] {
+        this->StepOwner(aOwner, TermsGranted{ first, first + 7 });
+      });
+    }
+  } else if (const auto* observe = std::get_if<Observe>(&aAction)) {
+    this->retries += observe->observation == Observation::Retry ? 1 : 0;
+  }
+}
+
+} // namespace marigoldpitch::fakes
--- /dev/null
+++ b/test/fakes/world-upstreams.cc
@@ -0,0 +1,303 @@
+#include "world.h"
+
+#include "marigoldpitch/protocol/upstream-sql.h"
+
+#include <algorithm>
+
+namespace marigoldpitch::fakes {
+
+namespace {
+
+constexpr Duration kBeat = Millis(50);
+constexpr Duration kIdleInTransaction = Seconds(6);
+
+SqlResult
+ToResult(const standin::Outcome& aOutcome)
+{
+  SqlResult result;
+  result.done = !aOutcome.error;
+  if (aOutcome.error) {
+    result.sqlState = aOutcome.error->state;
+    result.message = aOutcome.error->message;
+    return result;
+  }
+  result.rows = aOutcome.rows;
+  size_t space = aOutcome.tag.rfind(' ');
+  if (space != std::string::npos) {
+    result.rows.affected =
+      std::strtoull(aOutcome.tag.c_str() + space, nullptr, 10);
+  }
+  return result;
+}
+
+} // namespace
+
+bool
+World::Reaches(size_t aOwner, size_t aUpstream) const
+{
+  return this->ownerCuts.count({ aOwner, aUpstream }) == 0;
+}
+
+void
+World::AtUpstream(size_t aUpstream, std::function<void()> aCall)
+{
+  // A frozen upstream works off what came when it thaws.
+  Time frozen = this->upstreams[aUpstream].frozenUntil;
+  if (this->Now() < frozen) {
+    this->After(frozen - this->Now(),
+                [=] { this->AtUpstream(aUpstream, aCall); });
+    return;
+  }
+  aCall();
+}
+
+void
+World::OpenConnectionFor(size_t aOwner, const OpenConnection& aAction)
+{
+  auto session = std::make_shared<FakeSession>();
+  session->upstream = aAction.upstream;
+  session->incarnation = this->upstreams[aAction.upstream].incarnation;
+  session->transaction = std::make_shared<standin::Transaction>();
+  if (this->options.sharesTransactions) {
+    auto& shared = this->upstreams[aAction.upstream].shared;
+    shared = shared ? shared : session->transaction;
+    session->transaction = shared;
+  }
+  this->owners[aOwner].sessions[aAction.connection] = session;
+  auto open = static_cast<uint32_t>(
+    this->owners[aOwner].engine->Connections().Use(aAction.upstream).open);
+  this->mostConnections = std::max(this->mostConnections, open);
+  ConnectionId id = aAction.connection;
+  Duration span = this->Latency() + this->options.opening + this->Latency();
+  this->After(span, [=] {
+    if (!this->Reaches(aOwner, session->upstream)) {
+      // Nothing comes back; the client library gives up after a while.
+      this->After(Seconds(1), [=] {
+        this->StepOwner(aOwner, ConnectionLost{ id, SqlClass::Other, "cut" });
+      });
+      return;
+    }
+    if (!this->upstreams[session->upstream].alive) {
+      this->StepOwner(aOwner, ConnectionLost{ id, SqlClass::Other, "refused" });
+      return;
+    }
+    this->AtUpstream(session->upstream, [=] {
+      session->open = true;
+      session->incarnation = this->upstreams[session->upstream].incarnation;
+      this->StepOwner(aOwner, ConnectionOpened{ id });
+    });
+  });
+}
+
+void
+World::RunBatchFor(size_t aOwner, const RunBatch& aAction)
+{
+  auto session = this->owners[aOwner].sessions[aAction.connection];
+  size_t upstream = session->upstream;
+  uint32_t running =
+    this->owners[aOwner].engine->Connections().Use(upstream).busy;
+  this->mostBusy = std::max(this->mostBusy, running);
+  this->lastWorkStarted[upstream] = this->Now();
+  ++this->batches;
+  this->After(this->Latency() + this->options.service, [=] {
+    if (!this->Reaches(aOwner, upstream) || session->silent) {
+      return;
+    }
+    this->AtUpstream(upstream, [=] {
+      Upstream& target = this->upstreams[upstream];
+      if (!target.alive || target.incarnation != session->incarnation ||
+          !session->open) {
+        return;
+      }
+      std::vector<SqlResult> results;
+      bool isSkipping = false;
+      for (const Step& step : aAction.batch) {
+        SqlResult result;
+        result.skipped = true;
+        if (!isSkipping) {
+          result = ToResult(target.database->Execute(
+            *session->transaction, ToSql(step), this->Now()));
+          isSkipping = !result.done;
+        }
+        results.push_back(result);
+      }
+      this->After(this->Latency(), [=] {
+        bool isCarried =
+          this->Reaches(aOwner, upstream) && !session->silent && session->open;
+        if (isCarried) {
+          this->StepOwner(aOwner,
+                          BatchFinished{ aAction.connection,
+                                         aAction.sequence,
+                                         FromSql(aAction.batch, results) });
+        }
+      });
+    });
+  });
+}
+
+void
+World::CloseConnectionFor(size_t aOwner, ConnectionId aConnection)
+{
+  auto found = this->owners[aOwner].sessions.find(aConnection);
+  if (found == this->owners[aOwner].sessions.end()) {
+    return;
+  }
+  auto session = found->second;
+  this->owners[aOwner].sessions.erase(found);
+  // What is on its way may still arrive before the end of the connection. Over
+  // a silent one the end itself never arrives: the upstream keeps the session
+  // until its own limit for idle transactions.
+  Duration until = session->silent || !this->Reaches(aOwner, session->upstream)
+                     ? kIdleInTransaction
+                     : this->Latency() + Millis(40);
+  this->After(until, [=] { this->EndSession(session); });
+  // The same order as the pool gives over its other connection.
+  this->Admin(
+    aOwner,
+    session->upstream,
+    StatusSql(),
+    [](const auto*) {},
+    [=] { this->EndSession(session); });
+}
+
+void
+World::EndSession(const std::shared_ptr<FakeSession>& aSession)
+{
+  Upstream& target = this->upstreams[aSession->upstream];
+  aSession->open = false;
+  if (target.alive && target.incarnation == aSession->incarnation) {
+    target.database->RollBack(*aSession->transaction);
+  }
+}
+
+void
+World::Admin(size_t aOwner,
+             size_t aUpstream,
+             const Statement& aStatement,
+             std::function<void(const SqlResult*)> aDone,
+             std::function<void()> aThere)
+{
+  auto& silent = this->owners[aOwner].adminSilent[aUpstream];
+  if (!silent) {
+    silent = std::make_shared<bool>(false);
+  }
+  std::shared_ptr<bool> isSilent = silent;
+  this->After(this->Latency(), [=] {
+    if (!this->Reaches(aOwner, aUpstream) || *isSilent) {
+      return;
+    }
+    if (!this->upstreams[aUpstream].alive) {
+      this->After(this->Latency(), [=] { aDone(nullptr); });
+      return;
+    }
+    this->AtUpstream(aUpstream, [=] {
+      if (!this->upstreams[aUpstream].alive) {
+        return;
+      }
+      if (aThere) {
+        aThere();
+      }
+      standin::Database& database = *this->upstreams[aUpstream].database;
+      standin::Transaction transaction;
+      auto outcome = database.Execute(transaction, aStatement, this->Now());
+      if (database.followOrder) {
+        this->upstreams[aUpstream].following = database.followOrder->port - 1u;
+        this->upstreams[aUpstream].linked = false;
+        database.followOrder.reset();
+      }
+      if (database.leftPrimary) {
+        database.leftPrimary = false;
+        this->upstreams[aUpstream].following.reset();
+        this->upstreams[aUpstream].linked = false;
+      }
+      bool isPromotion =
+        aStatement.sql.find("promote") != std::string::npos && !outcome.error;
+      if (isPromotion) {
+        ++this->promotions;
+        this->termLedTwice =
+          this->termLedTwice ||
+          !this->promotedTerms.insert(database.CurrentTerm()).second;
+      }
+      this->After(this->Latency(), [=, result = ToResult(outcome)] {
+        if (this->Reaches(aOwner, aUpstream) && !*isSilent) {
+          aDone(&result);
+        }
+      });
+    });
+  });
+}
+
+// Replication.
+
+void
+World::Replicate()
+{
+  for (Upstream& upstream : this->upstreams) {
+    size_t size = upstream.database->Log().size();
+    if (upstream.committedAt.size() > size) {
+      upstream.committedAt.clear();
+    }
+    while (upstream.committedAt.size() < size) {
+      upstream.committedAt.push_back(this->Now());
+    }
+  }
+  for (size_t i = 0; i < this->upstreams.size(); ++i) {
+    this->Copy(i);
+  }
+  this->After(Millis(1), [this] { this->Replicate(); });
+}
+
+void
+World::Copy(size_t aReplica)
+{
+  Upstream& replica = this->upstreams[aReplica];
+  if (!replica.alive || !replica.following ||
+      this->Now() < replica.frozenUntil) {
+    return;
+  }
+  size_t leader = *replica.following;
+  Upstream& primary = this->upstreams[leader];
+  bool isCarried = primary.alive && this->Now() >= primary.frozenUntil &&
+                   this->upstreamCuts.count(std::minmax(leader, aReplica)) == 0;
+  bool isLeader =
+    primary.database->CurrentRole() == Role::Primary &&
+    primary.database->CurrentTerm() == replica.database->CurrentTerm();
+  if (!isCarried || !isLeader) {
+    return;
+  }
+  const auto& log = primary.database->Log();
+  if (!replica.linked) {
+    if (replica.linkedAt == kLongAgo || replica.linkedAt > this->Now()) {
+      replica.linkedAt = this->Now();
+    }
+    Position from = replica.database->Log().size();
+    if (!primary.database->HasPrefix(from, replica.database->LastTerm())) {
+      replica.database->Reset();
+    }
+    replica.database->Followed(primary.database->CurrentTerm(),
+                               primary.database->TermStart());
+    replica.linked = true;
+    replica.database->Heard(this->Now());
+  }
+  bool isBeat = this->Now().ms % kBeat.ms == 0;
+  if (isBeat) {
+    replica.database->Heard(this->Now());
+    // Lag is drawn anew now and then, so nothing can rely on it.
+    int64_t longest = std::max<int64_t>(this->options.longestLag.ms, 1);
+    if (replica.database->knobs.replayLag < Seconds(1)) {
+      replica.database->knobs.replayLag =
+        Millis(this->Random(static_cast<uint32_t>(longest)));
+    }
+  }
+  while (replica.database->Log().size() < log.size()) {
+    Position next = replica.database->Log().size();
+    if (primary.committedAt[next] + this->options.oneWay > this->Now()) {
+      break;
+    }
+    replica.database->Receive(log[next], this->Now());
+    replica.database->Heard(this->Now());
+  }
+  replica.database->Replay(this->Now());
+}
+
+} // namespace marigoldpitch::fakes
--- a/test/fakes/world.h
+++ b/test/fakes/world.h
@@ -4,6 +4,7 @@
 #include "event-queue.h"
 #include "marigoldpitch/coordination/entry-engine.h"
 #include "marigoldpitch/coordination/group-engine.h"
+#include "marigoldpitch/protocol/upstream-sql.h"
 #include "standin/database.h"
 
 #include <functional>
@@ -137,7 +138,6 @@
     uint64_t incarnation = 0;
     Time frozenUntil = kLongAgo;
     std::optional<size_t> following;
-    Position copied = 0;
     bool linked = false;
     Time linkedAt = kLongAgo;
     std::deque<Time> committedAt; // of each entry of the log
@@ -172,7 +172,7 @@
   void Admin(size_t aOwner,
              size_t aUpstream,
              const Statement& aStatement,
-             std::function<void(const standin::Outcome*)> aDone,
+             std::function<void(const SqlResult*)> aDone,
              std::function<void()> aThere = {});
   void ForwardTo(size_t aEntry, const ForwardRequest& aAction);
   void ConnectTo(size_t aEntry, const std::string& aHost);
@@ -184,6 +184,8 @@
   bool Reaches(size_t aOwner, size_t aUpstream) const;
   void AtUpstream(size_t aUpstream, std::function<void()> aCall);
   void GoneUpstream(size_t aUpstream);
+  static HostList MakeHosts(size_t aOwners);
+  static std::string HostName(size_t aOwner);
   static size_t IndexOf(const std::string& aHost);
 
   WorldOptions options;
@@ -200,7 +202,6 @@
   RequestHandle lastHandle = 0;
   std::map<RequestHandle, Answered> callers;
   std::map<RequestHandle, std::function<void(const Answer&)>> ownerAsks;
-  std::map<size_t, uint32_t> busy;
   uint64_t lastLink = 0;
 };
 
