Let the fake world stand in for the store's records of groups

One record a service with a revision. A write that names the present revision replaces it, counts it up, and all hosts are told a hop later; while the store is down writes are lost and nothing is read. Hosts are told at their start, those that start later or anew unless an option withholds it; ReadGroups tells all again, for runs in which the store was down.

--- a/test/fakes/proxy-world.cc
+++ b/test/fakes/proxy-world.cc
@@ -45,18 +45,17 @@
     upstream.role = i == 0 ? Role::Primary : Role::Replica;
     upstream.entry.role = upstream.role;
     this->upstreams.push_back(upstream);
-    this->record.members.push_back(
+    this->group.members.push_back(
       { upstream.entry.id, upstream.entry.endpoint, upstream.entry.zone });
   }
-  this->record.service = kService;
-  this->record.revision = 1;
+  this->group.revision = 1; // written before the run
   for (size_t i = 0; i < aOptions.hosts; ++i) {
     this->hosts.push_back(this->NewProcess(i));
   }
   this->SetConfig(1, { "db" });
   this->ReadRegistry();
+  this->ReadGroups();
   for (size_t i = 0; i < aOptions.hosts; ++i) {
-    this->Send(i, GroupsRead{ { this->record } });
     this->Send(i, HostsCounted{ aOptions.hosts });
   }
   this->Tick();
@@ -102,8 +101,8 @@
 {
   this->Send(aHost, this->config);
   this->Send(aHost, this->Registry());
-  if (this->record.revision != 0) {
-    this->Send(aHost, GroupsRead{ { this->record } });
+  if (!this->options.withholdsGroups) {
+    this->TellGroups(aHost);
   }
 }
 
@@ -172,6 +171,41 @@
   this->queue.After(kTickInterval, [this] { this->Tick(); });
 }
 
+void
+ProxyWorld::TellGroups(size_t aHost)
+{
+  if (this->isStoreDown) {
+    return;
+  }
+  GroupsRead event;
+  if (this->group.revision != 0) {
+    event.groups.push_back(this->group);
+  }
+  this->Send(aHost, event);
+}
+
+void
+ProxyWorld::ReadGroups()
+{
+  for (size_t i = 0; i < this->hosts.size(); ++i) {
+    this->TellGroups(i);
+  }
+}
+
+/** A write that names another revision than the present one changes nothing. */
+void
+ProxyWorld::Record(const GroupRecord& aRecord)
+{
+  if (this->isStoreDown || aRecord.revision != this->group.revision) {
+    return;
+  }
+  this->group = aRecord;
+  ++this->group.revision;
+  for (size_t i = 0; i < this->hosts.size(); ++i) {
+    this->After(i, kHop, [this, i] { this->TellGroups(i); });
+  }
+}
+
 /** Calls after the span, unless the host's process is another one by then. */
 void
 ProxyWorld::After(size_t aHost, Duration aSpan, std::function<void()> aCall)
@@ -317,8 +351,8 @@
     }
   } else if (const auto* order = std::get_if<RequestPromotion>(&aAction)) {
     this->Promote(*order, aHost);
-  } else if (const auto* record = std::get_if<RecordGroup>(&aAction)) {
-    this->Record(record->record);
+  } else if (const auto* write = std::get_if<RecordGroup>(&aAction)) {
+    this->Record(write->record);
   } else if (const auto* decided = std::get_if<Decided>(&aAction)) {
     if (decided->event == LogEvent::StatementPlaced) {
       ++this->placed[decided->fields[1].second];
@@ -326,21 +360,6 @@
   }
 }
 
-void
-ProxyWorld::Record(const GroupRecord& aRecord)
-{
-  if (aRecord.revision != this->record.revision) {
-    return;
-  }
-  this->record = aRecord;
-  ++this->record.revision;
-  this->queue.After(kHop, [this] {
-    for (size_t i = 0; i < this->hosts.size(); ++i) {
-      this->Send(i, GroupsRead{ { this->record } });
-    }
-  });
-}
-
 size_t
 ProxyWorld::Placed(const std::string& aRole) const
 {
--- a/test/fakes/proxy-world.h
+++ b/test/fakes/proxy-world.h
@@ -81,7 +81,8 @@
   Freshness freshness = Freshness::Newest;
   Duration maxAge = Millis(300);
   uint32_t connections = 12;
-  Duration jitter = Millis(0); // added to each hop, drawn from the seed
+  Duration jitter = Millis(0);  // added to each hop, drawn from the seed
+  bool withholdsGroups = false; // from hosts that start later or anew
 };
 
 class ProxyWorld
@@ -119,6 +120,15 @@
   /** Tells every host what the registry holds. */
   void ReadRegistry();
 
+  /** Tells every host what the store's record of the group is. */
+  void ReadGroups();
+
+  /** Whether the store takes and gives no records of groups. */
+  bool isStoreDown = false;
+
+  /** The record of the group; revision 0 when there is none. */
+  const GroupRecord& Group() const { return this->group; }
+
   /** Tells one host a registry of just these. */
   void ListOnly(size_t aHost, const std::vector<size_t>& aUpstreams);
 
@@ -176,7 +186,6 @@
   Duration Hop(Time& aNewest);
   void Perform(size_t aHost, const ProxyAction& aAction);
   void Open(size_t aHost, const OpenLink& aAction);
-  void Record(const GroupRecord& aRecord);
   void Run(LinkKey aKey, const AskLink& aAction);
   StatementReply Execute(FakeLink& aLink, const AskLink& aAction);
   StatementReply Read(FakeLink& aLink, const AskLink& aAction);
@@ -186,6 +195,8 @@
   bool Append(FakeUpstream& aPrimary, const std::vector<LogEntry>& aEntries);
   UpstreamReport Report(FakeUpstream& aUpstream, const AskLink& aAction);
   void Promote(const RequestPromotion& aAction, size_t aHost);
+  void Record(const GroupRecord& aRecord);
+  void TellGroups(size_t aHost);
   void Lead(size_t aUpstream);
   void Follow(FakeUpstream& aReplica);
   void StepDown(FakeUpstream& aPrimary);
@@ -202,7 +213,7 @@
   std::map<size_t, size_t> processes; // by host: the number of its process
   size_t lastProcess = 0;
   ConfigArrived config;
-  GroupRecord record; // in the store
+  GroupRecord group{ "service", {}, 0 };
   std::vector<FakeUpstream> upstreams;
   std::map<LinkKey, FakeLink> links;
   std::vector<std::shared_ptr<FakeRequest>> requests;
