Shorten no wait for a holder of the duty that ended while it waited itself

A holder that gave the duty back, or ended, during its first wait left the word that nobody need be waited for; the one before it could still act. Now a holder that has to wait says so in the store until it has waited, and the end of such a run ends nobody's wait. The judgement moves from platform/ to coordination.

platform-test passes with a_holder_that_ended_while_it_waited_shortens_no_wait; on the code before there is no such word to judge. Members that have been dropped are left out of what a promotion logs.

--- /dev/null
+++ b/src/coordination/former-holder.cc
@@ -0,0 +1,40 @@
+#include "marigoldpitch/coordination/former-holder.h"
+
+namespace marigoldpitch {
+
+namespace detail {
+
+constexpr char kUnsettledMark[] = "unsettled ";
+
+} // namespace detail
+
+std::string
+FormatFormerHolder(Succession aSuccession, const std::string& aRun)
+{
+  return aSuccession == Succession::Settled ? aRun
+                                            : detail::kUnsettledMark + aRun;
+}
+
+bool
+HaveFormerHoldersEnded(const ProxyHosts& aHosts, const std::string& aSelf)
+{
+  // A holder that gave the duty back leaves an empty value.
+  const std::string& last = aHosts.lastHolder;
+  if (last.empty() || last == aSelf) {
+    return true;
+  }
+  // The end of an unsettled run says nothing of those before it.
+  if (last.rfind(detail::kUnsettledMark, 0) == 0) {
+    return false;
+  }
+  // A host registers a new run only after the one before has ended.
+  std::string lastHost = last.substr(0, last.find('/'));
+  for (const ProxyHost& host : aHosts.hosts) {
+    if (host.name == lastHost) {
+      return host.run != last;
+    }
+  }
+  return false;
+}
+
+} // namespace marigoldpitch
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -250,13 +250,16 @@
   this->Decide(event, "", std::move(fields));
 }
 
-/** Each upstream with the end of its log, or why nothing is known of it. */
+/** Each member with the end of its log as far as it is known. */
 std::string
 ProxyEngine::DescribeMembers(const ProxyService& aService) const
 {
   const auto& held = aService.promotion.Held();
   std::string text;
   for (UpstreamIndex i = 0; i < aService.view.Size(); ++i) {
+    if (!aService.view.Members().MayConfirm(i, this->now)) {
+      continue;
+    }
     const ProxyUpstream& upstream = aService.view.At(i);
     auto found = held.find(i);
     text += (text.empty() ? "" : " ") + upstream.entry.id + "=";
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -2,6 +2,7 @@
 #include "wire-lines.h"
 
 #include "marigoldpitch/coordination/duty-lease.h"
+#include "marigoldpitch/coordination/former-holder.h"
 #include "marigoldpitch/protocol/proxy-settings.h"
 #include "marigoldpitch/transport/clock.h"
 #include "marigoldpitch/transport/decision-log.h"
@@ -306,6 +307,34 @@
   cr_assert_eq(duty.Token(), 0);
 }
 
+namespace {
+
+/** The store's view after the run took the duty. */
+ProxyHosts
+HostsAfter(Succession aSuccession, const std::string& aRun)
+{
+  ProxyHosts hosts;
+  hosts.hosts = { { "front-1", "z", "front-1/b", {} },
+                  { "front-2", "z", "front-2/a", {} } };
+  hosts.lastHolder = FormatFormerHolder(aSuccession, aRun);
+  return hosts;
+}
+
+} // namespace
+
+Test(duty, a_holder_that_ended_while_it_waited_shortens_no_wait)
+{
+  // front-1 runs anew, front-2 does not.
+  auto settled = HostsAfter(Succession::Settled, "front-1/a");
+  cr_assert(HaveFormerHoldersEnded(settled, "front-3/a"));
+  auto unsettled = HostsAfter(Succession::Unsettled, "front-1/a");
+  cr_assert_not(HaveFormerHoldersEnded(unsettled, "front-3/a"));
+  cr_assert_not(HaveFormerHoldersEnded(unsettled, "front-1/a"));
+  auto running = HostsAfter(Succession::Settled, "front-2/a");
+  cr_assert_not(HaveFormerHoldersEnded(running, "front-3/a"));
+  cr_assert(HaveFormerHoldersEnded(running, "front-2/a"));
+}
+
 Test(settings, every_finding_is_listed)
 {
   auto good = nlohmann::json::parse(
