Give the records of groups a text and a document kind of their own

Change: FormatGroupRecord, FormatGroups and their parsers; a record without a member, or with one twice, is refused, so none is taken for an empty group. The kind Groups, after the others in the tables and as added fields of the digest's frame. Nobody asks the store for it by itself.

New: any bytes and damaged groups, round trips, groups reach a host that joins while the store is down, are sent only when changed, and never go back over random orders of changes, reads of copies that are behind, restarts and pauses.

--- a/include/marigoldpitch/coordination/spread.h
+++ b/include/marigoldpitch/coordination/spread.h
@@ -20,12 +20,14 @@
   Configuration,
   Hosts,
   Upstreams, // as they registered themselves
+  Groups,    // who belongs to which; read along with the hosts
 };
 
-constexpr NameTable<DocumentKind, 3> kDocumentKindNames{ {
+constexpr NameTable<DocumentKind, 4> kDocumentKindNames{ {
   { DocumentKind::Configuration, "configuration" },
   { DocumentKind::Hosts, "hosts" },
   { DocumentKind::Upstreams, "upstreams" },
+  { DocumentKind::Groups, "groups" },
 } };
 
 constexpr size_t kDocumentKinds = kDocumentKindNames.Size();
--- a/include/marigoldpitch/protocol/proxy-documents.h
+++ b/include/marigoldpitch/protocol/proxy-documents.h
@@ -30,6 +30,24 @@
 Result<ProxyHosts>
 ParseProxyHosts(const std::string& aText);
 
+/** A group's record as it stands in the store, which adds the revision. */
+std::string
+FormatGroupRecord(const GroupRecord& aRecord);
+
+/**
+ * Fails with `BadMessage` on anything but a whole record, also on one that
+ * names no member or one twice. The revision is left at 0.
+ */
+Result<GroupRecord>
+ParseGroupRecord(const std::string& aText);
+
+/** All records of one read, with their revisions. */
+std::string
+FormatGroups(const std::vector<GroupRecord>& aGroups);
+
+Result<std::vector<GroupRecord>>
+ParseGroups(const std::string& aText);
+
 } // namespace marigoldpitch
 
 #endif
--- a/src/protocol/proxy-documents.cc
+++ b/src/protocol/proxy-documents.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <set>
+
 namespace marigoldpitch {
 
 namespace detail {
@@ -84,6 +86,43 @@
   return host;
 }
 
+json
+PutGroup(const GroupRecord& aRecord)
+{
+  json members = json::array();
+  for (const GroupMember& member : aRecord.members) {
+    members.push_back({ { "id", member.id },
+                        { "endpoint", FormatEndpoint(member.endpoint) },
+                        { "zone", member.zone } });
+  }
+  return { { "service", aRecord.service }, { "members", members } };
+}
+
+Result<GroupRecord>
+TakeGroup(const json& aValue)
+{
+  GroupRecord record;
+  record.service = aValue.at("service").get<std::string>();
+  std::set<std::string> ids;
+  for (const auto& value :
+       aValue.at("members").get_ref<const json::array_t&>()) {
+    GroupMember member;
+    member.id = value.at("id").get<std::string>();
+    BOOST_OUTCOME_TRY(auto endpoint,
+                      ParseEndpoint(value.at("endpoint").get<std::string>()));
+    member.endpoint = endpoint;
+    member.zone = value.at("zone").get<std::string>();
+    ids.insert(member.id);
+    record.members.push_back(member);
+  }
+  if (ids.empty() || ids.size() != record.members.size()) {
+    return Error{ ErrorCode::BadMessage,
+                  "group " + record.service,
+                  "no member, or one twice" };
+  }
+  return record;
+}
+
 } // namespace detail
 
 std::string
@@ -155,4 +194,44 @@
   return detail::TakeWhole<ProxyHosts>(aText, "hosts", take);
 }
 
+std::string
+FormatGroupRecord(const GroupRecord& aRecord)
+{
+  return detail::Dump(detail::PutGroup(aRecord));
+}
+
+Result<GroupRecord>
+ParseGroupRecord(const std::string& aText)
+{
+  return detail::TakeWhole<GroupRecord>(aText, "group", detail::TakeGroup);
+}
+
+std::string
+FormatGroups(const std::vector<GroupRecord>& aGroups)
+{
+  detail::json list = detail::json::array();
+  for (const GroupRecord& record : aGroups) {
+    list.push_back(detail::PutGroup(record));
+    list.back()["revision"] = record.revision;
+  }
+  return detail::Dump({ { "groups", list } });
+}
+
+Result<std::vector<GroupRecord>>
+ParseGroups(const std::string& aText)
+{
+  using List = std::vector<GroupRecord>;
+  auto take = [](const detail::json& aValue) -> Result<List> {
+    List list;
+    for (const auto& value :
+         aValue.at("groups").get_ref<const detail::json::array_t&>()) {
+      BOOST_OUTCOME_TRY(auto record, detail::TakeGroup(value));
+      record.revision = value.at("revision").get<uint64_t>();
+      list.push_back(record);
+    }
+    return list;
+  };
+  return detail::TakeWhole<List>(aText, "groups", take);
+}
+
 } // namespace marigoldpitch
--- a/src/protocol/wire.cc
+++ b/src/protocol/wire.cc
@@ -194,7 +194,9 @@
                                    revisions[2],
                                    PutSpan(ages[0]),
                                    PutSpan(ages[1]),
-                                   PutSpan(ages[2]))
+                                   PutSpan(ages[2]),
+                                   revisions[3],
+                                   PutSpan(ages[3]))
              .Union() };
 }
 
@@ -330,12 +332,13 @@
 Take(const wire::DigestFrame& aFrame)
 {
   DigestFrame frame;
-  frame.digest.revisions = { aFrame.configuration(),
-                             aFrame.hosts(),
-                             aFrame.upstreams() };
+  frame.digest.revisions = {
+    aFrame.configuration(), aFrame.hosts(), aFrame.upstreams(), aFrame.groups()
+  };
   frame.digest.ages = { TakeSpan(aFrame.configuration_age_ms()),
                         TakeSpan(aFrame.hosts_age_ms()),
-                        TakeSpan(aFrame.upstreams_age_ms()) };
+                        TakeSpan(aFrame.upstreams_age_ms()),
+                        TakeSpan(aFrame.groups_age_ms()) };
   frame.draining = aFrame.draining();
   return frame;
 }
--- a/test/codec-test.cc
+++ b/test/codec-test.cc
@@ -76,6 +76,8 @@
     RC_ASSERT(NamesItsPlace(ParseUpstreams(bytes)));
     RC_ASSERT(NamesItsPlace(ParseProxyHosts(bytes)));
     RC_ASSERT(NamesItsPlace(ParseProxyHost(bytes)));
+    RC_ASSERT(NamesItsPlace(ParseGroupRecord(bytes)));
+    RC_ASSERT(NamesItsPlace(ParseGroups(bytes)));
     RC_ASSERT(NamesItsPlace(ParseTermRecord(bytes)));
     RC_ASSERT(NamesItsPlace(DecodeStoreValue(bytes)));
     RC_ASSERT(NamesItsPlace(DecodeRecord(bytes)));
@@ -225,10 +227,13 @@
     RC_ASSERT(back.lastHolderRevision == hosts.lastHolderRevision);
 
     DigestFrame digest;
-    digest.digest.revisions = { 1, *rc::gen::arbitrary<uint64_t>(), 3 };
+    digest.digest.revisions = {
+      1, *rc::gen::arbitrary<uint64_t>(), 3, *rc::gen::arbitrary<uint64_t>()
+    };
     digest.digest.ages = { std::nullopt,
                            Millis(*rc::gen::inRange<int64_t>(0, 1 << 30)),
-                           Millis(0) };
+                           Millis(0),
+                           Millis(*rc::gen::inRange<int64_t>(0, 1 << 30)) };
     auto frame = DecodeFrame(EncodeFrame(digest)).value();
     const Digest& taken = std::get<DigestFrame>(frame).digest;
     RC_ASSERT(taken.revisions == digest.digest.revisions);
@@ -236,6 +241,92 @@
   }));
 }
 
+namespace {
+
+GroupRecord
+AnyGroup()
+{
+  GroupRecord record;
+  record.service = *rc::gen::string<std::string>();
+  auto ids = *rc::gen::nonEmpty(rc::gen::unique<std::vector<std::string>>(
+    rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~'))));
+  for (const std::string& id : ids) {
+    Endpoint endpoint{ "10.0.0.1", *rc::gen::inRange<uint16_t>(1, 65535) };
+    record.members.push_back({ id, endpoint, "zone " + id });
+  }
+  record.revision = *rc::gen::arbitrary<uint64_t>();
+  return record;
+}
+
+bool
+IsSameGroup(const GroupRecord& aLeft, const GroupRecord& aRight)
+{
+  bool isSame = aLeft.members.size() == aRight.members.size();
+  for (size_t i = 0; isSame && i < aLeft.members.size(); ++i) {
+    const GroupMember& left = aLeft.members[i];
+    const GroupMember& right = aRight.members[i];
+    isSame = left.id == right.id && left.endpoint == right.endpoint &&
+             left.zone == right.zone;
+  }
+  return isSame;
+}
+
+} // namespace
+
+Test(codec, groups_come_back_whole)
+{
+  cr_assert(rc::check("groups survive their text", [] {
+    std::vector<GroupRecord> groups;
+    for (size_t i = *rc::gen::inRange<size_t>(0, 4); i > 0; --i) {
+      groups.push_back(AnyGroup());
+    }
+    std::string text = FormatGroups(groups);
+    auto back = ParseGroups(text).value();
+    RC_ASSERT(FormatGroups(back) == text);
+    RC_ASSERT(back.size() == groups.size());
+    for (size_t i = 0; i < groups.size(); ++i) {
+      RC_ASSERT(IsSameGroup(back[i], groups[i]));
+      RC_ASSERT(back[i].revision == groups[i].revision);
+      auto one = ParseGroupRecord(FormatGroupRecord(groups[i])).value();
+      RC_ASSERT(IsSameGroup(one, groups[i]));
+      RC_ASSERT(one.revision == 0u);
+    }
+
+    Document document{ DocumentKind::Groups, 7, text };
+    auto frame = DecodeFrame(EncodeFrame(DocumentFrame{ document })).value();
+    const Document& taken = std::get<DocumentFrame>(frame).document;
+    RC_ASSERT(taken.kind == DocumentKind::Groups);
+    RC_ASSERT(taken.text == text);
+  }));
+}
+
+Test(codec, a_damaged_group_is_refused_and_never_empty)
+{
+  cr_assert(rc::check("damaged groups", [] {
+    std::string text = FormatGroupRecord(AnyGroup());
+    auto at = *rc::gen::inRange<size_t>(0, text.size());
+    text[at] = *rc::gen::arbitrary<char>();
+    text.resize(*rc::gen::inRange<size_t>(0, text.size() + 1));
+    auto record = ParseGroupRecord(text);
+    RC_ASSERT(NamesItsPlace(record));
+    bool isEmpty = record && record.value().members.empty();
+    RC_ASSERT(!isEmpty);
+  }));
+  std::string member = R"({"id":"a","endpoint":"10.0.0.1:1","zone":"z"})";
+  for (const std::string& members : { std::string("[]"),
+                                      std::string("null"),
+                                      std::string("{}"),
+                                      "[" + member + "," + member + "]" }) {
+    std::string text = R"({"service":"s","members":)" + members + "}";
+    cr_assert_not(ParseGroupRecord(text), "%s", text.c_str());
+    cr_assert_not(ParseGroups(R"({"groups":[)" + text + "]}"));
+  }
+  cr_assert(ParseGroupRecord(R"({"service":"s","members":[)" + member + "]}"));
+  for (const char* text : { "null", "[]", R"({"groups":null})", "{}" }) {
+    cr_assert_not(ParseGroups(text), "%s", text);
+  }
+}
+
 Test(codec, records_come_back_whole)
 {
   cr_assert(rc::check("a record survives its text", [] {
--- a/test/spread-test.cc
+++ b/test/spread-test.cc
@@ -51,6 +51,7 @@
     uint64_t highest = 0;
     uint64_t inForce = 0;
     std::string upstreams; // the text in force
+    uint64_t groups = 0;   // their revision in force
     bool reverted = false;
     uint64_t incarnation = 0;
   };
@@ -98,6 +99,7 @@
     daemon.spread = std::make_unique<Spread>(daemon.options);
     daemon.inForce = 0;
     daemon.highest = 0;
+    daemon.groups = 0;
     ++daemon.incarnation;
     for (auto& [name, other] : this->daemons) {
       this->Step(name, NeighbourLost{ aName });
@@ -113,6 +115,10 @@
   uint64_t documents = 0; // handed on
   uint64_t messages = 0;
   std::string registry = "three upstreams";
+  uint64_t groups = 0; // the revision of their records; 0: nobody reads them
+  uint64_t groupsBefore = 0;
+  std::string behind; // whom the store answers what was before
+  bool groupsAsked = false;
   Duration watchWait = Seconds(20);
 
 private:
@@ -179,6 +185,11 @@
                const SpreadAction& aAction)
   {
     if (const auto* put = std::get_if<PutInForce>(&aAction)) {
+      if (put->document.kind == DocumentKind::Groups) {
+        aDaemon.reverted =
+          aDaemon.reverted || put->document.revision < aDaemon.groups;
+        aDaemon.groups = put->document.revision;
+      }
       if (put->document.kind == DocumentKind::Upstreams) {
         aDaemon.upstreams = put->document.text;
       }
@@ -217,6 +228,19 @@
       });
       return;
     }
+    this->groupsAsked =
+      this->groupsAsked || aWatch.kind == DocumentKind::Groups;
+    if (aWatch.kind == DocumentKind::Hosts && this->groups != 0) {
+      Document read{ DocumentKind::Groups, this->groups, "groups" };
+      if (aName == this->behind) {
+        read.revision = this->groupsBefore; // by a copy that is behind
+      }
+      this->clock.After(Millis(5), [=] {
+        this->Step(aName, DocumentSeen{ read, {} });
+        this->Step(aName, StoreAnswered{ aWatch.kind, true });
+      });
+      return;
+    }
     if (aWatch.kind == DocumentKind::Hosts) {
       this->clock.After(Seconds(20), [=] {
         this->Step(aName, StoreAnswered{ aWatch.kind, true });
@@ -453,6 +477,84 @@
   }
 }
 
+namespace {
+
+/** As the proxies have it, where groups are read along with the hosts. */
+Fleet
+GroupFleet(size_t aHosts)
+{
+  SpreadOptions options = ZoneOptions();
+  options.kinds.push_back(DocumentKind::Hosts);
+  options.polled.push_back(DocumentKind::Hosts);
+  Fleet fleet(aHosts, 4, options);
+  fleet.watchWait = Millis(1400);
+  fleet.groups = 20;
+  fleet.Put(1);
+  fleet.RunFor(Seconds(30)); // the first reads of the hosts end after 20 s
+  return fleet;
+}
+
+bool
+AllHaveGroups(const Fleet& aFleet, uint64_t aRevision)
+{
+  return std::all_of(
+    aFleet.daemons.begin(), aFleet.daemons.end(), [&](const auto& aDaemon) {
+      return aDaemon.second.groups == aRevision;
+    });
+}
+
+} // namespace
+
+Test(groups, they_go_to_all_and_to_a_host_that_joins)
+{
+  Fleet fleet = GroupFleet(30);
+  cr_assert(AllHaveGroups(fleet, 20));
+  uint64_t before = fleet.documents;
+  fleet.RunFor(Seconds(20));
+  cr_assert_eq(fleet.documents, before, "sent only when a record changed");
+  fleet.groups = 25;
+  fleet.RunFor(kZoneTarget);
+  cr_assert(AllHaveGroups(fleet, 25));
+  // One that joins while nobody reaches the store has them from its neighbours.
+  fleet.storeDown = true;
+  fleet.RunFor(Seconds(5));
+  fleet.Restart("host-7/proxy");
+  cr_assert_eq(fleet.daemons["host-7/proxy"].groups, 0);
+  fleet.RunFor(kZoneTarget);
+  cr_assert(AllHaveGroups(fleet, 25));
+  cr_assert_not(fleet.groupsAsked, "they come with the hosts");
+}
+
+Test(groups, they_never_go_back)
+{
+  cr_assert(rc::check("reads of copies that are behind", [] {
+    Fleet fleet = GroupFleet(8);
+    auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4));
+    for (int step : steps) {
+      auto index = *rc::gen::inRange<size_t>(0, fleet.daemons.size());
+      std::string name =
+        std::next(fleet.daemons.begin(), static_cast<long>(index))->first;
+      if (step == 0) {
+        fleet.groupsBefore = fleet.groups;
+        fleet.groups += 3;
+      } else if (step == 1) {
+        fleet.behind = name;
+      } else if (step == 2) {
+        fleet.Restart(name);
+      } else {
+        fleet.daemons[name].frozenUntil = fleet.Now() + Seconds(4);
+      }
+      fleet.RunFor(Millis(*rc::gen::inRange<int64_t>(1, 2000)));
+    }
+    fleet.behind.clear();
+    fleet.groupsBefore = fleet.groups;
+    fleet.groups += 1;
+    fleet.RunFor(Seconds(10));
+    RC_ASSERT(AllHaveGroups(fleet, fleet.groups));
+    RC_ASSERT(!fleet.AnyReverted());
+  }));
+}
+
 Test(mutants, a_daemon_that_trusts_silent_watchers_is_found)
 {
   SpreadOptions options = ZoneOptions();
