--- a/test/standin/site-store.cc
+++ b/test/standin/site-store.cc
@@ -25,6 +25,21 @@
   return text;
 }
 
+std::string
+Unescaped(const std::string& aText)
+{
+  std::string text;
+  for (size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] == '%' && i + 2 < aText.size()) {
+      text += static_cast<char>(std::stoi(aText.substr(i + 1, 2), nullptr, 16));
+      i += 2;
+    } else {
+      text += aText[i];
+    }
+  }
+  return text;
+}
+
 std::string
 Argument(const std::string& aQuery, const std::string& aName)
 {
@@ -33,7 +48,7 @@
     return {};
   }
   size_t value = start + aName.size() + 1;
-  return aQuery.substr(value, aQuery.find('&', value) - value);
+  return Unescaped(aQuery.substr(value, aQuery.find('&', value) - value));
 }
 
 } // namespace
@@ -177,17 +192,8 @@
                 isThere ? this->Shown(found->first, found->second)
                         : Json::object());
   } else if (aRequest.path == "/v1/kv-range") {
-    Json list = Json::array();
-    for (const auto& [key, item] : this->items) {
-      if (key.rfind(prefix, 0) == 0) {
-        list.push_back(this->Shown(key, item));
-      }
-    }
-    this->Reply(aExchange,
-                200,
-                { { "items", list },
-                  { "truncated", false },
-                  { "currentRev", this->revision } });
+    this->Reply(
+      aExchange, 200, this->Range(prefix, Argument(aRequest.query, "after")));
   } else {
     Watch watch{ prefix, std::stoull(Argument(aRequest.query, "after")) };
     Json past = this->EventsAfter(watch);
@@ -205,6 +211,26 @@
   }
 }
 
+Store::Json
+Store::Range(const std::string& aPrefix, const std::string& aAfter) const
+{
+  Json list = Json::array();
+  bool isTruncated = false;
+  for (const auto& [key, item] : this->items) {
+    if (key.rfind(aPrefix, 0) != 0 || key <= aAfter) {
+      continue;
+    }
+    isTruncated = this->page != 0 && list.size() == this->page;
+    if (isTruncated) {
+      break;
+    }
+    list.push_back(this->Shown(key, item));
+  }
+  return { { "items", list },
+           { "truncated", isTruncated },
+           { "currentRev", this->revision } };
+}
+
 void
 Store::Change(ExchangeId aExchange, const Json& aBody)
 {
@@ -265,6 +291,7 @@
     this->Put("op/config", aBody["config"].dump());
   }
   this->isDown = aBody.value("down", this->isDown);
+  this->page = aBody.value("page", this->page);
   this->slowness = Millis(aBody.value("slow", this->slowness.ms));
   if (aBody.contains("lose")) {
     this->losesTo = aBody["lose"].get<std::set<std::string>>();
--- a/test/standin/site-store.h
+++ b/test/standin/site-store.h
@@ -24,6 +24,9 @@
   void Attach(HttpServer& aServer) { this->server = &aServer; }
   void Put(const std::string& aKey, const std::string& aValue);
 
+  /** A range is answered in pages of so many items; 0: as a whole. */
+  void SetPage(size_t aItems) { this->page = aItems; }
+
   /** Registers the upstreams that live, each second. */
   void KeepRegistry();
 
@@ -48,6 +51,7 @@
 
   void Reply(ExchangeId aExchange, int aStatus, const Json& aBody);
   void Read(ExchangeId aExchange, const HttpRequest& aRequest);
+  Json Range(const std::string& aPrefix, const std::string& aAfter) const;
   void Change(ExchangeId aExchange, const Json& aBody);
   void Lease(ExchangeId aExchange, const std::string& aPath);
   void Control(ExchangeId aExchange, const Json& aBody);
@@ -66,6 +70,7 @@
   std::map<uint64_t, Time> leases; // when they end
   uint64_t revision = 10;
   uint64_t lastLease = 0;
+  size_t page = 0;
   bool isDown = false;
   Duration slowness = Millis(0); // of each answer
   std::set<std::string> losesTo; // paths whose answers are lost
