Bring the records of groups from the store to the engine, and write them

Change: keys under marigoldpitch/groups/ come with the read of our own keys, no call more. Their document has the revision of the highest record, or 1 when there is none; a read with a record that is newer than its oldest page is left, since it may lack an earlier change for good. A record that cannot be read is logged (E205) and absent. DutyKeeper writes a record only while the duty is ours, under the conditions that the duty's key is at our token and the record as the engine had it; each outcome is logged (E410), nothing is repeated. The finding on one page goes: pages are read to the end.

--- /dev/null
+++ b/test/records-test.cc
@@ -0,0 +1,450 @@
+#include "duty-keeper.h"
+#include "standin/site-store.h"
+#include "store-follower.h"
+
+#include "marigoldpitch/protocol/proxy-documents.h"
+#include "marigoldpitch/transport/clock.h"
+#include "marigoldpitch/transport/unique-fd.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+// The records of groups between the store and the engine, and ranges of the
+// store in pages, before the stand-in store on the same loop.
+
+using namespace marigoldpitch;
+using namespace marigoldpitch::platform;
+
+namespace {
+
+constexpr char kGroupKey[] = "marigoldpitch/groups/svc";
+constexpr Duration kLimit = Seconds(20);
+
+/** Counts pages; a test writes before one or answers in its place. */
+class PagedStore : public standin::Store
+{
+public:
+  using Store::Store;
+
+  void OnHttp(ExchangeId aExchange, const HttpRequest& aRequest) override
+  {
+    if (aRequest.method == "GET") {
+      std::string what = aRequest.query.substr(0, aRequest.query.find('&'));
+      this->reads.insert(aRequest.path + "?" + what);
+    }
+    if (aRequest.path == "/v1/kv-range") {
+      ++this->pages;
+      if (this->beforePage) {
+        this->beforePage(this->pages);
+      }
+    }
+    auto instead = this->answers.find(this->pages);
+    if (aRequest.path == "/v1/kv-range" && instead != this->answers.end()) {
+      this->own->Respond(aExchange, instead->second);
+      return;
+    }
+    Store::OnHttp(aExchange, aRequest);
+  }
+
+  HttpServer* own = nullptr;
+  size_t pages = 0;
+  std::set<std::string> reads; // by path and what is read
+  std::function<void(size_t)> beforePage;
+  std::map<size_t, HttpResponse> answers; // in place of its own, by page
+};
+
+/** The store on a port of its own; each test has another. */
+struct Site
+{
+  explicit Site(uint16_t aPort)
+    : loop(Loop::Create().value())
+    , upstreams(*this->loop)
+    , store(*this->loop, this->upstreams)
+    , endpoint{ "127.0.0.1", aPort }
+    , server(HttpServer::Create(*this->loop,
+                                this->endpoint,
+                                HttpLimits{},
+                                this->store)
+               .value())
+    , client(PlatformStore::Create(*this->loop, this->endpoint, this->endpoint)
+               .value())
+  {
+    this->store.Attach(*this->server);
+    this->store.own = this->server.get();
+  }
+
+  bool Until(const std::function<bool()>& aIsDone)
+  {
+    Time start = ReadClock();
+    std::function<void()> look = [&] {
+      if (aIsDone() || ReadClock() - start > kLimit) {
+        this->loop->Stop();
+        return;
+      }
+      this->loop->After(Millis(5), look);
+    };
+    this->loop->After(Millis(0), look); // a stop before the run is none
+    this->loop->Run();
+    return aIsDone();
+  }
+
+  std::optional<Result<StoreRange>> Read(const std::string& aPrefix)
+  {
+    std::optional<Result<StoreRange>> read;
+    this->client->ReadRange(
+      aPrefix, true, [&](const Result<StoreRange>& aRange) { read = aRange; });
+    this->Until([&] { return read.has_value(); });
+    return read;
+  }
+
+  StoreItem Item(const std::string& aKey)
+  {
+    std::optional<StoreItem> item;
+    this->client->ReadItem(aKey, [&](const Result<StoreItem>& aItem) {
+      item = aItem ? aItem.value() : StoreItem{};
+    });
+    this->Until([&] { return item.has_value(); });
+    return *item;
+  }
+
+  std::unique_ptr<Loop> loop;
+  standin::Upstreams upstreams;
+  PagedStore store;
+  Endpoint endpoint;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<PlatformStore> client;
+};
+
+/** What a proxy has between the store and its engine. */
+struct Host
+{
+  Host(Site& aSite, const std::string& aName, uint16_t aPeers)
+    : log(aName)
+  {
+    this->settings.host = aName;
+    this->settings.zone = "zone";
+    this->settings.peers = { "127.0.0.1", aPeers };
+    auto sink = [this](const ProxyEvent& aEvent) { this->Take(aEvent); };
+    ProxyHost self{ aName, "zone", aName + "/run", this->settings.peers };
+    this->keeper = std::make_unique<DutyKeeper>(
+      *aSite.loop, *aSite.client, this->log, self, sink);
+    this->follower = StoreFollower::Create(*aSite.loop,
+                                           *aSite.client,
+                                           this->log,
+                                           this->settings,
+                                           *this->keeper,
+                                           sink)
+                       .value();
+    this->follower->Start();
+    this->keeper->Start();
+  }
+
+  void Take(const ProxyEvent& aEvent)
+  {
+    if (const auto* duty = std::get_if<DutyChanged>(&aEvent)) {
+      this->mayAct = duty->mayAct;
+    } else if (const auto* counted = std::get_if<HostsCounted>(&aEvent)) {
+      this->hosts = counted->hosts;
+    } else if (const auto* read = std::get_if<GroupsRead>(&aEvent)) {
+      ++this->reads;
+      this->groups = read->groups;
+    }
+  }
+
+  uint64_t Revision() const
+  {
+    return this->groups.empty() ? 0 : this->groups.front().revision;
+  }
+
+  /** What was logged and not yet asked for. */
+  std::string Logged()
+  {
+    int ends[2];
+    cr_assert_eq(pipe(ends), 0);
+    UniqueFd reader(ends[0]);
+    UniqueFd writer(ends[1]);
+    UniqueFd saved(dup(STDOUT_FILENO));
+    dup2(writer.Get(), STDOUT_FILENO);
+    this->log.Flush();
+    dup2(saved.Get(), STDOUT_FILENO);
+    fcntl(reader.Get(), F_SETFL, O_NONBLOCK);
+    std::string text;
+    char bytes[4096];
+    for (ssize_t size; (size = read(reader.Get(), bytes, sizeof(bytes))) > 0;) {
+      text.append(bytes, static_cast<size_t>(size));
+    }
+    return text;
+  }
+
+  ProxySettings settings;
+  DecisionLog log;
+  std::unique_ptr<DutyKeeper> keeper;
+  std::unique_ptr<StoreFollower> follower;
+  bool mayAct = false;
+  size_t hosts = 0;
+  size_t reads = 0;
+  std::vector<GroupRecord> groups;
+};
+
+GroupRecord
+RecordOf(const std::vector<std::string>& aIds, uint64_t aRevision)
+{
+  GroupRecord record;
+  record.service = "svc";
+  for (const std::string& id : aIds) {
+    record.members.push_back({ id, { "10.0.0.1", 5432 }, "zone" });
+  }
+  record.revision = aRevision;
+  return record;
+}
+
+/** Puts one action to the keeper and gives the outcome that it logs. */
+std::string
+Record(Site& aSite, Host& aHost, const GroupRecord& aRecord)
+{
+  std::string logged = aHost.Logged();
+  logged.clear();
+  aHost.keeper->Perform(RecordGroup{ aRecord });
+  aSite.Until([&] {
+    logged += aHost.Logged();
+    return logged.find("E410") != std::string::npos;
+  });
+  size_t start = logged.find("\"outcome\":\"", logged.find("E410"));
+  cr_assert_neq(start, std::string::npos, "%s", logged.c_str());
+  start += sizeof("\"outcome\":\"") - 1;
+  return logged.substr(start, logged.find('"', start) - start);
+}
+
+/** Whoever held the duty last gave it back, so that nobody waits for it. */
+void
+FreeDuty(Site& aSite)
+{
+  aSite.store.Put(kFormerKey, "");
+}
+
+StoreRange
+RangeOf(const std::vector<StoreItem>& aItems, uint64_t aRevision)
+{
+  StoreRange range;
+  range.items = aItems;
+  range.storeRevision = aRevision;
+  return range;
+}
+
+} // namespace
+
+Test(pages, a_range_is_read_to_its_end)
+{
+  Site site(29400);
+  constexpr size_t kItems = 23;
+  for (size_t i = 0; i < kItems; ++i) {
+    site.store.Put("servers/i " + std::to_string(i) + "&x=%2F+", "v");
+  }
+  site.store.Put("servert", "not of the prefix");
+  for (size_t page : { 0, 1, 5, 22, 23, 24 }) {
+    site.store.SetPage(page);
+    site.store.pages = 0;
+    auto read = site.Read("servers/");
+    cr_assert(read && read->has_value());
+    cr_assert_eq(read->value().items.size(), kItems);
+    cr_assert_not(read->value().hasMore);
+    size_t wanted = page == 0 ? 1 : (kItems + page - 1) / page;
+    cr_assert_eq(site.store.pages, wanted, "%zu pages", site.store.pages);
+    for (size_t i = 1; i < kItems; ++i) {
+      cr_assert(read->value().items[i - 1].key < read->value().items[i].key);
+    }
+  }
+}
+
+Test(pages, a_read_is_as_old_as_its_oldest_page)
+{
+  Site site(29401);
+  for (const char* key : { "k/a", "k/b", "k/c" }) {
+    site.store.Put(key, "v"); // 11, 12, 13
+  }
+  site.store.SetPage(1);
+  site.store.beforePage = [&](size_t aPage) {
+    if (aPage == 2) {
+      site.store.Put("k/a", "missed"); // 14
+      site.store.Put("k/c", "seen");   // 15
+    }
+  };
+  auto read = site.Read("k/");
+  cr_assert_eq(read->value().items.size(), 3);
+  cr_assert_eq(read->value().storeRevision, 13);
+  cr_assert_eq(read->value().items[0].revision, 11);
+  cr_assert_eq(read->value().items[2].revision, 15);
+  // Taken as it is, the change of the first would never be looked for again.
+  cr_assert_not(GroupsRevision(read->value(), "k/").has_value());
+  site.store.beforePage = {};
+  cr_assert_eq(*GroupsRevision(site.Read("k/")->value(), "k/"), 15);
+}
+
+Test(pages, a_read_that_ends_on_the_way_is_no_read)
+{
+  Site site(29402);
+  for (const char* key : { "k/a", "k/b", "k/c" }) {
+    site.store.Put(key, "v");
+  }
+  site.store.SetPage(2);
+  std::string first = R"({"items":[{"key":"k/a","value":"","rev":1},)"
+                      R"({"key":"k/b","value":"","rev":2}],)"
+                      R"("truncated":true,"currentRev":20})";
+  std::string none = R"({"items":[],"truncated":true,"currentRev":20})";
+  std::vector<HttpResponse> seconds{ { 503, "application/json", "{}" },
+                                     { 200, "application/json", "[]" },
+                                     { 200, "application/json", none },
+                                     { 200, "application/json", first } };
+  for (const HttpResponse& second : seconds) {
+    site.store.pages = 0;
+    site.store.answers = { { 2, second } };
+    auto read = site.Read("k/");
+    cr_assert(read.has_value());
+    cr_assert_not(read->has_value(), "%s", second.body.c_str());
+    cr_assert_eq(site.store.pages, 2);
+  }
+  site.store.pages = 0;
+  site.store.answers = {};
+  cr_assert_eq(site.Read("k/")->value().items.size(), 3);
+}
+
+Test(groups, records_are_told_from_hosts_and_from_what_cannot_be_read)
+{
+  std::string text = FormatGroupRecord(RecordOf({ "a", "b" }, 0));
+  StoreRange range = RangeOf({ { "p/groups/svc", text, 20, 0 },
+                               { "p/groups/other", text, 25, 0 },
+                               { "p/groups/empty", R"({"members":[]})", 26, 0 },
+                               { "p/groups/none", "", 27, 0 },
+                               { "p/hosts/h", text, 30, 0 } },
+                             40);
+  cr_assert_eq(*GroupsRevision(range, "p/groups/"), 27);
+  GroupItems read = DecodeGroups(range, "p/groups/");
+  cr_assert_eq(read.groups.size(), 1);
+  cr_assert_eq(read.groups[0].revision, 20);
+  cr_assert_eq(read.groups[0].members.size(), 2);
+  for (const char* key : { "other", "empty", "none" }) {
+    std::string place = std::string("p/groups/") + key + ":";
+    cr_assert(read.strange.find(place) != std::string::npos, "%s", key);
+  }
+  // That there is no record is worth telling, and below any record.
+  cr_assert_eq(*GroupsRevision(RangeOf({}, 40), "p/groups/"), 1);
+}
+
+Test(groups, a_read_is_taken_only_as_a_state_of_the_store)
+{
+  bool holds = rc::check("pages at different times", [] {
+    // Three records are written at growing revisions while pages of one record
+    // each are read, some by copies of the store that are behind.
+    std::vector<std::pair<uint64_t, size_t>> writes{ { 2, 0 },
+                                                     { 3, 1 },
+                                                     { 4, 2 } };
+    auto more =
+      *rc::gen::container<std::vector<size_t>>(rc::gen::inRange<size_t>(0, 3));
+    for (size_t record : more) {
+      writes.emplace_back(writes.back().first + 1, record);
+    }
+    auto at = [&](size_t aRecord, uint64_t aRevision) {
+      uint64_t last = 0;
+      for (const auto& [revision, record] : writes) {
+        last = record == aRecord && revision <= aRevision ? revision : last;
+      }
+      return last;
+    };
+    StoreRange range;
+    range.storeRevision = UINT64_MAX;
+    for (size_t record = 0; record < 3; ++record) {
+      auto seenAt = *rc::gen::inRange<uint64_t>(4, writes.back().first + 1);
+      range.items.push_back(
+        { "g/" + std::to_string(record), "", at(record, seenAt), seenAt });
+      range.storeRevision = std::min(range.storeRevision, seenAt);
+    }
+    auto revision = GroupsRevision(range, "g/");
+    if (revision) {
+      for (size_t record = 0; record < 3; ++record) {
+        RC_ASSERT(range.items[record].revision == at(record, *revision));
+      }
+    }
+  });
+  cr_assert(holds);
+}
+
+Test(groups, the_holder_of_the_duty_records_and_all_learn)
+{
+  Site site(29403);
+  FreeDuty(site);
+  site.store.SetPage(1); // hosts and records come in many pages
+  Host holder(site, "host-1", 29413);
+  cr_assert(site.Until([&] { return holder.mayAct && holder.reads == 1; }),
+            "that there is no record is told at once");
+  cr_assert(holder.groups.empty());
+  Host other(site, "host-2", 29423);
+  cr_assert(site.Until([&] { return other.reads == 1 && holder.hosts == 2; }));
+
+  cr_assert_eq(Record(site, holder, RecordOf({ "a", "b" }, 0)), "written");
+  uint64_t first = site.Item(kGroupKey).revision;
+  cr_assert(site.Until(
+    [&] { return holder.Revision() == first && other.Revision() == first; }));
+  cr_assert_eq(other.groups[0].members.size(), 2);
+  cr_assert_eq(other.groups[0].service, "svc");
+  cr_assert_eq(holder.hosts, 2, "no record was taken for a host");
+  cr_assert_eq(holder.Logged().find("strange-record"), std::string::npos);
+
+  // The one it replaces is another by now.
+  cr_assert_neq(Record(site, holder, RecordOf({ "a" }, 0)), "written");
+  cr_assert_neq(Record(site, holder, RecordOf({ "a" }, first - 1)), "written");
+  cr_assert_neq(Record(site, holder, RecordOf({}, first)), "written");
+  cr_assert_neq(Record(site, holder, RecordOf({ "a", "a" }, first)), "written");
+  // The other host has no duty.
+  cr_assert_eq(Record(site, other, RecordOf({ "a" }, first)), "not ours");
+  cr_assert_eq(site.Item(kGroupKey).revision, first);
+
+  cr_assert_eq(Record(site, holder, RecordOf({ "a", "b", "c" }, first)),
+               "written");
+  uint64_t second = site.Item(kGroupKey).revision;
+  cr_assert_gt(second, first);
+  cr_assert(site.Until([&] { return other.Revision() == second; }));
+
+  // The duty's key went to another run, which the holder has not read yet.
+  site.store.Put(kDutyKey, "host-9/run");
+  cr_assert(holder.mayAct);
+  std::string outcome = Record(site, holder, RecordOf({ "a" }, second));
+  cr_assert_neq(outcome, "written");
+  cr_assert_neq(outcome, "not ours", "the store refused it");
+  cr_assert_eq(site.Item(kGroupKey).revision, second);
+}
+
+Test(groups, what_cannot_be_read_is_logged_and_no_empty_group)
+{
+  Site site(29404);
+  site.store.Put(kGroupKey, FormatGroupRecord(RecordOf({ "a", "b" }, 0)));
+  site.store.Put("marigoldpitch/groups/bad",
+                 R"({"service":"bad","members":[]})");
+  Host host(site, "host-1", 29414);
+  cr_assert(site.Until([&] { return host.reads == 1; }));
+  cr_assert_eq(host.groups.size(), 1);
+  cr_assert_eq(host.groups[0].service, "svc");
+  std::string logged = host.Logged();
+  cr_assert(logged.find("E205") != std::string::npos);
+  cr_assert(logged.find("marigoldpitch/groups/bad") != std::string::npos);
+}
+
+Test(groups, they_cost_no_call)
+{
+  auto callsOf = [](uint16_t aPort, size_t aRecords) {
+    Site site(aPort);
+    FreeDuty(site);
+    for (size_t i = 0; i < aRecords; ++i) {
+      site.store.Put("marigoldpitch/groups/s" + std::to_string(i), "{}");
+    }
+    Host host(site, "host-1", static_cast<uint16_t>(aPort + 10));
+    bool isThere = site.Until([&] { return host.mayAct; });
+    cr_assert(isThere && host.reads == 1);
+    return site.store.reads;
+  };
+  auto without = callsOf(29405, 0);
+  cr_assert_eq(without.size(), 4); // configuration, duty, registry, own keys
+  cr_assert(callsOf(29406, 50) == without);
+}
