--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -73,7 +73,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 37> kLogEvents{ {
+constexpr std::array<LogEventRow, 38> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
