Check a group's promises over random orders of faults

Lapse, relist, crash, return with the log, deafen, hear, a new process on a host, the duty moved, the store down and up: up to 24 in any order under reads of all three kinds and writes; then all is ended, and each host has to serve a write and a read within 10 s. The duty moves as in docs/PLATFORM.md: 6.5 s without a holder, 1 s when the holder's own host starts anew. An upstream is down for 1 s at least.

The fake primaries may step down a second after they reach their successor, as docs/PLATFORM.md says of the platform.

--- a/test/fakes/proxy-world.h
+++ b/test/fakes/proxy-world.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -81,7 +82,9 @@
   Freshness freshness = Freshness::Newest;
   Duration maxAge = Millis(300);
   uint32_t connections = 12;
-  Duration jitter = Millis(0);  // added to each hop, drawn from the seed
+  Duration jitter = Millis(0); // added to each hop, drawn from the seed
+  // How long a primary that reaches its successor goes on; unset: until told.
+  std::optional<Duration> stepsDownAfter;
   bool withholdsGroups = false; // from hosts that start later or anew
 };
 
@@ -97,6 +100,7 @@
   {
     return this->upstreams[aUpstream];
   }
+  size_t Hosts() const { return this->hosts.size(); }
   size_t Upstreams() const { return this->upstreams.size(); }
   size_t PrimaryIndex() const;
 
@@ -200,6 +204,7 @@
   void Lead(size_t aUpstream);
   void Follow(FakeUpstream& aReplica);
   void StepDown(FakeUpstream& aPrimary);
+  void StepDownLater();
   bool Holds(const FakeUpstream& aUpstream, const LogPoint& aPoint) const;
   bool Reaches(size_t aHost, size_t aUpstream) const;
   LogPoint EndOf(const FakeUpstream& aUpstream, size_t aCount) const;
