Show what a host without the group's record and a changed group do

A host that starts and is not told the record must read nothing old and promote nothing past a commit; both fail on this code as the others do. Upstreams may join. Two tests pass and guard against a group that waits for ever: u3 joined, u1 left or crashed for good 40 s before, u0 crashes, and a young promoter has to bring service back.

--- a/test/fakes/group-faults.cc
+++ b/test/fakes/group-faults.cc
@@ -194,6 +194,8 @@
     aWorld.SetDeaf(i, false);
   }
   aWorld.ReadRegistry();
+  aWorld.isStoreDown = false;
+  aWorld.ReadGroups();
   Time end = aWorld.Now() + kReturnsIn;
   while (aWorld.Now() < end) {
     auto write =
--- a/test/fakes/proxy-upstreams.cc
+++ b/test/fakes/proxy-upstreams.cc
@@ -351,6 +351,15 @@
   }
 }
 
+size_t
+ProxyWorld::AddUpstream()
+{
+  size_t index = this->upstreams.size();
+  this->upstreams.push_back(this->NewUpstream(index));
+  this->Follow(this->upstreams[index]);
+  return index;
+}
+
 void
 ProxyWorld::Restart(size_t aUpstream)
 {
--- a/test/fakes/proxy-world.cc
+++ b/test/fakes/proxy-world.cc
@@ -37,16 +37,9 @@
   , random(aOptions.seed)
 {
   for (size_t i = 0; i < aOptions.upstreams; ++i) {
-    FakeUpstream upstream;
-    upstream.entry.id = "u" + std::to_string(i);
-    upstream.entry.service = kService;
-    upstream.entry.endpoint = { "10.0.0.1", static_cast<uint16_t>(1 + i) };
-    upstream.entry.zone = "z" + std::to_string(i);
-    upstream.role = i == 0 ? Role::Primary : Role::Replica;
-    upstream.entry.role = upstream.role;
-    this->upstreams.push_back(upstream);
-    this->group.members.push_back(
-      { upstream.entry.id, upstream.entry.endpoint, upstream.entry.zone });
+    this->upstreams.push_back(this->NewUpstream(i));
+    const RegisteredUpstream& entry = this->upstreams.back().entry;
+    this->group.members.push_back({ entry.id, entry.endpoint, entry.zone });
   }
   this->group.revision = 1; // written before the run
   for (size_t i = 0; i < aOptions.hosts; ++i) {
@@ -61,6 +54,19 @@
   this->Tick();
 }
 
+FakeUpstream
+ProxyWorld::NewUpstream(size_t aIndex) const
+{
+  FakeUpstream upstream;
+  upstream.entry.id = "u" + std::to_string(aIndex);
+  upstream.entry.service = kService;
+  upstream.entry.endpoint = { "10.0.0.1", static_cast<uint16_t>(1 + aIndex) };
+  upstream.entry.zone = "z" + std::to_string(aIndex);
+  upstream.role = aIndex == 0 ? Role::Primary : Role::Replica;
+  upstream.entry.role = upstream.role;
+  return upstream;
+}
+
 std::unique_ptr<ProxyEngine>
 ProxyWorld::NewProcess(size_t aHost)
 {
--- a/test/fakes/proxy-world.h
+++ b/test/fakes/proxy-world.h
@@ -136,6 +136,9 @@
   /** Tells one host a registry of just these. */
   void ListOnly(size_t aHost, const std::vector<size_t>& aUpstreams);
 
+  /** A new upstream follows the primary; returns its index. */
+  size_t AddUpstream();
+
   /** Starts a process on a new host and returns the host. */
   size_t AddHost();
 
@@ -182,6 +185,7 @@
 private:
   using LinkKey = std::pair<size_t, ConnectionId>;
 
+  FakeUpstream NewUpstream(size_t aIndex) const;
   std::unique_ptr<ProxyEngine> NewProcess(size_t aHost);
   void Greet(size_t aHost);
   RegistryRead Registry();
--- a/test/group-members-test.cc
+++ b/test/group-members-test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr uint32_t kSeeds = 30;
+constexpr uint32_t kFewSeeds = 10;
 // From when on a host serves all reads, after its start and a promotion.
 constexpr Duration kServedAfter = Millis(1000);
 constexpr Duration kReturnsIn = Seconds(10);
@@ -123,11 +124,13 @@
  * starts before or after that. By the seed u1 or u2 answers it first.
  */
 void
-CheckReadsOfAYoungHost(Freshness aFreshness)
+CheckReadsOfAYoungHost(Freshness aFreshness, bool aKnowsGroup)
 {
   Findings findings;
   for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
-    ProxyWorld world(Options(aFreshness, seed));
+    ProxyWorldOptions options = Options(aFreshness, seed);
+    options.withholdsGroups = !aKnowsGroup;
+    ProxyWorld world(options);
     WriteBesideDeafReplicas(world);
     world.Kill(0);
     world.RunFor(Millis(300));
@@ -152,12 +155,17 @@
 
 Test(group_members, a_young_host_takes_no_deaf_replicas_word_for_a_bounded_read)
 {
-  CheckReadsOfAYoungHost(Freshness::Bounded);
+  CheckReadsOfAYoungHost(Freshness::Bounded, true);
 }
 
 Test(group_members, a_young_host_takes_no_deaf_replicas_word_for_a_session)
 {
-  CheckReadsOfAYoungHost(Freshness::Session);
+  CheckReadsOfAYoungHost(Freshness::Session, true);
+}
+
+Test(group_members, a_host_that_knows_no_group_reads_nothing_old)
+{
+  CheckReadsOfAYoungHost(Freshness::Bounded, false);
 }
 
 namespace {
@@ -198,6 +206,13 @@
   CheckPromoter(Options(Freshness::Newest, 1), true);
 }
 
+Test(group_members, a_promoter_that_knows_no_group_loses_nothing)
+{
+  ProxyWorldOptions options = Options(Freshness::Newest, 1);
+  options.withholdsGroups = true;
+  CheckPromoter(options, true);
+}
+
 Test(group_members, no_commit_is_lost_in_a_group_of_five)
 {
   ProxyWorldOptions options = Options(Freshness::Newest, 1);
@@ -384,3 +399,49 @@
   }
   cr_assert_str_eq(findings.Text(), "");
 }
+
+namespace {
+
+/** u3 joins and u1 goes for good; long after, u0 does as well. */
+void
+CheckSuccession(bool aIsOrderly)
+{
+  Findings findings;
+  for (uint32_t seed = 1; seed <= kFewSeeds; ++seed) {
+    ProxyWorld world(Options(Freshness::Bounded, seed));
+    world.SetDuty(0, true);
+    world.RunFor(Millis(1500));
+    Write(world, 0, 10);
+    world.AddUpstream();
+    world.Upstream(1).entry.leaving = aIsOrderly;
+    world.ReadRegistry();
+    world.RunFor(Seconds(1));
+    world.Kill(1);
+    world.ReadRegistry();
+    for (int i = 0; i < 40; ++i) {
+      Write(world, 0, 1);
+      world.RunFor(Seconds(1));
+    }
+    world.Kill(0);
+    world.RunFor(Millis(300));
+    world.ReadRegistry();
+    size_t young = AddPromoter(world);
+    ReadFor(world, young, Seconds(4));
+    findings.Note(seed,
+                  Returns(world, young, { 0, 1 }) ? "" : "out of service");
+    findings.NoteWrongs(seed, world);
+  }
+  cr_assert_str_eq(findings.Text(), "");
+}
+
+} // namespace
+
+Test(group_members, one_that_left_is_not_waited_for)
+{
+  CheckSuccession(true);
+}
+
+Test(group_members, one_that_crashed_for_good_is_not_waited_for)
+{
+  CheckSuccession(false);
+}
