Look at both hosts' logs and a later count, so that a record taken for a host is found

Cause: the mutant that takes records for hosts passed records-test: only one host's log was looked at while the other read the store, and the hosts were counted before the host's second read.

--- a/test/records-test.cc
+++ b/test/records-test.cc
@@ -147,6 +147,7 @@
     if (const auto* duty = std::get_if<DutyChanged>(&aEvent)) {
       this->mayAct = duty->mayAct;
     } else if (const auto* counted = std::get_if<HostsCounted>(&aEvent)) {
+      ++this->counts;
       this->hosts = counted->hosts;
     } else if (const auto* read = std::get_if<GroupsRead>(&aEvent)) {
       ++this->reads;
@@ -186,7 +187,8 @@
   std::unique_ptr<StoreFollower> follower;
   std::string logged; // all that was asked for
   bool mayAct = false;
-  size_t hosts = 0;
+  size_t counts = 0;
+  size_t hosts = 0; // of the last count
   size_t reads = 0;
   std::vector<GroupRecord> groups;
 };
@@ -416,7 +418,9 @@
   cr_assert_neq(outcome, "written");
   cr_assert_neq(outcome, "not ours", "the store refused it");
   cr_assert_eq(site.Item(kGroupKey).revision, second);
-  cr_assert_eq(holder.logged.find("E205"), std::string::npos);
+  std::string logged =
+    holder.logged + holder.Logged() + other.logged + other.Logged();
+  cr_assert_eq(logged.find("E205"), std::string::npos, "no record is a host");
 }
 
 Test(groups, what_cannot_be_read_is_logged_and_no_empty_group)
@@ -428,7 +432,9 @@
   ProxyHost stranger{ "h", "zone", "h/run", { "127.0.0.1", 29424 } };
   site.store.Put("marigoldpitch/groups/h", FormatProxyHost(stranger));
   Host host(site, "host-1", 29414);
-  cr_assert(site.Until([&] { return host.reads == 1 && host.hosts != 0; }));
+  // A host that takes another for its watcher waits for it for 2.4 s.
+  cr_assert(site.Until([&] { return host.counts == 6; }));
+  cr_assert_eq(host.reads, 1);
   cr_assert_eq(host.hosts, 1, "no record is a host");
   cr_assert_eq(host.groups.size(), 1);
   cr_assert_eq(host.groups[0].service, "svc");
