Share the waits and the expectations of the process tests

By hand: a row that is not 0, a missing row, a process that does not end and a version that does not come each end the script with an error.

--- a/test/process/cluster.sh
+++ b/test/process/cluster.sh
@@ -133,6 +133,10 @@
   curl -sf -o /dev/null -X POST "http://127.0.0.1:$(relay_control_port "$1")/$2"
 }
 
+has_ended() { # name
+  ! kill -0 "${pid_of[$1]}" 2>/dev/null
+}
+
 wait_for() { # seconds command...
   local i limit=$1
   shift
@@ -207,6 +211,13 @@
   fi
 }
 
+expect_none() { # rows of the load's table
+  local row
+  for row in "$@"; do expect "$row" "$(table_value "$row")" -eq 0; done
+}
+
+ctl() { "$build/marigoldpitch-ctl" --store "127.0.0.1:$store_port" "$@"; }
+
 start_site() { # hosts...
   hosts=("$@")
   start_store
