Take the switches that nothing used out of the stand-in upstream

With it go the time of a batch and the lag of sending, which only it could set, and with those the times at which the primary's entries were committed. The lag of replicas, the limit of connections, the leaving word and the mutant of unique records stay.

--- a/test/standin/database.cc
+++ b/test/standin/database.cc
@@ -318,9 +318,6 @@
   if (aName == "marigoldpitch_follow") {
     return this->Follow(aStatement);
   }
-  if (aName == "marigoldpitch_stand_in_set") {
-    return this->SetKnob(Parameter(aStatement, 0), Parameter(aStatement, 1));
-  }
   return Fail("42883", "no such function: " + aName);
 }
 
@@ -371,26 +368,6 @@
   return OneRow({ "term" }, { std::to_string(asked) });
 }
 
-Outcome
-Database::SetKnob(const std::string& aName, const std::string& aValue)
-{
-  int64_t number = std::atoll(aValue.c_str());
-  if (aName == "replay_lag_ms") {
-    this->knobs.replayLag = Millis(number);
-  } else if (aName == "receive_lag_ms") {
-    this->knobs.receiveLag = Millis(number);
-  } else if (aName == "service_ms") {
-    this->knobs.service = Millis(number);
-  } else if (aName == "leaving") {
-    this->knobs.leaving = number != 0;
-  } else if (aName == "connections") {
-    this->knobs.connections = static_cast<size_t>(number);
-  } else {
-    return Fail("22023", "no such knob: " + aName);
-  }
-  return OneRow({ "value" }, { aValue });
-}
-
 void
 Database::Receive(LogEntry aEntry, Time aNow)
 {
--- a/test/standin/database.h
+++ b/test/standin/database.h
@@ -63,9 +63,7 @@
 
 struct Knobs
 {
-  Duration replayLag;  // a replica shows entries this much later
-  Duration receiveLag; // a primary sends entries this much later
-  Duration service;    // each batch takes this long
+  Duration replayLag; // a replica shows entries this much later
   bool leaving = false;
   size_t connections = 100;
   bool uniqueRecords = true; // off: what a missing unique key would allow
@@ -125,7 +123,6 @@
   Outcome AdoptTerm(Term aTerm);
   Outcome Promote(Term aTerm);
   Outcome Follow(const Statement& aStatement);
-  Outcome SetKnob(const std::string& aName, const std::string& aValue);
   std::optional<std::string> Value(const Transaction& aTransaction,
                                    const std::string& aTable,
                                    const std::string& aKey) const;
--- a/test/standin/pg-session.cc
+++ b/test/standin/pg-session.cc
@@ -238,12 +238,7 @@
   if (this->onWork) {
     this->onWork();
   }
-  if (this->database.knobs.service.ms == 0) {
-    this->Flush();
-    return;
-  }
-  auto self = this->shared_from_this();
-  this->loop.After(this->database.knobs.service, [self] { self->Flush(); });
+  this->Flush();
 }
 
 void
@@ -304,10 +299,7 @@
     return;
   }
   self->writing.clear();
-  // With a service time, later answers wait for their own timers.
-  if (self->database.knobs.service.ms == 0) {
-    self->Flush();
-  }
+  self->Flush();
 }
 
 } // namespace marigoldpitch::standin
--- a/test/standin/replication.cc
+++ b/test/standin/replication.cc
@@ -183,13 +183,6 @@
 {
   Time now = ReadClock();
   Position size = this->database.Log().size();
-  if (size < this->seen) {
-    this->seen = 0;
-    this->committedAt.clear();
-  }
-  while (this->seen < size) {
-    this->committedAt[++this->seen] = now;
-  }
   bool isBeat = now - this->lastBeat >= kBeat;
   if (isBeat) {
     this->lastBeat = now;
@@ -200,10 +193,6 @@
     }
     json entries = json::array();
     while (follower.sent < size) {
-      Time at = this->committedAt[follower.sent + 1];
-      if (at + this->database.knobs.receiveLag > now) {
-        break;
-      }
       entries.push_back(ToJson(this->database.Log()[follower.sent]));
       ++follower.sent;
     }
--- a/test/standin/replication.h
+++ b/test/standin/replication.h
@@ -57,8 +57,6 @@
   std::map<FrameLink*, Follower> followers;
   std::shared_ptr<FrameLink> primary;
   std::optional<Database::FollowOrder> order;
-  std::map<Position, Time> committedAt;
-  Position seen = 0;
   Time lastBeat = kLongAgo;
   Time lastConnect = kLongAgo;
 };
