Set cuts and note gaps of the fakes in one place each

The three kinds of cut of the world and the two gaps of a history repeated the same steps; copies of actions are taken where they are captured.

--- a/test/fakes/history.cc
+++ b/test/fakes/history.cc
@@ -16,6 +16,15 @@
   return hasCell ? std::atoll(aAnswer.rows.rows[0][0]->c_str()) : -1;
 }
 
+void
+NoteGap(Time& aLast, Duration& aLongest, Time aNow)
+{
+  if (!(aLast == kLongAgo)) {
+    aLongest = std::max(aLongest, aNow - aLast);
+  }
+  aLast = aNow;
+}
+
 } // namespace
 
 History::History(World& aWorld, const HistoryOptions& aOptions)
@@ -150,11 +159,7 @@
   session.token = aAnswer.token;
   Time now = this->world.Now();
   session.acknowledged.emplace_back(now, session.done);
-  if (!(this->lastWrite == kLongAgo)) {
-    this->longestWriteGap =
-      std::max(this->longestWriteGap, now - this->lastWrite);
-  }
-  this->lastWrite = now;
+  NoteGap(this->lastWrite, this->longestWriteGap, now);
   this->Again(aSession);
 }
 
@@ -262,14 +267,9 @@
   if (!aAnswer.token.IsNothing()) {
     session.token = aAnswer.token;
   }
-  Time now = this->world.Now();
   // Sessions that also write stand still while there is no primary.
   if (session.isReader) {
-    if (!(this->lastRead == kLongAgo)) {
-      this->longestReadGap =
-        std::max(this->longestReadGap, now - this->lastRead);
-    }
-    this->lastRead = now;
+    NoteGap(this->lastRead, this->longestReadGap, this->world.Now());
   }
   this->Again(aSession);
 }
--- a/test/fakes/world-faults.cc
+++ b/test/fakes/world-faults.cc
@@ -4,6 +4,22 @@
 
 namespace marigoldpitch::fakes {
 
+namespace {
+
+void
+SetCut(std::set<std::pair<size_t, size_t>>& aCuts,
+       std::pair<size_t, size_t> aBetween,
+       bool aCut)
+{
+  if (aCut) {
+    aCuts.insert(aBetween);
+  } else {
+    aCuts.erase(aBetween);
+  }
+}
+
+} // namespace
+
 // Faults.
 
 void
@@ -78,33 +94,23 @@
 void
 World::CutOwnerUpstream(size_t aOwner, size_t aUpstream, bool aCut)
 {
+  SetCut(this->ownerCuts, { aOwner, aUpstream }, aCut);
   if (aCut) {
-    this->ownerCuts.insert({ aOwner, aUpstream });
     // What was open before stays silent after the cut has healed.
     this->SilenceConnections(aOwner, aUpstream);
-  } else {
-    this->ownerCuts.erase({ aOwner, aUpstream });
   }
 }
 
 void
 World::CutUpstreams(size_t aLeft, size_t aRight, bool aCut)
 {
-  if (aCut) {
-    this->upstreamCuts.insert(std::minmax(aLeft, aRight));
-  } else {
-    this->upstreamCuts.erase(std::minmax(aLeft, aRight));
-  }
+  SetCut(this->upstreamCuts, std::minmax(aLeft, aRight), aCut);
 }
 
 void
 World::CutEntryOwner(size_t aEntry, size_t aOwner, bool aCut)
 {
-  if (aCut) {
-    this->entryCuts.insert({ aEntry, aOwner });
-  } else {
-    this->entryCuts.erase({ aEntry, aOwner });
-  }
+  SetCut(this->entryCuts, { aEntry, aOwner }, aCut);
 }
 
 void
--- a/test/fakes/world-owners.cc
+++ b/test/fakes/world-owners.cc
@@ -60,59 +60,52 @@
       done(send->answer);
     }
   } else if (const auto* ask = std::get_if<AskStatus>(&aAction)) {
-    AskStatus askCopy = *ask;
-    if (askCopy.fresh) {
-      this->owners[aOwner].adminSilent.erase(askCopy.upstream);
+    if (ask->fresh) {
+      this->owners[aOwner].adminSilent.erase(ask->upstream);
     }
     this->Admin(
-      aOwner, askCopy.upstream, StatusSql(), [=](const auto* aResult) {
+      aOwner, ask->upstream, StatusSql(), [=, ask = *ask](const auto* aResult) {
         if (aResult == nullptr) {
-          this->StepOwner(aOwner,
-                          StatusFailed{ askCopy.upstream, askCopy.ask });
+          this->StepOwner(aOwner, StatusFailed{ ask.upstream, ask.ask });
           return;
         }
         auto status = ParseStatus(aResult->rows);
         this->StepOwner(
-          aOwner,
-          StatusAnswered{ askCopy.upstream, askCopy.ask, status.value() });
+          aOwner, StatusAnswered{ ask.upstream, ask.ask, status.value() });
       });
   } else if (const auto* adopt = std::get_if<AdoptTerm>(&aAction)) {
-    AdoptTerm adoptCopy = *adopt;
     this->Admin(
       aOwner,
-      adoptCopy.upstream,
-      AdoptTermSql(adoptCopy.term),
-      [=](const auto* aResult) {
+      adopt->upstream,
+      AdoptTermSql(adopt->term),
+      [=, adopt = *adopt](const auto* aResult) {
         if (aResult == nullptr) {
           return;
         }
         if (!aResult->done) {
           Term current = std::stoull(aResult->message);
-          this->StepOwner(
-            aOwner, TermRefused{ adoptCopy.upstream, adoptCopy.term, current });
+          this->StepOwner(aOwner,
+                          TermRefused{ adopt.upstream, adopt.term, current });
           return;
         }
         auto log = ParseAdopted(aResult->rows);
-        this->StepOwner(
-          aOwner,
-          TermAdopted{ adoptCopy.upstream, adoptCopy.term, log.value() });
+        this->StepOwner(aOwner,
+                        TermAdopted{ adopt.upstream, adopt.term, log.value() });
       });
   } else if (const auto* promote = std::get_if<Promote>(&aAction)) {
-    Promote promoteCopy = *promote;
     this->Admin(
       aOwner,
-      promoteCopy.upstream,
-      PromoteSql(promoteCopy.term),
-      [=](const auto* aResult) {
+      promote->upstream,
+      PromoteSql(promote->term),
+      [=, promote = *promote](const auto* aResult) {
         if (aResult == nullptr || !aResult->done) {
-          this->StepOwner(
-            aOwner, PromotionFailed{ promoteCopy.upstream, promoteCopy.term });
+          this->StepOwner(aOwner,
+                          PromotionFailed{ promote.upstream, promote.term });
           return;
         }
         auto start = ParsePromoted(aResult->rows);
         this->StepOwner(
-          aOwner,
-          Promoted{ promoteCopy.upstream, promoteCopy.term, start.value() });
+          aOwner, Promoted{ promote.upstream, promote.term, start.value() });
       });
   } else if (const auto* follow = std::get_if<Follow>(&aAction)) {
     const Endpoint& primary = this->config.upstreams[follow->primary].endpoint;
@@ -121,9 +114,8 @@
                 FollowSql(follow->term, primary),
                 [](const auto*) {});
   } else if (const auto* reserve = std::get_if<ReserveTerms>(&aAction)) {
-    ReserveTerms reserveCopy = *reserve;
     if (!this->storeDown) {
-      Term first = std::max(reserveCopy.above, this->lastReserved) + 1;
+      Term first = std::max(reserve->above, this->lastReserved) + 1;
       this->lastReserved = first + 7;
       this->After(this->Latency() + this->Latency(), [=] {
         this->StepOwner(aOwner, TermsGranted{ first, first + 7 });
