Let a held replica go only when nobody can lead the term it is held for

Commits were acknowledged by an old primary and lost again: a promoter that had just started, or had just finished a promotion, let a replica go that was held for a term that a promoted upstream led and was down with. It followed the old primary again.

What another promoter left is undone only once every member, asked since, states a lower term, and no order of ours can still take effect; an attempt that is given up lets go just those that were free when it began, and none after it has ordered.

--- a/include/marigoldpitch/coordination/promotion.h
+++ b/include/marigoldpitch/coordination/promotion.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -96,6 +97,9 @@
   PromotionReason Reason() const { return this->reason; }
   PromotionOutcome Outcome() const { return this->outcome; }
 
+  /** From when on no order of ours may take effect any more. */
+  Time OrdersOverAt() const;
+
   /** Where the logs of the held replicas end. */
   const std::map<UpstreamIndex, LogPoint>& Held() const { return this->held; }
   std::optional<UpstreamIndex> Candidate() const { return this->candidate; }
@@ -144,8 +148,10 @@
   bool holdsCandidate = true;
   std::map<UpstreamIndex, LogPoint> held;
   std::map<UpstreamIndex, Time> asked;
+  std::set<UpstreamIndex> wasFree; // not held when the attempt began
   Time phaseSince = kLongAgo;
   Time startedAt = kLongAgo;
+  Time lastOrder = kLongAgo;
   Time nextOrder = kLongAgo;
   Time nextAttempt = kLongAgo;
   Time unknownSince = kNever;
--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -20,6 +20,14 @@
   std::unique_ptr<AdmissionPolicy> admission = MakeDeadlineAdmission();
 };
 
+/** What a promoter that died, or was cut off, left to be undone. */
+struct Leftover
+{
+  AskUpstream ask;
+  Term held = 0; // of a replica that is to be let go
+  Time since = kLongAgo;
+};
+
 /** One service as a proxy sees it. */
 struct ProxyService
 {
@@ -44,8 +52,8 @@
   bool proofWanted = false;      // that the primary leads
   Time pointWantedAt = kLongAgo; // by a read that no point allowed
   bool proofOpen = false;
-  std::map<UpstreamIndex, AskUpstream> wanted;    // no connection was free
-  std::map<UpstreamIndex, AskUpstream> leftovers; // of other promoters
+  std::map<UpstreamIndex, AskUpstream> wanted; // no connection was free
+  std::map<UpstreamIndex, Leftover> leftovers;
 };
 
 /**
@@ -201,9 +209,10 @@
   void AskWanted(ProxyService& aService);
   void CloseSurplus(ProxyService& aService);
   void Perform(ProxyService& aService, const PromotionSteps& aSteps);
-  static void NoteLeftover(ProxyService& aService,
-                           UpstreamIndex aUpstream,
-                           const UpstreamReport& aReport);
+  void NoteLeftover(ProxyService& aService,
+                    UpstreamIndex aUpstream,
+                    const UpstreamReport& aReport) const;
+  bool MayMend(ProxyService& aService, const Leftover& aLeftover) const;
   void MendLeftovers(ProxyService& aService);
   void ReportPromotion(const ProxyService& aService, PromotionPhase aBefore);
   std::string DescribeMembers(const ProxyService& aService) const;
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -147,6 +147,12 @@
   }
   Time ProvedAsked() const { return this->provedAsked; }
 
+  /**
+   * Whether every member, asked since `aSince`, stated a term below `aTerm`: no
+   * promotion to it has taken effect.
+   */
+  bool IsTermUnused(Term aTerm, Time aSince, Time aNow) const;
+
   /** Asks all again if too few were asked since `aTime` for a point. */
   void WantPointSince(Time aTime);
 
--- a/src/coordination/promotion.cc
+++ b/src/coordination/promotion.cc
@@ -9,6 +9,8 @@
 constexpr Duration kAskAgain = Millis(150);
 constexpr Duration kCatchUpLimit = Millis(400);
 constexpr Duration kOrderAgain = Millis(700);
+// Until an order that was given up has taken effect, or never will.
+constexpr Duration kOrderSpan = Millis(2000);
 constexpr Duration kConfirmLimit = Seconds(3);
 constexpr Duration kAttemptLimit = Seconds(15);
 constexpr Duration kLackingLimit = Millis(400);
@@ -65,6 +67,12 @@
   return !isOrdered && !this->Need(aView, aNow);
 }
 
+Time
+Promotion::OrdersOverAt() const
+{
+  return this->lastOrder + detail::kOrderSpan;
+}
+
 PromotionSteps
 Promotion::Step(const ServiceView& aView, bool aMayAct, Time aNow)
 {
@@ -115,6 +123,13 @@
   }
   this->held.clear();
   this->asked.clear();
+  this->wasFree.clear();
+  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+    const ProxyUpstream& upstream = aView.At(i);
+    if (upstream.report && upstream.report->held < this->term) {
+      this->wasFree.insert(i);
+    }
+  }
   this->phase = PromotionPhase::Holding;
   this->phaseSince = aNow;
   this->startedAt = aNow;
@@ -288,6 +303,7 @@
   this->AskHolds(aView, aSteps, aNow);
   if (this->phase == PromotionPhase::Ordering && aNow >= this->nextOrder) {
     this->nextOrder = aNow + detail::kOrderAgain;
+    this->lastOrder = aNow;
     aSteps.push_back(OrderPromotion{ *this->candidate });
     return;
   }
@@ -350,8 +366,13 @@
 Promotion::GiveUp(PromotionOutcome aOutcome, PromotionSteps& aSteps, Time aNow)
 {
   this->outcome = aOutcome;
+  // Once ordered, the candidate may lead yet; what another promoter held may
+  // have been held for one that leads.
+  bool mayLetGo = this->lastOrder < this->startedAt;
   for (const auto& [upstream, point] : this->held) {
-    aSteps.push_back(AskUpstream{ upstream, StatementKind::Resume });
+    if (mayLetGo && this->wasFree.count(upstream) != 0) {
+      aSteps.push_back(AskUpstream{ upstream, StatementKind::Resume });
+    }
   }
   this->phase = PromotionPhase::Idle;
   this->nextAttempt = aNow + detail::kPauseBetween;
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -293,22 +293,47 @@
                  { "term", std::to_string(aService.view.CurrentTerm()) } });
 }
 
-/** What a promoter that died, or was cut off, left behind. */
 void
 ProxyEngine::NoteLeftover(ProxyService& aService,
                           UpstreamIndex aUpstream,
-                          const UpstreamReport& aReport)
+                          const UpstreamReport& aReport) const
 {
   Term term = aService.view.CurrentTerm();
   bool isSuperseded = aReport.role == Role::Primary && aReport.term < term;
   bool isHeld = aReport.role == Role::Replica && aReport.held > term;
-  if (isSuperseded) {
-    aService.leftovers[aUpstream] = { aUpstream, StatementKind::Demote, term };
-  } else if (isHeld) {
-    aService.leftovers[aUpstream] = { aUpstream, StatementKind::Resume };
-  } else {
+  if (!isSuperseded && !isHeld) {
     aService.leftovers.erase(aUpstream);
+    return;
   }
+  StatementKind kind =
+    isSuperseded ? StatementKind::Demote : StatementKind::Resume;
+  Leftover& leftover = aService.leftovers[aUpstream];
+  bool isNew = leftover.ask.kind != kind || leftover.held != aReport.held;
+  leftover.ask = { aUpstream, kind, isSuperseded ? term : 0 };
+  leftover.held = aReport.held;
+  leftover.since = isNew ? this->now : leftover.since;
+}
+
+/**
+ * A held replica is let go only when the promotion that it was held for has not
+ * taken effect: it would confirm commits of the old primary again.
+ */
+bool
+ProxyEngine::MayMend(ProxyService& aService, const Leftover& aLeftover) const
+{
+  if (aLeftover.ask.kind != StatementKind::Resume) {
+    return true;
+  }
+  ServiceView& view = aService.view;
+  if (aLeftover.held <= view.CurrentTerm()) {
+    return false;
+  }
+  Time since = std::max(aLeftover.since, aService.promotion.OrdersOverAt());
+  if (this->now < since) {
+    return false;
+  }
+  view.WantPointSince(since);
+  return view.IsTermUnused(aLeftover.held, since, this->now);
 }
 
 void
@@ -317,13 +342,13 @@
   if (!this->mayAct || aService.promotion.IsRunning()) {
     return;
   }
-  for (const auto& [upstream, ask] : aService.leftovers) {
+  for (const auto& [upstream, leftover] : aService.leftovers) {
     const ProxyUpstream& target = aService.view.At(upstream);
     bool isDue = aService.view.Members().MayConfirm(upstream, this->now) &&
                  !target.askOpen &&
                  this->now - target.lastAsked >= detail::kAskInterval;
-    if (isDue) {
-      this->Ask(aService, ask);
+    if (isDue && this->MayMend(aService, leftover)) {
+      this->Ask(aService, leftover.ask);
     }
   }
 }
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -201,6 +201,20 @@
          !aPoint.IsBehind(this->primaryEnd.point);
 }
 
+bool
+ServiceView::IsTermUnused(Term aTerm, Time aSince, Time aNow) const
+{
+  for (UpstreamIndex i = 0; i < this->upstreams.size(); ++i) {
+    const ProxyUpstream& upstream = this->upstreams[i];
+    bool isBelow = upstream.report && upstream.reportAsked >= aSince &&
+                   upstream.report->term < aTerm;
+    if (this->members.MayConfirm(i, aNow) && !isBelow) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void
 ServiceView::WantPointSince(Time aTime)
 {
--- a/test/group-faults-test.cc
+++ b/test/group-faults-test.cc
@@ -64,3 +64,15 @@
     RC_ASSERT(wrongs.empty());
   }));
 }
+
+// It freed a replica for the old primary while a promoted one was down.
+Test(group_faults, a_replica_stays_held_while_one_may_lead_that_is_not_heard)
+{
+  GroupPlan plan;
+  plan.steps = {
+    { GroupFault::Deafen, 2, 0, 0 },    { GroupFault::Deafen, 1, 0, 0 },
+    { GroupFault::Deafen, 0, 1304, 0 }, { GroupFault::Crash, 1, 0, 0 },
+    { GroupFault::Replace, 0, 0, 0 },   { GroupFault::Hear, 2, 0, 0 }
+  };
+  cr_assert_str_eq(PlayGroupPlan(plan).c_str(), "");
+}
