Take no short silence for the end of a member

The spans counted how long its entry was missing, not how long it said nothing. Now a member is made good only by a word of the primary 10 s after it was last listed and last heard (3 s if it had said that it leaves); the record's drops, promotions and leftovers use the same span. The primary, and one of the last two, is never given up.

What another promoter left is judged by answers after the duty began and an order may have ended; all are asked then, so that a holder without traffic finds it too.

--- a/include/marigoldpitch/coordination/group-recorder.h
+++ b/include/marigoldpitch/coordination/group-recorder.h
@@ -22,12 +22,8 @@
 
 private:
   std::optional<GroupRecord> First(const ServiceView& aView, Time aNow);
-  static std::optional<UpstreamIndex> Unrecorded(const ServiceView& aView);
-  static std::optional<UpstreamIndex> Dispensable(ServiceView& aView,
-                                                  Time aNow);
-  static bool IsGone(const ServiceView& aView,
-                     UpstreamIndex aUpstream,
-                     Time aNow);
+  static std::optional<UpstreamIndex> FindUnrecorded(const ServiceView& aView);
+  static std::optional<UpstreamIndex> FindGone(ServiceView& aView, Time aNow);
   static bool IsHeldWithout(const ServiceView& aView, UpstreamIndex aUpstream);
 
   size_t knownUpstreams = 0;
--- a/include/marigoldpitch/coordination/promotion.h
+++ b/include/marigoldpitch/coordination/promotion.h
@@ -12,6 +12,9 @@
 /** Replacing the primary of a service without losing what it acknowledged. */
 namespace marigoldpitch {
 
+/** Until an order whose call was given up has taken effect, or never will. */
+constexpr Duration kOrderSpan = Millis(1200);
+
 enum class PromotionPhase
 {
   Idle,
--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -211,7 +211,7 @@
   void Perform(ProxyService& aService, const PromotionSteps& aSteps);
   void NoteLeftover(ProxyService& aService,
                     UpstreamIndex aUpstream,
-                    const UpstreamReport& aReport) const;
+                    const UpstreamReport& aReport);
   bool MayMend(ProxyService& aService, const Leftover& aLeftover) const;
   void MendLeftovers(ProxyService& aService);
   void ReportPromotion(const ProxyService& aService, PromotionPhase aBefore);
@@ -232,6 +232,7 @@
   Time fewerSince = kNever;
   std::vector<SessionOpened> waitingToOpen; // for the first configuration
   bool mayAct = false;
+  Time actsSince = kLongAgo;
   Time pathProved = kLongAgo; // when the newest answered question was sent
   std::map<std::string, ProxyService> services;
   std::unordered_map<CallerId, CallerSession> sessions;
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -22,6 +22,12 @@
 /** How long an upstream answers nothing until it counts as lost. */
 constexpr Duration kSilence = Millis(400);
 
+/** How long one that crashed must be gone until it is not expected back. */
+constexpr Duration kGoneForGood = Seconds(10);
+
+/** The same of one that had said that it leaves. */
+constexpr Duration kGoneLeaving = Seconds(3);
+
 /** A log's end, and when it was asked for. */
 struct SeenEnd
 {
@@ -101,9 +107,13 @@
   /** The same of one that is not listed either. */
   bool IsMissing(UpstreamIndex aUpstream, Time aNow) const;
 
+  /** Since when it is neither listed nor heard; `kNever` if it is either. */
+  Time GoneSince(UpstreamIndex aUpstream) const;
+
   /**
    * Whether a log that ends there has all that a missing member may have
-   * confirmed: the primary spoke of its own log since.
+   * confirmed: the primary spoke of its own log long after it was gone. Shorter
+   * silence may be this host's alone.
    */
   bool IsMadeGood(UpstreamIndex aUpstream, const LogPoint& aPoint) const;
 
@@ -148,8 +158,8 @@
   Time ProvedAsked() const { return this->provedAsked; }
 
   /**
-   * Whether every member, asked since `aSince`, stated a term below `aTerm`: no
-   * promotion to it has taken effect.
+   * Whether every member that is not gone for good, asked since `aSince`,
+   * stated a term below `aTerm`: no promotion to it has taken effect.
    */
   bool IsTermUnused(Term aTerm, Time aSince, Time aNow) const;
 
--- a/src/coordination/former-holder.cc
+++ b/src/coordination/former-holder.cc
@@ -4,7 +4,11 @@
 
 namespace detail {
 
-constexpr char kUnsettledMark[] = "unsettled ";
+std::string
+UnsettledMark()
+{
+  return kSuccessionNames.TextOf(Succession::Unsettled) + " ";
+}
 
 } // namespace detail
 
@@ -12,7 +16,7 @@
 FormatFormerHolder(Succession aSuccession, const std::string& aRun)
 {
   return aSuccession == Succession::Settled ? aRun
-                                            : detail::kUnsettledMark + aRun;
+                                            : detail::UnsettledMark() + aRun;
 }
 
 bool
@@ -24,7 +28,7 @@
     return true;
   }
   // The end of an unsettled run says nothing of those before it.
-  if (last.rfind(detail::kUnsettledMark, 0) == 0) {
+  if (last.rfind(detail::UnsettledMark(), 0) == 0) {
     return false;
   }
   // A host registers a new run only after the one before has ended.
--- a/src/coordination/group-recorder.cc
+++ b/src/coordination/group-recorder.cc
@@ -8,8 +8,8 @@
 constexpr Duration kRegistrationSpan = Millis(2500);
 // Until the record that was written has been read again.
 constexpr Duration kWriteInterval = Millis(1500);
-// A member that crashed may come back with its log.
-constexpr Duration kGoneForGood = Seconds(10);
+// Fewer members hold no commit twice.
+constexpr size_t kFewestMembers = 2;
 constexpr Duration kProbeInterval = Millis(1000);
 
 GroupRecord
@@ -40,9 +40,9 @@
   std::optional<GroupRecord> record;
   if (!aView.Members().IsKnown()) {
     record = this->First(aView, aNow);
-  } else if (auto added = Unrecorded(aView)) {
+  } else if (auto added = FindUnrecorded(aView)) {
     record = detail::RecordOf(aView, added, std::nullopt);
-  } else if (auto dropped = Dispensable(aView, aNow)) {
+  } else if (auto dropped = FindGone(aView, aNow)) {
     record = detail::RecordOf(aView, std::nullopt, dropped);
   }
   if (record) {
@@ -60,8 +60,7 @@
   }
   bool isSettled = aNow - this->lastNewUpstream >= detail::kRegistrationSpan;
   auto primary = aView.Primary();
-  bool isLed = primary && aView.Members().IsListed(*primary) &&
-               aView.ProvedAsked() != kLongAgo;
+  bool isLed = primary && aView.ProvedAsked() != kLongAgo;
   if (!isLed || !isSettled) {
     return std::nullopt;
   }
@@ -76,7 +75,7 @@
 }
 
 std::optional<UpstreamIndex>
-GroupRecorder::Unrecorded(const ServiceView& aView)
+GroupRecorder::FindUnrecorded(const ServiceView& aView)
 {
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
     if (aView.Members().IsListed(i) && !aView.Members().IsRecorded(i)) {
@@ -87,8 +86,12 @@
 }
 
 std::optional<UpstreamIndex>
-GroupRecorder::Dispensable(ServiceView& aView, Time aNow)
+GroupRecorder::FindGone(ServiceView& aView, Time aNow)
 {
+  size_t recorded = 0;
+  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+    recorded += aView.Members().IsRecorded(i) ? 1 : 0;
+  }
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
     bool isMissing =
       aView.Members().IsRecorded(i) && !aView.Members().IsListed(i);
@@ -102,11 +105,9 @@
     if (aNow - upstream.lastAsked >= detail::kProbeInterval) {
       upstream.askWanted = true;
     }
-    if (!IsGone(aView, i, aNow)) {
-      continue;
-    }
-    Duration missing = aNow - aView.Members().MissingSince(i);
-    if (IsHeldWithout(aView, i) || missing >= kMayStillConfirm) {
+    bool isGivenUp = aNow - aView.GoneSince(i) >= kMayStillConfirm &&
+                     aView.Primary() != i && recorded > detail::kFewestMembers;
+    if (IsHeldWithout(aView, i) || isGivenUp) {
       return i;
     }
     aView.WantPointSince(aNow - detail::kProbeInterval);
@@ -114,19 +115,6 @@
   return std::nullopt;
 }
 
-/** Whether it confirms nothing any more and is not expected back. */
-bool
-GroupRecorder::IsGone(const ServiceView& aView,
-                      UpstreamIndex aUpstream,
-                      Time aNow)
-{
-  if (!aView.IsMissing(aUpstream, aNow)) {
-    return false;
-  }
-  Duration missing = aNow - aView.Members().MissingSince(aUpstream);
-  return aView.At(aUpstream).entry.leaving || missing >= detail::kGoneForGood;
-}
-
 /** Whether primary and a replica hold all that it may have confirmed. */
 bool
 GroupRecorder::IsHeldWithout(const ServiceView& aView, UpstreamIndex aUpstream)
--- a/src/coordination/promotion.cc
+++ b/src/coordination/promotion.cc
@@ -9,8 +9,7 @@
 constexpr Duration kAskAgain = Millis(150);
 constexpr Duration kCatchUpLimit = Millis(400);
 constexpr Duration kOrderAgain = Millis(700);
-// Until an order that was given up has taken effect, or never will.
-constexpr Duration kOrderSpan = Millis(2000);
+
 constexpr Duration kConfirmLimit = Seconds(3);
 constexpr Duration kAttemptLimit = Seconds(15);
 constexpr Duration kLackingLimit = Millis(400);
@@ -70,7 +69,7 @@
 Time
 Promotion::OrdersOverAt() const
 {
-  return this->lastOrder + detail::kOrderSpan;
+  return this->lastOrder + kOrderSpan;
 }
 
 PromotionSteps
@@ -334,8 +333,7 @@
   if (!this->IsRunning()) {
     return steps;
   }
-  bool isHeld = this->phase != PromotionPhase::Idle &&
-                aReport.role == Role::Replica && aReport.held >= this->term;
+  bool isHeld = aReport.role == Role::Replica && aReport.held >= this->term;
   if (isHeld && this->MustBeHeld(aView, aUpstream, aNow)) {
     this->held[aUpstream] = aReport.received;
   }
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -1,5 +1,7 @@
 #include "marigoldpitch/coordination/proxy-engine.h"
 
+#include <algorithm>
+
 namespace marigoldpitch {
 
 namespace detail {
@@ -19,7 +21,16 @@
 void
 ProxyEngine::On(const DutyChanged& aEvent)
 {
+  bool isNew = aEvent.mayAct && !this->mayAct;
   this->mayAct = aEvent.mayAct;
+  if (!isNew) {
+    return;
+  }
+  // What the one before left shows in their answers.
+  this->actsSince = this->now;
+  for (auto& [name, service] : this->services) {
+    service.view.AskAll();
+  }
 }
 
 void
@@ -296,7 +307,7 @@
 void
 ProxyEngine::NoteLeftover(ProxyService& aService,
                           UpstreamIndex aUpstream,
-                          const UpstreamReport& aReport) const
+                          const UpstreamReport& aReport)
 {
   Term term = aService.view.CurrentTerm();
   bool isSuperseded = aReport.role == Role::Primary && aReport.term < term;
@@ -328,7 +339,9 @@
   if (aLeftover.held <= view.CurrentTerm()) {
     return false;
   }
-  Time since = std::max(aLeftover.since, aService.promotion.OrdersOverAt());
+  Time since = std::max({ aLeftover.since,
+                          aService.promotion.OrdersOverAt(),
+                          this->actsSince + kOrderSpan });
   if (this->now < since) {
     return false;
   }
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -192,12 +192,19 @@
   return !this->members.IsListed(aUpstream) && this->IsUnheard(aUpstream, aNow);
 }
 
+Time
+ServiceView::GoneSince(UpstreamIndex aUpstream) const
+{
+  return std::max(this->members.MissingSince(aUpstream),
+                  this->upstreams[aUpstream].failingSince);
+}
+
 bool
 ServiceView::IsMadeGood(UpstreamIndex aUpstream, const LogPoint& aPoint) const
 {
-  Time lost = std::max(this->members.MissingSince(aUpstream),
-                       this->upstreams[aUpstream].failingSince);
-  return this->primaryEnd.asked >= lost &&
+  bool isLeaving = this->upstreams[aUpstream].entry.leaving;
+  Duration span = isLeaving ? kGoneLeaving : kGoneForGood;
+  return this->primaryEnd.asked >= this->GoneSince(aUpstream) + span &&
          !aPoint.IsBehind(this->primaryEnd.point);
 }
 
@@ -208,7 +215,8 @@
     const ProxyUpstream& upstream = this->upstreams[i];
     bool isBelow = upstream.report && upstream.reportAsked >= aSince &&
                    upstream.report->term < aTerm;
-    if (this->members.MayConfirm(i, aNow) && !isBelow) {
+    bool isGone = aNow - this->GoneSince(i) >= kGoneForGood;
+    if (this->members.MayConfirm(i, aNow) && !isBelow && !isGone) {
       return false;
     }
   }
