Let the soak's registry forget upstreams that live

Two kinds of faults more: `upstream-forgotten`, the registry leaves out an upstream that goes on serving, and `young-host`, a replica is deaf, then the entry of the primary (left alive or killed) or of the confirming replica goes, then one to all hosts are killed and start again. Each fourth seed (3, 7, ...) brings young hosts by the clock as well; all other seeds draw from the whole table, so seeds draw other faults than before.

--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -18,8 +18,14 @@
 constexpr int64_t kShortestSpanMs = 200;
 constexpr int64_t kLongestSpanMs = 3500;
 constexpr size_t kUpstreams = 3;
+// So long that the host, which serves seconds after its start, serves in it.
+constexpr Duration kYoungSpan = Seconds(7);
+constexpr Duration kYoungEach = Seconds(9);
 // Each so many seeds bring planned work alone, which may cut off nothing.
 constexpr uint32_t kPlannedSeeds = 4;
+// The seeds before them bring young hosts by the clock as well as by draw; in
+// others they would leave little time to the rest.
+constexpr uint32_t kYoungRest = 3;
 constexpr FaultKind kPlanned[] = { FaultKind::ProxyTerm,
                                    FaultKind::ProxyReload,
                                    FaultKind::ConfigChange };
@@ -31,6 +37,7 @@
   , target(aTarget)
   , random(aSeed)
   , isPlanned(aSeed % kPlannedSeeds == 0)
+  , isYoung(aSeed % kPlannedSeeds == kYoungRest)
   , hostDisturbed(aTarget.Hosts(), kLongAgo)
 {
 }
@@ -80,9 +87,16 @@
     return;
   }
   size_t dice = this->random();
-  this->Inject(this->isPlanned
-                 ? kPlanned[dice % std::size(kPlanned)]
-                 : kFaultKindNames.rows[dice % kFaultKindNames.Size()].value);
+  FaultKind drawn = kFaultKindNames.rows[dice % kFaultKindNames.Size()].value;
+  bool isDue = this->isYoung && ReadBootClock() >= this->youngDue &&
+               ReadBootClock() >= this->upstreamBusy;
+  if (this->isPlanned) {
+    drawn = kPlanned[dice % std::size(kPlanned)];
+  } else if (isDue) {
+    this->youngDue = ReadBootClock() + kYoungEach;
+    drawn = FaultKind::YoungHost;
+  }
+  this->Inject(drawn);
   std::uniform_int_distribution<int64_t> pause(kShortestPauseMs,
                                                kLongestPauseMs);
   this->loop.After(Millis(pause(this->random)), [this] { this->Next(); });
@@ -96,7 +110,8 @@
   if (aKind < FaultKind::UpstreamKill) {
     this->InjectHost(aKind, span);
   } else if (aKind < FaultKind::StoreDown) {
-    this->InjectUpstream(aKind, span);
+    bool isLong = aKind == FaultKind::YoungHost;
+    this->InjectUpstream(aKind, isLong ? kYoungSpan : span);
   } else {
     this->InjectStore(aKind, span);
   }
@@ -135,7 +150,8 @@
   size_t upstream = this->random() % kUpstreams;
   bool isHard =
     aKind != FaultKind::UpstreamLag && aKind != FaultKind::AnswersLost &&
-    aKind != FaultKind::UpstreamReset && aKind != FaultKind::UpstreamSilence;
+    aKind != FaultKind::UpstreamReset && aKind != FaultKind::UpstreamSilence &&
+    aKind != FaultKind::UpstreamForgotten;
   if (isHard && ReadBootClock() < this->upstreamBusy) {
     return;
   }
@@ -164,6 +180,12 @@
     case FaultKind::UpstreamDeaf:
       control("deafen", "hear", upstream);
       return;
+    case FaultKind::UpstreamForgotten:
+      control("forget", "recall", upstream);
+      return;
+    case FaultKind::YoungHost:
+      this->InjectYoungHost(aSpan);
+      return;
     case FaultKind::UpstreamLag:
       this->target.Control(
         fmt::format(R"({{"lag":{}}})", this->random() % 600));
@@ -196,6 +218,33 @@
   }
 }
 
+/** A replica lacks commits, an entry goes, and hosts start after that. */
+void
+Faults::InjectYoungHost(Duration aSpan)
+{
+  constexpr const char* kGoes[] = { R"({"forget":"primary"})",
+                                    R"({"forget":"primary","kill":"primary"})",
+                                    R"({"forget":"second-replica"})" };
+  constexpr Duration kWrites = Millis(600);
+  constexpr Duration kUnlisted = Millis(400);
+  const char* goes = kGoes[this->random() % std::size(kGoes)];
+  size_t host = this->random() % this->target.Hosts();
+  this->target.Control(R"({"deafen":"first-replica"})");
+  this->loop.After(kWrites, [this, goes] { this->target.Control(goes); });
+  this->loop.After(kWrites + kUnlisted, [this, host] {
+    for (size_t i = host; i < this->target.Hosts(); ++i) {
+      this->DisturbHost(i, Seconds(1));
+      this->target.SignalHost(i, SIGKILL);
+    }
+  });
+  this->loop.After(aSpan, [this] {
+    for (size_t i = 0; i < kUpstreams; ++i) {
+      this->target.Control(
+        fmt::format(R"({{"revive":{0},"hear":{0},"recall":{0}}})", i));
+    }
+  });
+}
+
 void
 Faults::InjectStore(FaultKind aKind, Duration aSpan)
 {
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -27,9 +27,11 @@
   UpstreamReset,
   UpstreamDelay,
   UpstreamCut,
-  UpstreamHalf,  // questions arrive, answers do not
-  UpstreamApart, // one host cannot reach it
-  AnswersLost,   // after their statements ran
+  UpstreamHalf,      // questions arrive, answers do not
+  UpstreamApart,     // one host cannot reach it
+  UpstreamForgotten, // the registry lacks it while it serves
+  AnswersLost,       // after their statements ran
+  YoungHost, // starts while a member's entry is missing and a replica is deaf
   StoreDown,
   StoreSlow,
   StoreLoses, // changes take effect without an answer
@@ -39,7 +41,7 @@
   ConfigChange,
 };
 
-constexpr NameTable<FaultKind, 21> kFaultKindNames{ {
+constexpr NameTable<FaultKind, 23> kFaultKindNames{ {
   { FaultKind::ProxyKill, "proxy-kill" },
   { FaultKind::ProxyTerm, "proxy-term" },
   { FaultKind::ProxyPause, "proxy-pause" },
@@ -53,7 +55,9 @@
   { FaultKind::UpstreamCut, "upstream-cut" },
   { FaultKind::UpstreamHalf, "upstream-half" },
   { FaultKind::UpstreamApart, "upstream-apart" },
+  { FaultKind::UpstreamForgotten, "upstream-forgotten" },
   { FaultKind::AnswersLost, "answers-lost" },
+  { FaultKind::YoungHost, "young-host" },
   { FaultKind::StoreDown, "store-down" },
   { FaultKind::StoreSlow, "store-slow" },
   { FaultKind::StoreLoses, "store-loses" },
@@ -97,6 +101,7 @@
   void Inject(FaultKind aKind);
   void InjectHost(FaultKind aKind, Duration aSpan);
   void InjectUpstream(FaultKind aKind, Duration aSpan);
+  void InjectYoungHost(Duration aSpan);
   void InjectStore(FaultKind aKind, Duration aSpan);
   void Disturb(Duration aSpan);
   void DisturbHost(size_t aHost, Duration aSpan);
@@ -106,10 +111,12 @@
   FaultTarget& target;
   std::mt19937 random;
   bool isPlanned;
+  bool isYoung;
   Time started = kLongAgo;
   Time end = kLongAgo;
   Time disturbed = kLongAgo; // until then, all hosts
   Time upstreamBusy = kLongAgo;
+  Time youngDue = kLongAgo; // the next one
   std::vector<Time> hostDisturbed;
   std::map<FaultKind, uint64_t> counts;
 };
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -310,7 +310,8 @@
     this->Control(
       R"({"down":false,"slow":0,"lose":[],"lag":0,"lose_answers":0})");
     for (size_t i = 0; i < kUpstreams; ++i) {
-      this->Control(fmt::format(R"({{"revive":{},"hear":{}}})", i, i));
+      this->Control(
+        fmt::format(R"({{"revive":{0},"hear":{0},"recall":{0}}})", i));
       this->TellUpstreamRelay(i, "heal");
     }
     for (size_t host = 0; host < this->options.hosts; ++host) {
--- a/test/standin/site-store.cc
+++ b/test/standin/site-store.cc
@@ -84,7 +84,7 @@
 {
   for (Upstream& upstream : this->upstreams.All()) {
     std::string key = "servers/" + upstream.id;
-    if (!upstream.isAlive) {
+    if (!upstream.isAlive || upstream.isForgotten) {
       this->items.erase(key);
       continue;
     }
@@ -320,10 +320,20 @@
 Store::ControlUpstreams(const Json& aBody)
 {
   auto of = [&](const char* aName) -> std::optional<size_t> {
+    if (aBody.contains(aName) && aBody[aName].is_string()) {
+      auto place = kPlaceNames.ValueOf(aBody[aName].get<std::string>());
+      return place ? this->upstreams.IndexAt(*place) : std::nullopt;
+    }
     return aBody.contains(aName)
              ? std::make_optional(aBody[aName].get<size_t>())
              : std::nullopt;
   };
+  if (auto index = of("forget")) {
+    this->upstreams.All()[*index].isForgotten = true;
+  }
+  if (auto index = of("recall")) {
+    this->upstreams.All()[*index].isForgotten = false;
+  }
   if (auto index = of("kill")) {
     this->upstreams.Kill(*index);
   }
--- a/test/standin/site-upstreams.cc
+++ b/test/standin/site-upstreams.cc
@@ -96,6 +96,17 @@
   return leader;
 }
 
+std::optional<size_t>
+Upstreams::IndexAt(Place aPlace)
+{
+  const Upstream* leader = this->Leader();
+  if (leader == nullptr) {
+    return std::nullopt;
+  }
+  auto first = static_cast<size_t>(leader - this->upstreams.data());
+  return (first + static_cast<size_t>(aPlace)) % this->upstreams.size();
+}
+
 /** Takes what the leader has, if nothing keeps the replica from it. */
 void
 Upstreams::Follow(Upstream& aReplica)
--- a/test/standin/site-upstreams.h
+++ b/test/standin/site-upstreams.h
@@ -1,18 +1,34 @@
 #ifndef MARIGOLDPITCH_TEST_STANDIN_SITE_UPSTREAMS_H
 #define MARIGOLDPITCH_TEST_STANDIN_SITE_UPSTREAMS_H
 
+#include "marigoldpitch/state/names.h"
 #include "marigoldpitch/transport/line-link.h"
 #include "marigoldpitch/transport/tcp-listener.h"
 
 #include <array>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 /** Three upstreams of one service, in one process, that speak in lines. */
 namespace marigoldpitch::standin {
 
+/** The places in the group, counted from the one that leads. */
+enum class Place
+{
+  Primary,
+  FirstReplica,
+  SecondReplica,
+};
+
+constexpr NameTable<Place, 3> kPlaceNames{ {
+  { Place::Primary, "primary" },
+  { Place::FirstReplica, "first-replica" },
+  { Place::SecondReplica, "second-replica" },
+} };
+
 struct Upstream
 {
   std::string id;
@@ -23,7 +39,8 @@
   uint64_t held = 0;
   bool isAlive = true;
   bool isLeaving = false;
-  bool isDeaf = false;                                  // receives nothing
+  bool isDeaf = false;      // receives nothing
+  bool isForgotten = false; // by the registry, while it serves
   std::vector<std::pair<std::string, std::string>> log; // received
   size_t shown = 0;                                     // of it, by reads
 };
@@ -41,6 +58,9 @@
   /** The living primary of the newest term. */
   Upstream* Leader();
 
+  /** Who is there now; nobody without a leader. */
+  std::optional<size_t> IndexAt(Place aPlace);
+
   /** False when the upstream does not run. */
   bool Promote(const std::string& aId);
   void Kill(size_t aUpstream);
