--- a/include/marigoldpitch/coordination/group-membership.h
+++ b/include/marigoldpitch/coordination/group-membership.h
@@ -10,7 +10,10 @@
 /** Who may hold or confirm an acknowledged commit of a group. */
 namespace marigoldpitch {
 
-/** How long one that was never recorded may still confirm commits. */
+/**
+ * How long one that is gone is counted on when neither a record nor a word of
+ * the primary settles it.
+ */
 constexpr Duration kMayStillConfirm = Seconds(30);
 
 /**
@@ -18,8 +21,8 @@
  * this process has seen registered.
  *
  * An entry that is missing from the registry says nothing of the group: a
- * member may have lost the store alone. Only a record drops one, or another
- * upstream at its address.
+ * member may have lost the store alone. A record drops one, or another upstream
+ * at its address; one that no record has named yet is remembered for a while.
  */
 class GroupMembership
 {
--- a/include/marigoldpitch/coordination/group-recorder.h
+++ b/include/marigoldpitch/coordination/group-recorder.h
@@ -17,11 +17,14 @@
 class GroupRecorder
 {
 public:
-  /** The record to be written now, if any; asks what it needs for the next. */
+  /**
+   * The record to be written now, if any. Marks upstreams whose word is needed
+   * for the next one, so that they are asked.
+   */
   std::optional<GroupRecord> Step(ServiceView& aView, Time aNow);
 
 private:
-  std::optional<GroupRecord> First(const ServiceView& aView, Time aNow);
+  std::optional<GroupRecord> FirstRecord(const ServiceView& aView, Time aNow);
   static std::optional<UpstreamIndex> FindUnrecorded(const ServiceView& aView);
   static std::optional<UpstreamIndex> FindGone(ServiceView& aView, Time aNow);
   static bool IsHeldWithout(const ServiceView& aView, UpstreamIndex aUpstream);
--- a/include/marigoldpitch/coordination/promotion.h
+++ b/include/marigoldpitch/coordination/promotion.h
@@ -105,7 +105,6 @@
 
   /** Where the logs of the held replicas end. */
   const std::map<UpstreamIndex, LogPoint>& Held() const { return this->held; }
-  std::optional<UpstreamIndex> Candidate() const { return this->candidate; }
 
   /** Called regularly while this host may act; `aMayAct` false gives up. */
   PromotionSteps Step(const ServiceView& aView, bool aMayAct, Time aNow);
--- a/include/marigoldpitch/coordination/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy-io.h
@@ -188,7 +188,7 @@
 /**
  * Asks the store to record the group's members, if this host holds the duty and
  * the record is still at `record.revision`; 0: there is none. What became of it
- * shows in the next `GroupsRead`; it is not tried again.
+ * shows in the next `GroupsRead`; the decision is made anew after that.
  */
 struct RecordGroup
 {
--- a/src/coordination/group-recorder.cc
+++ b/src/coordination/group-recorder.cc
@@ -10,8 +10,16 @@
 constexpr Duration kWriteInterval = Millis(1500);
 // Fewer members hold no commit twice.
 constexpr size_t kFewestMembers = 2;
+// How often a missing member is asked whether it is there.
 constexpr Duration kProbeInterval = Millis(1000);
 
+GroupMember
+MemberOf(const ProxyUpstream& aUpstream)
+{
+  const RegisteredUpstream& entry = aUpstream.entry;
+  return { entry.id, entry.endpoint, entry.zone };
+}
+
 GroupRecord
 RecordOf(const ServiceView& aView,
          std::optional<UpstreamIndex> aAdded,
@@ -22,8 +30,7 @@
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
     bool isIn = aView.Members().IsRecorded(i) || aAdded == i;
     if (isIn && aDropped != i) {
-      const RegisteredUpstream& entry = aView.At(i).entry;
-      record.members.push_back({ entry.id, entry.endpoint, entry.zone });
+      record.members.push_back(MemberOf(aView.At(i)));
     }
   }
   return record;
@@ -39,7 +46,7 @@
   }
   std::optional<GroupRecord> record;
   if (!aView.Members().IsKnown()) {
-    record = this->First(aView, aNow);
+    record = this->FirstRecord(aView, aNow);
   } else if (auto added = FindUnrecorded(aView)) {
     record = detail::RecordOf(aView, added, std::nullopt);
   } else if (auto dropped = FindGone(aView, aNow)) {
@@ -52,7 +59,7 @@
 }
 
 std::optional<GroupRecord>
-GroupRecorder::First(const ServiceView& aView, Time aNow)
+GroupRecorder::FirstRecord(const ServiceView& aView, Time aNow)
 {
   if (aView.Size() != this->knownUpstreams) {
     this->knownUpstreams = aView.Size();
@@ -67,8 +74,7 @@
   GroupRecord record;
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
     if (aView.Members().MayConfirm(i, aNow)) {
-      const RegisteredUpstream& entry = aView.At(i).entry;
-      record.members.push_back({ entry.id, entry.endpoint, entry.zone });
+      record.members.push_back(detail::MemberOf(aView.At(i)));
     }
   }
   return record;
@@ -115,7 +121,10 @@
   return std::nullopt;
 }
 
-/** Whether primary and a replica hold all that it may have confirmed. */
+/**
+ * Whether the primary and a replica hold all that it may have confirmed. The
+ * primary must be proved here: in a promotion it is the one to be replaced.
+ */
 bool
 GroupRecorder::IsHeldWithout(const ServiceView& aView, UpstreamIndex aUpstream)
 {
