Log when a host learns that an upstream leaves, and what it sends there

E406 of a proxy now says that an upstream announced its departure or is missing from the registry, from which host this was learned, and how long ago the upstream was last known to be serving. E606 names each single statement, or first one of a transaction, that goes to such an upstream; E411 says how late the last one was. Two metrics count them: statements_to_leaving_total and departure_to_last_statement_ms. The departure is dated to the last time at which the store had nothing newer, which Gossip now passes on. An entry's start time is read, to tell a new incarnation from the old one. No decision changes.

--- a/include/marigoldpitch/coordination/gossip.h
+++ b/include/marigoldpitch/coordination/gossip.h
@@ -119,10 +119,21 @@
 struct ActivateDocument
 {
   Document document;
+  std::string peer; // empty when it came from the store
+};
+
+/** The store had no newer revision of this daemon's document at `asOf`. */
+struct ConfirmDocument
+{
+  DocumentKind kind = DocumentKind::Configuration;
+  Time asOf;
 };
 
-using GossipAction =
-  std::variant<WatchStore, SendDocument, SendDigest, ActivateDocument>;
+using GossipAction = std::variant<WatchStore,
+                                  SendDocument,
+                                  SendDigest,
+                                  ActivateDocument,
+                                  ConfirmDocument>;
 
 using GossipActions = std::vector<GossipAction>;
 
@@ -210,6 +221,7 @@
   void On(const GossipTick& aEvent);
   void Watch(DocumentKind aKind);
   bool IsPolled(DocumentKind aKind) const;
+  void Confirm(DocumentKind aKind, Time aAsOf);
   Duration MaxConfirmationAge(DocumentKind aKind) const;
   const Document& OwnDocument(DocumentKind aKind) const;
 
--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -105,6 +105,7 @@
   void On(const InvalidStatementArrived& aEvent);
   void On(const ConfigArrived& aEvent);
   void On(const RegistryRead& aEvent);
+  void On(const RegistryConfirmed& aEvent);
   void On(const HostsCounted& aEvent);
   void On(const ProxyDrainRequested& aEvent);
   void On(const ProxyTick& aEvent);
@@ -168,6 +169,8 @@
   void SendSetup(ProxyLink& aLink, CallerSession& aSession);
   void SendNext(ProxyLink& aLink, CallerSession& aSession);
   void LogPlacement(const ProxyLink& aLink, const PendingStatement& aPending);
+  void NoteStatementToLeaving(const ProxyLink& aLink,
+                              const CallerSession& aSession);
   Duration ReadTimeout(const ProxyService& aService,
                        const PendingStatement& aPending) const;
 
@@ -222,6 +225,10 @@
   void QueueCommand(ProxyService& aService, const UpstreamCommand& aCommand);
   void SendQueuedCommands(ProxyService& aService);
   void CloseUnneededLinks(ProxyService& aService);
+  void LogDeparture(const ProxyService& aService,
+                    UpstreamIndex aUpstream,
+                    const std::string& aPeer);
+  void LogFinishedDepartures(ProxyService& aService);
   void Perform(ProxyService& aService, const PromotionActions& aActions);
   void NoteStaleState(ProxyService& aService,
                       UpstreamIndex aUpstream,
@@ -234,6 +241,7 @@
                   std::optional<UpstreamIndex> aBefore,
                   Term aTermBefore);
 
+  std::string DescribeAge(Time aTime) const;
   void Emit(ProxyAction aAction);
   void AddDecision(LogEvent aEvent,
                    const std::string& aRequestId,
--- a/include/marigoldpitch/coordination/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy-io.h
@@ -81,6 +81,13 @@
 struct RegistryRead
 {
   std::vector<RegisteredUpstream> upstreams;
+  std::string peer; // empty when this host read the store itself
+};
+
+/** The store had no newer registrations than the last read at `asOf`. */
+struct RegistryConfirmed
+{
+  Time asOf;
 };
 
 /**
@@ -133,6 +140,7 @@
                                 LinkReported,
                                 ConfigArrived,
                                 RegistryRead,
+                                RegistryConfirmed,
                                 GroupsRead,
                                 HostsCounted,
                                 PromoterLeaseChanged,
@@ -217,6 +225,15 @@
   bool onReplica = false;
 };
 
+/**
+ * Adds to the metrics how long after a departure the last statement was sent to
+ * the upstream, at most.
+ */
+struct ObserveDeparture
+{
+  Duration span;
+};
+
 using ProxyAction = std::variant<ConfirmSession,
                                  AnswerCaller,
                                  EndSession,
@@ -226,6 +243,7 @@
                                  RequestPromotion,
                                  RecordGroup,
                                  LogDecision,
+                                 ObserveDeparture,
                                  ObserveLatency>;
 
 using ProxyActions = std::vector<ProxyAction>;
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -1,6 +1,7 @@
 #ifndef MARIGOLDPITCH_COORDINATION_SERVICE_VIEW_H
 #define MARIGOLDPITCH_COORDINATION_SERVICE_VIEW_H
 
+#include "marigoldpitch/coordination/departures.h"
 #include "marigoldpitch/coordination/group-membership.h"
 #include "marigoldpitch/coordination/statement.h"
 #include "marigoldpitch/state/connection-table.h"
@@ -45,6 +46,13 @@
   LogPoint point;
 };
 
+/** What a read of the registry has changed. */
+struct RegistryChanges
+{
+  size_t added = 0;                    // new upstreams
+  std::vector<UpstreamIndex> departed; // upstreams that turned out to leave
+};
+
 /** An upstream with its last report, reachability, lag and load. */
 struct ProxyUpstream
 {
@@ -102,8 +110,11 @@
 class ServiceView
 {
 public:
-  /** Applies all registrations; returns the number of new upstreams. */
-  size_t ApplyRegistrations(
+  /** The store had no newer registrations than the last ones at `aAsOf`. */
+  void ConfirmRegistrations(Time aAsOf) { this->departures.Confirm(aAsOf); }
+
+  /** Applies all registrations. */
+  RegistryChanges ApplyRegistrations(
     const std::vector<RegisteredUpstream>& aRegistrations,
     Time aNow);
 
@@ -118,6 +129,25 @@
 
   const GroupMembership& Members() const { return this->members; }
 
+  const Departure& DepartureOf(UpstreamIndex aUpstream) const
+  {
+    return this->departures.Of(aUpstream);
+  }
+
+  /** A statement is being sent to an upstream that is not serving. */
+  void NoteStatementToLeaving(UpstreamIndex aUpstream, Time aNow)
+  {
+    this->departures.NoteStatement(aUpstream, aNow);
+  }
+
+  /**
+   * The departure of an upstream that now is unlisted and failing, or no member
+   * any more, and to which statements were sent meanwhile. Each is returned
+   * once.
+   */
+  std::optional<Departure> TakeFinishedDeparture(UpstreamIndex aUpstream,
+                                                 Time aNow);
+
   /** Applies a report that was requested at `aAsked`. */
   void ApplyReport(UpstreamIndex aUpstream,
                    const UpstreamReport& aReport,
@@ -284,6 +314,8 @@
 
   std::vector<ProxyUpstream> upstreams;
   GroupMembership members;
+  Departures departures;
+  bool hasRegistry = false;
   bool requiresReplicaConfirmation = false;
   std::optional<UpstreamIndex> primary;
   Term term = 0;
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -63,6 +63,8 @@
   CallerRefused,
   LogDropped,
   ReadUnproved,
+  UpstreamLeft,
+  StatementToLeaving,
 };
 
 struct LogEventRow
@@ -73,7 +75,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 38> kLogEvents{ {
+constexpr std::array<LogEventRow, 40> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -121,6 +123,8 @@
   { LogEvent::CallerRefused, 604, Severity::Warning, "caller-refused" },
   { LogEvent::LogDropped, 106, Severity::Warning, "log-dropped" },
   { LogEvent::ReadUnproved, 605, Severity::Warning, "read-unproved" },
+  { LogEvent::UpstreamLeft, 411, Severity::Info, "upstream-left" },
+  { LogEvent::StatementToLeaving, 606, Severity::Info, "statement-to-leaving" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/state/metrics.h
+++ b/include/marigoldpitch/state/metrics.h
@@ -25,10 +25,11 @@
   Retries,
   StoreCalls,
   FramesRefused,
-  ReadsUnproved, // refused: no log point to prove a replica fresh enough
+  ReadsUnproved,       // refused: no log point to prove a replica fresh enough
+  StatementsToLeaving, // sent to an upstream known to be leaving or unlisted
 };
 
-constexpr NameTable<Counter, 10> kCounterNames{ {
+constexpr NameTable<Counter, 11> kCounterNames{ {
   { Counter::ReplicaReads, "replica_reads_total" },
   { Counter::PrimaryReads, "primary_reads_total" },
   { Counter::FallbackReads, "fallback_reads_total" },
@@ -39,6 +40,7 @@
   { Counter::StoreCalls, "store_calls_total" },
   { Counter::FramesRefused, "frames_refused_total" },
   { Counter::ReadsUnproved, "reads_unproved_total" },
+  { Counter::StatementsToLeaving, "statements_to_leaving_total" },
 } };
 
 enum class Measure
@@ -46,12 +48,14 @@
   Latency,
   ReadAge,
   FailoverGap,
+  LastStatement, // from a departure to the last statement sent
 };
 
-constexpr NameTable<Measure, 3> kMeasureNames{ {
+constexpr NameTable<Measure, 4> kMeasureNames{ {
   { Measure::Latency, "request_latency_ms" },
   { Measure::ReadAge, "read_age_ms" },
   { Measure::FailoverGap, "failover_gap_ms" },
+  { Measure::LastStatement, "departure_to_last_statement_ms" },
 } };
 
 /** Upper edge of the last histogram bin, in milliseconds. */
--- a/include/marigoldpitch/state/proxy-config.h
+++ b/include/marigoldpitch/state/proxy-config.h
@@ -65,6 +65,8 @@
   std::string zone;
   bool leaving = false;
   std::optional<Role> role; // as reported by the upstream
+  // Differs after each start under the same id; 0: not known.
+  uint64_t incarnation = 0;
 };
 
 /** A proxy host's own registration. */
--- a/include/marigoldpitch/transport/daemon-core.h
+++ b/include/marigoldpitch/transport/daemon-core.h
@@ -59,7 +59,9 @@
   std::vector<std::string> SeedPeers() const override;
   void QueryStore(const WatchStore& aAction) override;
   bool IsValid(const Document& aDocument) override;
-  void ApplyDocument(const Document& aDocument) override;
+  void ApplyDocument(const Document& aDocument,
+                     const std::string& aPeer) override;
+  void OnConfirmed(DocumentKind, Time) override {}
   bool IsDraining() const override { return this->draining; }
 
 protected:
--- a/include/marigoldpitch/transport/gossip-links.h
+++ b/include/marigoldpitch/transport/gossip-links.h
@@ -34,8 +34,15 @@
   virtual void QueryStore(const WatchStore& aAction) = 0;
   virtual bool IsValid(const Document& aDocument) = 0;
 
-  /** Applies the document; `IsValid` has accepted it before. */
-  virtual void ApplyDocument(const Document& aDocument) = 0;
+  /**
+   * Applies the document; `IsValid` has accepted it before. `aPeer` is empty
+   * for a document that this daemon read from the store itself.
+   */
+  virtual void ApplyDocument(const Document& aDocument,
+                             const std::string& aPeer) = 0;
+
+  /** The store had no newer revision of this daemon's document at `aAsOf`. */
+  virtual void OnConfirmed(DocumentKind aKind, Time aAsOf) = 0;
   virtual bool IsDraining() const = 0;
 };
 
@@ -87,6 +94,10 @@
   void Perform(const SendDocument& aAction);
   void Perform(const SendDigest& aAction);
   void Perform(const ActivateDocument& aAction);
+  void Perform(const ConfirmDocument& aAction)
+  {
+    this->client.OnConfirmed(aAction.kind, aAction.asOf);
+  }
 
   Loop& loop;
   GossipClient& client;
--- a/src/coordination/gossip.cc
+++ b/src/coordination/gossip.cc
@@ -123,7 +123,7 @@
     return;
   }
   this->documents[index] = aEvent.document;
-  this->actions.emplace_back(ActivateDocument{ aEvent.document });
+  this->actions.emplace_back(ActivateDocument{ aEvent.document, aEvent.peer });
   for (auto& [peer, digest] : this->neighbourDigests) {
     if (digest.revisions[index] < aEvent.document.revision) {
       digest.revisions[index] = aEvent.document.revision;
@@ -148,8 +148,8 @@
     }
     isBehind = isBehind || theirs > ours;
     if (theirs == ours && aEvent.digest.ages[i]) {
-      Time& confirmed = this->store[i].confirmed;
-      confirmed = std::max(confirmed, this->now - *aEvent.digest.ages[i]);
+      this->Confirm(static_cast<DocumentKind>(i),
+                    this->now - *aEvent.digest.ages[i]);
     }
   }
   // The peer answers a digest with lower revisions by sending its documents.
@@ -171,13 +171,23 @@
   StoreState& state = this->store[detail::IndexOf(aEvent.kind)];
   state.waiting = false;
   if (aEvent.hasAnswered) {
-    state.confirmed = this->now;
+    this->Confirm(aEvent.kind, this->now);
   } else {
     state.notBefore = this->now + this->options.storeRetry;
   }
   this->Watch(aEvent.kind);
 }
 
+void
+Gossip::Confirm(DocumentKind aKind, Time aAsOf)
+{
+  Time& confirmed = this->store[detail::IndexOf(aKind)].confirmed;
+  if (aAsOf > confirmed) {
+    confirmed = aAsOf;
+    this->actions.emplace_back(ConfirmDocument{ aKind, aAsOf });
+  }
+}
+
 void
 Gossip::On(const GossipTick&)
 {
--- a/src/coordination/proxy-engine.cc
+++ b/src/coordination/proxy-engine.cc
@@ -203,12 +203,24 @@
   }
   for (const auto& [name, entries] : byService) {
     ProxyService& service = this->ServiceOf(name);
-    size_t added = service.view.ApplyRegistrations(entries, this->now);
-    service.connections.AddUpstreams(added);
+    RegistryChanges changes =
+      service.view.ApplyRegistrations(entries, this->now);
+    service.connections.AddUpstreams(changes.added);
+    for (UpstreamIndex departed : changes.departed) {
+      this->LogDeparture(service, departed, aEvent.peer);
+    }
   }
   this->hasRegistry = true;
 }
 
+void
+ProxyEngine::On(const RegistryConfirmed& aEvent)
+{
+  for (auto& [name, service] : this->services) {
+    service.view.ConfirmRegistrations(aEvent.asOf);
+  }
+}
+
 void
 ProxyEngine::On(const HostsCounted& aEvent)
 {
--- a/src/coordination/proxy-placing.cc
+++ b/src/coordination/proxy-placing.cc
@@ -164,10 +164,45 @@
     service.view.CommitSent(aLink.id, this->now);
   }
   this->LogPlacement(aLink, pending);
+  this->NoteStatementToLeaving(aLink, aSession);
   this->Emit(
     SendToUpstream{ aLink.id, pending.requestId, pending.statement, after });
 }
 
+/**
+ * Logs a single statement or the first one of a transaction if the upstream is
+ * known to leave. Later statements of a transaction must go where it runs.
+ */
+void
+ProxyEngine::NoteStatementToLeaving(const ProxyLink& aLink,
+                                    const CallerSession& aSession)
+{
+  const PendingStatement& pending = *aSession.pending;
+  ServiceView& view = this->ServiceOf(aLink.service).view;
+  const Departure& departure = view.DepartureOf(aLink.upstream);
+  bool isFirst = aSession.pinned == 0 || pending.startedTransaction;
+  if (departure.IsServing() || !isFirst) {
+    return;
+  }
+  view.NoteStatementToLeaving(aLink.upstream, this->now);
+  this->AddDecision(
+    LogEvent::StatementToLeaving,
+    pending.requestId,
+    { { "upstream", view.At(aLink.upstream).registration.id },
+      { "as", pending.onReplica ? "replica" : "primary" },
+      { "departure", kDepartureStateNames.TextOf(departure.state) },
+      { "learned_ms", std::to_string((this->now - departure.learned).ms) },
+      { "serving_ms", this->DescribeAge(departure.lastServing) } });
+}
+
+/** How long ago the time was, in milliseconds, as text. */
+std::string
+ProxyEngine::DescribeAge(Time aTime) const
+{
+  return aTime == kInfinitePast ? "unknown"
+                                : std::to_string((this->now - aTime).ms);
+}
+
 void
 ProxyEngine::LogPlacement(const ProxyLink& aLink,
                           const PendingStatement& aPending)
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -106,6 +106,7 @@
     this->UpdateGroupRecord(aService);
   }
   this->CleanUpStaleStates(aService);
+  this->LogFinishedDepartures(aService);
   this->CloseUnneededLinks(aService);
   this->SendQueuedCommands(aService);
 }
@@ -314,6 +315,47 @@
   return text;
 }
 
+/** Logs how this host has learned that the upstream leaves or has left. */
+void
+ProxyEngine::LogDeparture(const ProxyService& aService,
+                          UpstreamIndex aUpstream,
+                          const std::string& aPeer)
+{
+  const Departure& departure = aService.view.DepartureOf(aUpstream);
+  this->AddDecision(
+    LogEvent::UpstreamLeaving,
+    "",
+    { { "service", aService.name },
+      { "upstream", aService.view.At(aUpstream).registration.id },
+      { "as", aService.view.Primary() == aUpstream ? "primary" : "replica" },
+      { "departure", kDepartureStateNames.TextOf(departure.state) },
+      { "from", aPeer.empty() ? "store" : aPeer },
+      { "serving_ms", this->DescribeAge(departure.lastServing) } });
+}
+
+void
+ProxyEngine::LogFinishedDepartures(ProxyService& aService)
+{
+  for (UpstreamIndex i = 0; i < aService.view.Size(); ++i) {
+    auto departure = aService.view.TakeFinishedDeparture(i, this->now);
+    if (!departure) {
+      continue;
+    }
+    Time since =
+      departure->WasSeenServing() ? departure->lastServing : departure->learned;
+    Duration span = departure->lastStatement - since;
+    this->Emit(ObserveDeparture{ span });
+    this->AddDecision(
+      LogEvent::UpstreamLeft,
+      "",
+      { { "service", aService.name },
+        { "upstream", aService.view.At(i).registration.id },
+        { "departure", kDepartureStateNames.TextOf(departure->state) },
+        { "last_statement_ms", std::to_string(span.ms) },
+        { "was_seen_serving", departure->WasSeenServing() ? "yes" : "no" } });
+  }
+}
+
 void
 ProxyEngine::LogPrimary(ProxyService& aService,
                         std::optional<UpstreamIndex> aBefore,
--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -38,34 +38,39 @@
   upstream.registration = aRegistration;
   this->upstreams.push_back(upstream);
   this->members.Add();
+  this->departures.Add();
   return this->upstreams.size() - 1;
 }
 
-size_t
+RegistryChanges
 ServiceView::ApplyRegistrations(
   const std::vector<RegisteredUpstream>& aRegistrations,
   Time aNow)
 {
-  size_t added = 0;
-  std::vector<bool> seen(this->upstreams.size(), false);
+  RegistryChanges changes;
+  this->hasRegistry = true;
+  std::vector<const RegisteredUpstream*> seen(this->upstreams.size(), nullptr);
   for (const RegisteredUpstream& registration : aRegistrations) {
     auto index = this->Find(registration.id);
     if (!index) {
       index = this->Add(registration);
-      seen.push_back(false);
-      ++added;
+      seen.push_back(nullptr);
+      ++changes.added;
     }
     ProxyUpstream& upstream = this->upstreams[*index];
     bool hasRoleChanged = upstream.registration.role != registration.role;
     upstream.reportWanted = upstream.reportWanted || hasRoleChanged;
     upstream.registration = registration;
-    seen[*index] = true;
+    seen[*index] = &registration;
   }
   for (UpstreamIndex i = 0; i < seen.size(); ++i) {
-    this->members.SetListed(i, seen[i], aNow);
+    this->members.SetListed(i, seen[i] != nullptr, aNow);
+    if (this->departures.Apply(i, seen[i], aNow)) {
+      changes.departed.push_back(i);
+    }
   }
   this->NoteReplacements();
-  return added;
+  return changes;
 }
 
 /**
@@ -101,6 +106,9 @@
       registration.endpoint = member.endpoint;
       registration.zone = member.zone;
       index = this->Add(registration);
+      if (this->hasRegistry) {
+        this->departures.Apply(*index, nullptr, aNow);
+      }
       ++added;
     }
     indices.push_back(*index);
@@ -466,6 +474,19 @@
   upstream.reportWanted = true;
 }
 
+std::optional<Departure>
+ServiceView::TakeFinishedDeparture(UpstreamIndex aUpstream, Time aNow)
+{
+  Departure departure = this->departures.Of(aUpstream);
+  bool hasEnded = !this->members.MayConfirm(aUpstream, aNow) ||
+                  this->UnlistedAndFailingSince(aUpstream) != kInfiniteFuture;
+  if (!hasEnded || departure.lastStatement == kInfinitePast) {
+    return std::nullopt;
+  }
+  this->departures.ForgetStatement(aUpstream);
+  return departure;
+}
+
 bool
 ServiceView::IsUsable(UpstreamIndex aUpstream, Time aNow) const
 {
--- a/src/protocol/proxy-documents.cc
+++ b/src/protocol/proxy-documents.cc
@@ -45,7 +45,8 @@
               { "service", aUpstream.service },
               { "endpoint", FormatEndpoint(aUpstream.endpoint) },
               { "zone", aUpstream.zone },
-              { "leaving", aUpstream.leaving } };
+              { "leaving", aUpstream.leaving },
+              { "incarnation", aUpstream.incarnation } };
   if (aUpstream.role) {
     value["role"] = kRoleNames.TextOf(*aUpstream.role);
   }
@@ -64,6 +65,7 @@
   upstream.zone = aValue.at("zone").get<std::string>();
   upstream.leaving = aValue.at("leaving").get<bool>();
   upstream.role = kRoleNames.ValueOf(aValue.value("role", ""));
+  upstream.incarnation = aValue.value("incarnation", upstream.incarnation);
   return upstream;
 }
 
--- a/src/transport/daemon-core.cc
+++ b/src/transport/daemon-core.cc
@@ -148,7 +148,7 @@
 }
 
 void
-DaemonCore::ApplyDocument(const Document& aDocument)
+DaemonCore::ApplyDocument(const Document& aDocument, const std::string&)
 {
   std::string revision = "revision " + std::to_string(aDocument.revision);
   if (aDocument.kind == DocumentKind::Hosts) {
--- a/src/transport/gossip-links.cc
+++ b/src/transport/gossip-links.cc
@@ -140,7 +140,7 @@
 void
 GossipLinks::Perform(const ActivateDocument& aAction)
 {
-  this->client.ApplyDocument(aAction.document);
+  this->client.ApplyDocument(aAction.document, aAction.peer);
 }
 
 void
--- a/test/gossip-test.cc
+++ b/test/gossip-test.cc
@@ -179,7 +179,7 @@
     }
     const auto* seen = std::get_if<DocumentSeen>(&aEvent);
     if (this->acceptAnyRevision && seen != nullptr) {
-      this->Perform(aName, daemon, ActivateDocument{ seen->document });
+      this->Perform(aName, daemon, ActivateDocument{ seen->document, {} });
     }
     for (const GossipAction& action :
          daemon.gossip->Handle(this->Now(), aEvent)) {
