--- a/test/fakes/proxy-simulation-upstreams.cc
+++ b/test/fakes/proxy-simulation-upstreams.cc
@@ -55,6 +55,25 @@
   return report;
 }
 
+void
+ProxySimulation::AnnounceDeparture(size_t aUpstream)
+{
+  this->upstreams[aUpstream].entry.leaving = true;
+  this->upstreams[aUpstream].departed = this->Now();
+}
+
+/** Statements of a transaction that has read or written before may be late. */
+void
+ProxySimulation::CheckDeparture(const FakeLink& aLink,
+                                FakeRequest& aRequest) const
+{
+  const FakeUpstream& upstream = this->upstreams[aLink.upstream];
+  bool isLate = this->Now() > upstream.departed + kDrainTime;
+  if (isLate && !aLink.hasRun) {
+    aRequest.violation = "reached a leaving upstream after its drain time";
+  }
+}
+
 void
 ProxySimulation::CheckSettings(const FakeLink& aLink,
                                FakeRequest& aRequest) const
@@ -86,6 +105,7 @@
       return reply;
     case StatementKind::RollBack:
       aLink.pendingWrites.clear();
+      aLink.hasRun = false;
       aLink.state = SessionState::Idle;
       reply.state = aLink.state;
       return reply;
@@ -103,11 +123,14 @@
         return reply;
       }
       aLink.state = SessionState::InTransaction;
+      aLink.hasRun = false;
       reply.state = aLink.state;
       return reply;
     case StatementKind::Commit:
+      aLink.hasRun = false;
       return this->Commit(aLink, aAction);
     default:
+      aLink.hasRun = aLink.state == SessionState::InTransaction;
       return writes ? this->Write(aLink, aAction) : this->Read(aLink, aAction);
   }
 }
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -50,6 +50,7 @@
   this->SendGroupsToAll();
   for (size_t i = 0; i < aOptions.hosts; ++i) {
     this->Send(i, HostsCounted{ aOptions.hosts });
+    this->PollRegistry(i);
   }
   this->Tick();
 }
@@ -81,6 +82,7 @@
   size_t host = this->hosts.size();
   this->hosts.push_back(this->NewProcess(host));
   this->SendInitialState(host);
+  this->PollRegistry(host);
   for (size_t i = 0; i < this->hosts.size(); ++i) {
     this->Send(i, HostsCounted{ this->hosts.size() });
   }
@@ -106,7 +108,10 @@
 ProxySimulation::SendInitialState(size_t aHost)
 {
   this->Send(aHost, this->config);
-  this->Send(aHost, this->MakeRegistryRead());
+  this->registries.erase(aHost);
+  if (this->withoutRegistry.count(aHost) == 0) {
+    this->SendRegistry(aHost, this->MakeRegistryRead());
+  }
   if (!this->options.withholdsGroups) {
     this->SendGroups(aHost);
   }
@@ -153,8 +158,50 @@
 {
   RegistryRead event = this->MakeRegistryRead();
   for (size_t i = 0; i < this->hosts.size(); ++i) {
-    this->Send(i, event);
+    this->SendRegistry(i, event);
+  }
+}
+
+void
+ProxySimulation::SendRegistry(size_t aHost, const RegistryRead& aRegistry)
+{
+  this->registries[aHost] = aRegistry;
+  this->Send(aHost, aRegistry);
+}
+
+/** Reads the registry now, and again after each interval. */
+void
+ProxySimulation::PollRegistry(size_t aHost)
+{
+  if (!this->options.registryInterval) {
+    return;
+  }
+  if (this->withoutRegistry.count(aHost) == 0) {
+    this->SendRegistry(aHost, this->MakeRegistryRead());
   }
+  this->After(aHost, *this->options.registryInterval, [this, aHost] {
+    this->PollRegistry(aHost);
+  });
+}
+
+/** Whether the host could read the registry, and would find nothing new. */
+bool
+ProxySimulation::HasCurrentRegistry(size_t aHost)
+{
+  auto found = this->registries.find(aHost);
+  if (this->withoutRegistry.count(aHost) != 0 ||
+      found == this->registries.end()) {
+    return false;
+  }
+  auto isSame = [](const RegisteredUpstream& aOne,
+                   const RegisteredUpstream& aTwo) {
+    return aOne.id == aTwo.id && aOne.leaving == aTwo.leaving &&
+           aOne.incarnation == aTwo.incarnation;
+  };
+  const auto& sent = found->second.upstreams;
+  auto current = this->MakeRegistryRead().upstreams;
+  return std::equal(
+    sent.begin(), sent.end(), current.begin(), current.end(), isSame);
 }
 
 void
@@ -166,13 +213,16 @@
     this->upstreams[i].entry.role = this->upstreams[i].role;
     event.upstreams.push_back(this->upstreams[i].entry);
   }
-  this->Send(aHost, event);
+  this->SendRegistry(aHost, event);
 }
 
 void
 ProxySimulation::Tick()
 {
   for (size_t i = 0; i < this->hosts.size(); ++i) {
+    if (this->HasCurrentRegistry(i)) {
+      this->Send(i, RegistryConfirmed{ this->Now() });
+    }
     this->Send(i, ProxyTick{});
   }
   this->queue.After(kTickInterval, [this] { this->Tick(); });
@@ -419,6 +469,9 @@
     return;
   }
   FakeLink& link = found->second;
+  if (FakeRequest* request = this->Find(aAction.requestId)) {
+    this->CheckDeparture(link, *request);
+  }
   bool takesTime = aAction.requestId.empty()
                      ? false
                      : aAction.statement.kind != StatementKind::SetValue;
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -16,11 +16,15 @@
 
 /**
  * Proxies, their callers and the upstreams of a service on a fake clock. Checks
- * that acknowledged commits survive, that reads are fresh enough, and that no
- * statement takes effect twice.
+ * that acknowledged commits survive, that reads are fresh enough, that no
+ * statement takes effect twice, and that no new work reaches an upstream after
+ * the drain time that follows its departure.
  */
 namespace marigoldpitch::fakes {
 
+/** Upstreams that announce their departure go on serving for this long. */
+constexpr Duration kDrainTime = Seconds(7);
+
 struct LogEntry
 {
   Term term = 0;
@@ -38,6 +42,7 @@
   Term held = 0;             // follows no primary of a lower term
   bool isAlive = true;
   bool isListed = true;              // in the registry while it is alive
+  Time departed = kInfiniteFuture;   // when it announced its departure
   bool isReplicationBlocked = false; // receives no log entries
   std::set<size_t> unreachableFrom;  // hosts that cannot reach it
   Duration lag = Millis(5);          // until a replica applies an entry
@@ -56,6 +61,7 @@
   std::map<std::string, PreparedStatement> prepared;
   SessionState state = SessionState::Idle;
   bool readOnly = false;
+  bool hasRun = false; // a statement of its open transaction has run
   std::vector<LogEntry> pendingWrites;     // of its open transaction
   Time freeAt = kInfinitePast;             // when it has run its statements
   Time lastRequestArrival = kInfinitePast; // when its newest statement arrives
@@ -93,6 +99,8 @@
   std::optional<Duration> stepsDownAfter;
   // Processes that start during the run are not sent the group record at once.
   bool withholdsGroups = false;
+  // How often each host reads the registry; unset: when the test sends it.
+  std::optional<Duration> registryInterval;
 };
 
 class ProxySimulation
@@ -135,6 +143,12 @@
   /** Sends every host the upstreams in the registry. */
   void SendRegistryToAll();
 
+  /** The upstream registers that it is leaving. */
+  void AnnounceDeparture(size_t aUpstream);
+
+  /** Hosts that cannot read the registry. */
+  std::set<size_t> withoutRegistry;
+
   /** Sends every host the stored record of the group. */
   void SendGroupsToAll();
 
@@ -205,6 +219,10 @@
   std::unique_ptr<ProxyEngine> NewProcess(size_t aHost);
   void SendInitialState(size_t aHost);
   RegistryRead MakeRegistryRead();
+  void SendRegistry(size_t aHost, const RegistryRead& aRegistry);
+  void PollRegistry(size_t aHost);
+  bool HasCurrentRegistry(size_t aHost);
+  void CheckDeparture(const FakeLink& aLink, FakeRequest& aRequest) const;
   void After(size_t aHost, Duration aSpan, std::function<void()> aCall);
   void Tick();
   Duration MessageDelay(Time& aLastArrival);
@@ -238,6 +256,7 @@
   std::map<size_t, size_t> processes; // by host: its process's serial number
   size_t lastProcess = 0;
   ConfigArrived config;
+  std::map<size_t, RegistryRead> registries; // by host: the last one sent
   GroupRecord group{ "service", {}, 0 };
   std::vector<FakeUpstream> upstreams;
   std::map<LinkKey, FakeLink> links;
