Date the confirmation of a document to the question, not to the answer

A host takes a document for the newest as of its last confirmation. That was dated to when the store's answer was handled, up to a second after the read had been sent, and a peer's digest to when it was handled, even if it had waited through a pause of this process. A departure dated by it would be too young by as much, and a leaving upstream be used for too long.

A read is now dated to when it was sent, and a digest that may have waited through a pause to before the pause. A watch still ends when there is something newer.

Evidence: gossip-dates-test, two of its three tests fail before (a 900 ms answer dated 900 ms late; a digest dated 5 s late after a 5 s pause). Now 3 of 3, and the 11 of gossip-test.

--- a/include/marigoldpitch/coordination/gossip.h
+++ b/include/marigoldpitch/coordination/gossip.h
@@ -222,12 +222,14 @@
   void Watch(DocumentKind aKind);
   bool IsPolled(DocumentKind aKind) const;
   void Confirm(DocumentKind aKind, Time aAsOf);
+  Time FrameTime() const;
   Duration MaxConfirmationAge(DocumentKind aKind) const;
   const Document& OwnDocument(DocumentKind aKind) const;
 
   struct StoreState
   {
-    bool waiting = false; // a `WatchStore` is open
+    bool waiting = false;       // a `WatchStore` is open
+    Time asked = kInfinitePast; // when it was begun
     Time notBefore = kInfinitePast;
     Time confirmed = kInfinitePast; // when the store last had nothing newer
   };
@@ -241,6 +243,11 @@
   bool watches = true; // also as long as no host is known
   size_t rank = 0;     // among the watchers of the zone
   Time lastDigest = kInfinitePast;
+  Time lastTick = kInfinitePast;
+  // The last tick before the last pause of this process, and until when frames
+  // are read that arrived during the pause.
+  Time pausedAt = kInfinitePast;
+  Time backlogUntil = kInfinitePast;
   Time now;
   GossipActions actions;
 };
--- a/src/coordination/gossip.cc
+++ b/src/coordination/gossip.cc
@@ -10,6 +10,10 @@
 
 constexpr size_t kNeighbours = 4;
 constexpr size_t kWatchersPerZone = 2;
+// Ticks further apart show that the process was paused.
+constexpr Duration kMaxTickGap = Millis(800);
+// Frames that arrived during a pause are read within this time after it.
+constexpr Duration kBacklogTime = Millis(400);
 
 size_t
 IndexOf(DocumentKind aKind)
@@ -149,7 +153,7 @@
     isBehind = isBehind || theirs > ours;
     if (theirs == ours && aEvent.digest.ages[i]) {
       this->Confirm(static_cast<DocumentKind>(i),
-                    this->now - *aEvent.digest.ages[i]);
+                    this->FrameTime() - *aEvent.digest.ages[i]);
     }
   }
   // The peer answers a digest with lower revisions by sending its documents.
@@ -171,13 +175,29 @@
   StoreState& state = this->store[detail::IndexOf(aEvent.kind)];
   state.waiting = false;
   if (aEvent.hasAnswered) {
-    this->Confirm(aEvent.kind, this->now);
+    // A watch ends as soon as there is something newer; a read shows what there
+    // was when it was sent.
+    this->Confirm(aEvent.kind,
+                  this->IsPolled(aEvent.kind) ? state.asked : this->now);
   } else {
     state.notBefore = this->now + this->options.storeRetry;
   }
   this->Watch(aEvent.kind);
 }
 
+/**
+ * The latest time by which the frame that is handled now is known to have been
+ * sent. A frame may have waited for as long as this process was paused.
+ */
+Time
+Gossip::FrameTime() const
+{
+  if (this->now - this->lastTick > detail::kMaxTickGap) {
+    return this->lastTick;
+  }
+  return this->now < this->backlogUntil ? this->pausedAt : this->now;
+}
+
 void
 Gossip::Confirm(DocumentKind aKind, Time aAsOf)
 {
@@ -191,6 +211,11 @@
 void
 Gossip::On(const GossipTick&)
 {
+  if (this->now - this->lastTick > detail::kMaxTickGap) {
+    this->pausedAt = this->lastTick;
+    this->backlogUntil = this->now + detail::kBacklogTime;
+  }
+  this->lastTick = this->now;
   for (DocumentKind kind : this->options.kinds) {
     this->Watch(kind);
   }
@@ -230,6 +255,7 @@
     return;
   }
   state.waiting = true;
+  state.asked = this->now;
   this->actions.emplace_back(
     WatchStore{ aKind, this->OwnDocument(aKind).revision });
 }
