Replace a primary that the registry shows to be gone

Callers saw: after an outage in which the entry of a leaving primary expired with its announcement, no successor was ordered while it answered; now that such a primary gets no more work, their writes would be refused until it ends. Cause: a promotion began for an announcement, for silence or for stalled commits; a missing entry was none of these.

A primary whose entry is still missing when it should have been back after any outage, and whose registry the store has confirmed since, is replaced as a leaving one is: the candidate is not held, so commits go on. Nothing is eased: the same members are held and the same logs compared.

--- a/include/marigoldpitch/coordination/departures.h
+++ b/include/marigoldpitch/coordination/departures.h
@@ -91,6 +91,12 @@
    */
   bool MayTakeNewWork(UpstreamIndex aUpstream, Role aRole, Time aNow) const;
 
+  /**
+   * Whether the upstream is gone as far as the registry tells: its entry was
+   * still missing when it should have been back after any outage.
+   */
+  bool IsGone(UpstreamIndex aUpstream) const;
+
   /** A statement is being sent to an upstream that is not serving. */
   void NoteStatement(UpstreamIndex aUpstream, Time aNow)
   {
--- a/include/marigoldpitch/coordination/promotion.h
+++ b/include/marigoldpitch/coordination/promotion.h
@@ -38,13 +38,15 @@
 enum class PromotionReason
 {
   PrimaryLeaving,
+  PrimaryUnlisted, // it may still answer
   PrimarySilent,
   PrimaryUnknown,
   CommitsStalled, // no replica confirms the primary's commits
 };
 
-constexpr NameTable<PromotionReason, 4> kPromotionReasonNames{ {
+constexpr NameTable<PromotionReason, 5> kPromotionReasonNames{ {
   { PromotionReason::PrimaryLeaving, "primary-leaving" },
+  { PromotionReason::PrimaryUnlisted, "primary-unlisted" },
   { PromotionReason::PrimarySilent, "primary-silent" },
   { PromotionReason::PrimaryUnknown, "primary-unknown" },
   { PromotionReason::CommitsStalled, "commits-stalled" },
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/service-view.h
@@ -140,6 +140,12 @@
     return this->departures.Of(aUpstream);
   }
 
+  /** Whether the registry shows that the upstream is gone. */
+  bool IsGone(UpstreamIndex aUpstream) const
+  {
+    return this->departures.IsGone(aUpstream);
+  }
+
   /** A statement is being sent to an upstream that is not serving. */
   void NoteStatementToLeaving(UpstreamIndex aUpstream, Time aNow)
   {
--- a/src/coordination/departures.cc
+++ b/src/coordination/departures.cc
@@ -54,6 +54,15 @@
   return !departure.IsServing();
 }
 
+bool
+Departures::IsGone(UpstreamIndex aUpstream) const
+{
+  const Departure& departure = this->Of(aUpstream);
+  return departure.state == DepartureState::Unlisted &&
+         departure.learned != kInfinitePast &&
+         this->confirmed >= departure.learned + detail::kUnlistedGrace;
+}
+
 bool
 Departures::MayTakeNewWork(UpstreamIndex aUpstream, Role aRole, Time aNow) const
 {
--- a/src/coordination/promotion.cc
+++ b/src/coordination/promotion.cc
@@ -25,6 +25,7 @@
  *   for `kUnknownPrimaryTimeout`;
  * - the primary is silent, see `ServiceView::IsSilent`;
  * - the primary has announced its shutdown;
+ * - the registry shows that the primary is gone, although it may still answer;
  * - the primary answers, but no commit has been acknowledged for
  *   `kCommitStallTimeout` while commits wait for an answer.
  */
@@ -46,6 +47,9 @@
   if (upstream.registration.leaving) {
     return PromotionReason::PrimaryLeaving;
   }
+  if (aView.IsGone(*primary)) {
+    return PromotionReason::PrimaryUnlisted;
+  }
   // A primary that is only slow still acknowledges commits.
   bool answers = aNow - upstream.lastAnswer <= kFailureTimeout;
   if (answers && aView.CommitStall(aNow) >= detail::kCommitStallTimeout) {
@@ -132,7 +136,9 @@
   this->outcome = PromotionOutcome::None;
   this->term = aView.CurrentTerm() + 1;
   this->oldPrimary = aView.Primary();
-  this->holdsCandidate = aReason != PromotionReason::PrimaryLeaving;
+  bool isPlanned = aReason == PromotionReason::PrimaryLeaving ||
+                   aReason == PromotionReason::PrimaryUnlisted;
+  this->holdsCandidate = !isPlanned;
   this->candidate.reset();
   if (!this->holdsCandidate) {
     this->candidate = BestReplica(aView, aNow);
