Wait no longer than needed for a lost holder of the promoter lease

Cause: the next holder counted the time in which the lost one may still act from its own write, although the key had been gone for up to 2.4 s before; and it looked only once, at that moment, whether the lost holder's host had registered a later run.

The wait now counts from when this host first knew that the key was gone, if nobody held the lease in between: the write requires that. It ends when a list newer than the write shows a later run of the former holder.

--- a/include/marigoldpitch/coordination/promoter-lease.h
+++ b/include/marigoldpitch/coordination/promoter-lease.h
@@ -35,6 +35,7 @@
 struct LeaseObserved
 {
   bool isTaken = false;
+  uint64_t lastHolderRevision = 0; // of the record of who held it last
   // How long to leave a free lease to the hosts that rank before this one.
   Duration takeDelay = Millis(0);
 };
@@ -47,6 +48,13 @@
   bool haveFormerHoldersEnded = false;
 };
 
+/**
+ * A registered run of the former holder's host shows that the process which
+ * held the lease before has ended.
+ */
+struct FormerHolderEnded
+{};
+
 /** This host's write failed, or its answer was lost. */
 struct LeaseNotTaken
 {};
@@ -58,8 +66,11 @@
   Time asked;
 };
 
-using PromoterLeaseEvent =
-  std::variant<LeaseObserved, LeaseTaken, LeaseNotTaken, LeaseChecked>;
+using PromoterLeaseEvent = std::variant<LeaseObserved,
+                                        LeaseTaken,
+                                        FormerHolderEnded,
+                                        LeaseNotTaken,
+                                        LeaseChecked>;
 
 enum class PromoterLeaseAction
 {
@@ -73,8 +84,8 @@
  * fencing token is the revision at which the key was created. The platform may
  * delete the key without the holder's notice, so the holder may act only for a
  * limited time after it sent a read that returned its own key. A new holder
- * waits for the same time, unless the former holder's process is known to have
- * ended.
+ * waits for the same time, counted from when it first knew that the key was
+ * gone, unless the former holder's process is known to have ended.
  *
  * The clock also advances while the host is paused.
  */
@@ -98,6 +109,7 @@
 private:
   void On(const LeaseObserved& aEvent, Time aNow);
   void On(const LeaseTaken& aEvent, Time aNow);
+  void On(const FormerHolderEnded& aEvent, Time aNow);
   void On(const LeaseNotTaken& aEvent, Time aNow);
   void On(const LeaseChecked& aEvent, Time aNow);
   void Lose();
@@ -109,6 +121,10 @@
   Time lastCheck = kInfinitePast;
   Time nextTake = kInfinitePast;
   bool isFree = false;
+  uint64_t lastHolderRevision = 0;
+  // Since when the key has been gone with no other holder in between.
+  Time freeSince = kInfiniteFuture;
+  Time takenAfter = kInfiniteFuture; // `freeSince` when the write was sent
 };
 
 } // namespace marigoldpitch
--- a/src/coordination/promoter-lease.cc
+++ b/src/coordination/promoter-lease.cc
@@ -26,6 +26,13 @@
 void
 PromoterLease::On(const LeaseObserved& aEvent, Time aNow)
 {
+  bool hasChangedHands = this->lastHolderRevision != aEvent.lastHolderRevision;
+  this->lastHolderRevision = aEvent.lastHolderRevision;
+  if (aEvent.isTaken) {
+    this->freeSince = kInfiniteFuture;
+  } else if (hasChangedHands || this->freeSince == kInfiniteFuture) {
+    this->freeSince = aNow;
+  }
   if (!aEvent.isTaken && !this->isFree) {
     this->nextTake = std::max(this->nextTake, aNow + aEvent.takeDelay);
   }
@@ -37,13 +44,22 @@
 {
   this->state = PromoterLeaseState::Settling;
   this->token = aEvent.revision;
-  Duration span =
-    aEvent.haveFormerHoldersEnded ? Millis(0) : detail::kProofValidity;
-  this->mayPromoteFrom = aNow + span + detail::kMaxCallTime;
+  // The write required that nobody held the lease since `takenAfter`.
+  Time end = aEvent.haveFormerHoldersEnded
+               ? aNow
+               : std::min(this->takenAfter, aNow) + detail::kProofValidity;
+  this->mayPromoteFrom = std::max(aNow, end + detail::kMaxCallTime);
   this->provedAsked = kInfinitePast;
   this->lastCheck = kInfinitePast;
 }
 
+void
+PromoterLease::On(const FormerHolderEnded&, Time aNow)
+{
+  this->mayPromoteFrom =
+    std::min(this->mayPromoteFrom, aNow + detail::kMaxCallTime);
+}
+
 void
 PromoterLease::On(const LeaseNotTaken&, Time aNow)
 {
@@ -73,6 +89,7 @@
   this->state = PromoterLeaseState::Waiting;
   this->token = 0;
   this->isFree = false;
+  this->freeSince = kInfiniteFuture;
 }
 
 PromoterLeaseAction
@@ -95,6 +112,7 @@
     return PromoterLeaseAction::None;
   }
   this->state = PromoterLeaseState::Taking;
+  this->takenAfter = this->freeSince;
   return PromoterLeaseAction::Take;
 }
 
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -1,8 +1,6 @@
 #include "documents.h"
 #include "wire-lines.h"
 
-#include "marigoldpitch/coordination/former-holder.h"
-#include "marigoldpitch/coordination/promoter-lease.h"
 #include "marigoldpitch/protocol/proxy-settings.h"
 #include "marigoldpitch/transport/clock.h"
 #include "marigoldpitch/transport/json-log.h"
@@ -16,7 +14,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-// The platform's lines and documents, the promoter lease, settings, logs and
+// The platform's lines and documents, settings, logs and
 // clocks.
 
 using namespace marigoldpitch;
@@ -248,95 +246,6 @@
   cr_assert_eq(events.value().storeRevision, 4);
 }
 
-Test(lease, new_holder_waits_for_the_former_holder)
-{
-  PromoterLease lease;
-  Time now{ 1000 };
-  lease.Handle(LeaseObserved{ false }, now);
-  cr_assert(lease.Next(now) == PromoterLeaseAction::Take);
-  lease.Handle(LeaseTaken{ 7, false }, now);
-  cr_assert_eq(lease.Token(), 7);
-  for (; now < Time{ 7400 }; now = now + Millis(100)) {
-    if (lease.Next(now) == PromoterLeaseAction::Check) {
-      lease.Handle(LeaseChecked{ 7, now }, now);
-    }
-    cr_assert_not(lease.MayPromote(now));
-  }
-  now = now + Millis(200);
-  cr_assert(lease.MayPromote(now));
-}
-
-Test(lease, former_holder_that_has_ended_is_not_waited_for)
-{
-  PromoterLease lease;
-  Time now{ 1000 };
-  lease.Handle(LeaseObserved{ false }, now);
-  lease.Next(now);
-  lease.Handle(LeaseTaken{ 7, true }, now);
-  now = now + Millis(600);
-  lease.Handle(LeaseChecked{ 7, now }, now);
-  cr_assert(lease.MayPromote(now));
-}
-
-Test(lease, paused_holder_may_not_promote)
-{
-  PromoterLease lease;
-  Time now{ 1000 };
-  lease.Handle(LeaseObserved{ false }, now);
-  lease.Next(now);
-  lease.Handle(LeaseTaken{ 7, true }, now);
-  now = now + Seconds(1);
-  lease.Handle(LeaseChecked{ 7, now }, now);
-  cr_assert(lease.MayPromote(now));
-  // The clock includes the pause, in which the key was not checked.
-  cr_assert_not(lease.MayPromote(now + Seconds(7)));
-  // A check that was sent before the pause proves nothing after it.
-  lease.Handle(LeaseChecked{ 7, now }, now + Seconds(7));
-  cr_assert_not(lease.MayPromote(now + Seconds(7)));
-}
-
-Test(lease, lease_ends_when_its_key_is_gone)
-{
-  PromoterLease lease;
-  Time now{ 1000 };
-  lease.Handle(LeaseObserved{ false }, now);
-  lease.Next(now);
-  lease.Handle(LeaseTaken{ 7, true }, now);
-  now = now + Seconds(1);
-  lease.Handle(LeaseChecked{ 7, now }, now);
-  lease.Handle(LeaseChecked{ 0, now }, now);
-  cr_assert_not(lease.MayPromote(now));
-  cr_assert_eq(lease.Token(), 0);
-}
-
-namespace {
-
-/** The hosts as read from the store after the run `aRun` took the lease. */
-ProxyHosts
-HostsAfter(FormerHolders aFormerHolders, const std::string& aRun)
-{
-  ProxyHosts hosts;
-  hosts.hosts = { { "front-1", "z", "front-1/b", {} },
-                  { "front-2", "z", "front-2/a", {} } };
-  hosts.lastHolder = FormatLastHolder(aFormerHolders, aRun);
-  return hosts;
-}
-
-} // namespace
-
-Test(lease, holder_that_ended_while_unsettled_shortens_no_wait)
-{
-  // The process of front-1 has restarted since, that of front-2 has not.
-  auto settled = HostsAfter(FormerHolders::Ended, "front-1/a");
-  cr_assert(HaveFormerHoldersEnded(settled, "front-3/a"));
-  auto unsettled = HostsAfter(FormerHolders::MayAct, "front-1/a");
-  cr_assert_not(HaveFormerHoldersEnded(unsettled, "front-3/a"));
-  cr_assert_not(HaveFormerHoldersEnded(unsettled, "front-1/a"));
-  auto running = HostsAfter(FormerHolders::Ended, "front-2/a");
-  cr_assert_not(HaveFormerHoldersEnded(running, "front-3/a"));
-  cr_assert(HaveFormerHoldersEnded(running, "front-2/a"));
-}
-
 Test(settings, every_finding_is_listed)
 {
   auto good = nlohmann::json::parse(
--- /dev/null
+++ b/test/promoter-lease-test.cc
@@ -0,0 +1,197 @@
+#include "marigoldpitch/coordination/former-holder.h"
+#include "marigoldpitch/coordination/promoter-lease.h"
+
+#include <criterion/criterion.h>
+
+// Who holds the promoter lease, and when its holder may act.
+
+using namespace marigoldpitch;
+
+namespace {
+
+constexpr Duration kStep = Millis(100);
+// An order of a former holder may be in flight for this long.
+constexpr Duration kMaxCallTime = Millis(500);
+constexpr uint64_t kFormerToken = 7;
+constexpr uint64_t kNewToken = 9;
+
+/** Answers the lease's checks with `aRevision`, for one step. */
+void
+Step(PromoterLease& aLease, uint64_t aRevision, Time aNow)
+{
+  if (aLease.Next(aNow) == PromoterLeaseAction::Check) {
+    aLease.Handle(LeaseChecked{ aRevision, aNow }, aNow);
+  }
+}
+
+/** A lease that its host has taken at `aNow`, with nobody to wait for. */
+PromoterLease
+TakenLease(uint64_t aToken, Time aNow)
+{
+  PromoterLease lease;
+  lease.Handle(LeaseObserved{ false }, aNow);
+  lease.Next(aNow);
+  lease.Handle(LeaseTaken{ aToken, true }, aNow);
+  return lease;
+}
+
+/**
+ * A holder is lost together with the store when its key is about to expire. Its
+ * successor first sees the key missing `aMissed` later, and takes the lease
+ * after `aDelay`.
+ */
+struct Handover
+{
+  Duration missed;
+  Duration delay;
+};
+
+/** When the successor may promote, from the removal of the former one's key. */
+Duration
+TimeUntilSuccessorActs(const Handover& aHandover)
+{
+  Time removed{ 100000 };
+  PromoterLease lease;
+  lease.Handle(LeaseObserved{ true }, removed - Seconds(1));
+  for (Time now = removed + aHandover.missed;; now = now + kStep) {
+    if (lease.Token() == 0) {
+      lease.Handle(LeaseObserved{ false, 1, aHandover.delay }, now);
+      if (lease.Next(now) == PromoterLeaseAction::Take) {
+        lease.Handle(LeaseTaken{ kNewToken, false }, now);
+      }
+    } else {
+      Step(lease, kNewToken, now);
+    }
+    if (lease.MayPromote(now)) {
+      return now - removed;
+    }
+  }
+}
+
+} // namespace
+
+// Guards against two holders: one acts while orders of another may be in
+// flight.
+Test(lease, new_holder_does_not_act_before_the_former_one_has_stopped)
+{
+  for (Duration missed : { Millis(0), Millis(400), Millis(1000) }) {
+    for (Duration delay : { Millis(0), Millis(600), Millis(2400) }) {
+      for (Duration run = Seconds(8); run < Seconds(10); run = run + kStep) {
+        Time start{ 1000 };
+        Time removed = start + run;
+        PromoterLease former = TakenLease(kFormerToken, start);
+        Time stopped = start;
+        for (Time now = start; now < removed + Seconds(20); now = now + kStep) {
+          if (now <= removed) {
+            Step(former, kFormerToken, now);
+          }
+          stopped = former.MayPromote(now) ? now : stopped;
+        }
+        Time acts = removed + TimeUntilSuccessorActs({ missed, delay });
+        cr_assert(acts > stopped + kMaxCallTime);
+      }
+    }
+  }
+}
+
+Test(lease, holder_that_changed_meanwhile_is_waited_for_anew)
+{
+  PromoterLease lease;
+  Time now{ 1000 };
+  lease.Handle(LeaseObserved{ false, 1, Seconds(5) }, now);
+  lease.Handle(LeaseObserved{ true, 1 }, now);
+  now = now + Seconds(5);
+  // Another host has taken and lost the lease since the last read.
+  lease.Handle(LeaseObserved{ false, 2 }, now);
+  cr_assert(lease.Next(now) == PromoterLeaseAction::Take);
+  lease.Handle(LeaseTaken{ kNewToken, false }, now);
+  Step(lease, kNewToken, now);
+  now = now + Seconds(2);
+  Step(lease, kNewToken, now);
+  cr_assert_not(lease.MayPromote(now));
+}
+
+Test(lease, wait_ends_when_the_former_holder_turns_out_to_have_ended)
+{
+  PromoterLease lease;
+  Time now{ 1000 };
+  lease.Handle(LeaseObserved{ false }, now);
+  lease.Next(now);
+  lease.Handle(LeaseTaken{ kNewToken, false }, now);
+  Step(lease, kNewToken, now);
+  lease.Handle(FormerHolderEnded{}, now);
+  cr_assert_not(lease.MayPromote(now + kMaxCallTime - kStep));
+  Step(lease, kNewToken, now + kMaxCallTime);
+  cr_assert(lease.MayPromote(now + kMaxCallTime));
+}
+
+Test(lease, former_holder_that_has_ended_is_not_waited_for)
+{
+  PromoterLease lease;
+  Time now{ 1000 };
+  lease.Handle(LeaseObserved{ false }, now);
+  lease.Next(now);
+  lease.Handle(LeaseTaken{ 7, true }, now);
+  now = now + Millis(600);
+  lease.Handle(LeaseChecked{ 7, now }, now);
+  cr_assert(lease.MayPromote(now));
+}
+
+Test(lease, paused_holder_may_not_promote)
+{
+  PromoterLease lease;
+  Time now{ 1000 };
+  lease.Handle(LeaseObserved{ false }, now);
+  lease.Next(now);
+  lease.Handle(LeaseTaken{ 7, true }, now);
+  now = now + Seconds(1);
+  lease.Handle(LeaseChecked{ 7, now }, now);
+  cr_assert(lease.MayPromote(now));
+  // The clock includes the pause, in which the key was not checked.
+  cr_assert_not(lease.MayPromote(now + Seconds(7)));
+  // A check that was sent before the pause proves nothing after it.
+  lease.Handle(LeaseChecked{ 7, now }, now + Seconds(7));
+  cr_assert_not(lease.MayPromote(now + Seconds(7)));
+}
+
+Test(lease, lease_ends_when_its_key_is_gone)
+{
+  PromoterLease lease;
+  Time now{ 1000 };
+  lease.Handle(LeaseObserved{ false }, now);
+  lease.Next(now);
+  lease.Handle(LeaseTaken{ 7, true }, now);
+  now = now + Seconds(1);
+  lease.Handle(LeaseChecked{ 7, now }, now);
+  lease.Handle(LeaseChecked{ 0, now }, now);
+  cr_assert_not(lease.MayPromote(now));
+  cr_assert_eq(lease.Token(), 0);
+}
+
+namespace {
+
+/** The hosts as read from the store after the run `aRun` took the lease. */
+ProxyHosts
+HostsAfter(FormerHolders aFormerHolders, const std::string& aRun)
+{
+  ProxyHosts hosts;
+  hosts.hosts = { { "front-1", "z", "front-1/b", {} },
+                  { "front-2", "z", "front-2/a", {} } };
+  hosts.lastHolder = FormatLastHolder(aFormerHolders, aRun);
+  return hosts;
+}
+
+} // namespace
+
+Test(lease, holder_that_ended_while_unsettled_shortens_no_wait)
+{
+  // The process of front-1 has restarted since, that of front-2 has not.
+  auto settled = HostsAfter(FormerHolders::Ended, "front-1/a");
+  cr_assert(HaveFormerHoldersEnded(settled, "front-3/a"));
+  auto unsettled = HostsAfter(FormerHolders::MayAct, "front-1/a");
+  cr_assert_not(HaveFormerHoldersEnded(unsettled, "front-3/a"));
+  cr_assert_not(HaveFormerHoldersEnded(unsettled, "front-1/a"));
+  auto running = HostsAfter(FormerHolders::Ended, "front-2/a");
+  cr_assert_not(HaveFormerHoldersEnded(running, "front-3/a"));
+  cr_assert(HaveFormerHoldersEnded(running, "front-2/a"));
+}
