--- a/src/coordination/service-view.cc
+++ b/src/coordination/service-view.cc
@@ -6,14 +6,7 @@
 
 namespace detail {
 
-constexpr Duration kFirstBackoff = Millis(100);
-constexpr Duration kMaxBackoff = Millis(300);
 constexpr size_t kMaxUnprovedSamples = 64;
-// How long an answer shows that this host's outbound path works.
-constexpr Duration kPathCheckValidity = Millis(300);
-// How long attempts must go unanswered, while the outbound path works, before
-// the upstream counts as silent.
-constexpr Duration kUnansweredTimeout = Millis(250);
 
 } // namespace detail
 
@@ -209,26 +202,6 @@
                        { SampleSource::Quorum, asked.size(), memberCount });
 }
 
-bool
-ServiceView::IsFailingLong(UpstreamIndex aUpstream, Time aNow) const
-{
-  return aNow - this->upstreams[aUpstream].failingSince >= kFailureTimeout;
-}
-
-bool
-ServiceView::IsUnlistedAndFailingLong(UpstreamIndex aUpstream, Time aNow) const
-{
-  return !this->members.IsListed(aUpstream) &&
-         this->IsFailingLong(aUpstream, aNow);
-}
-
-Time
-ServiceView::UnlistedAndFailingSince(UpstreamIndex aUpstream) const
-{
-  return std::max(this->members.UnlistedSince(aUpstream),
-                  this->upstreams[aUpstream].failingSince);
-}
-
 bool
 ServiceView::CoversCommitsOf(UpstreamIndex aUpstream,
                              const LogPoint& aPoint) const
@@ -284,13 +257,6 @@
   this->primary = aUpstream;
 }
 
-bool
-ServiceView::IsUnlistedOrFailing(UpstreamIndex aUpstream) const
-{
-  return !this->members.IsListed(aUpstream) ||
-         this->upstreams[aUpstream].failures > 0;
-}
-
 void
 ServiceView::StartTerm(Term aTerm)
 {
@@ -338,28 +304,6 @@
   }
 }
 
-void
-ServiceView::CommitSent(ConnectionId aConnection, Time aNow)
-{
-  this->unansweredCommits[aConnection] = aNow;
-}
-
-void
-ServiceView::CommitEnded(ConnectionId aConnection)
-{
-  this->unansweredCommits.erase(aConnection);
-}
-
-Duration
-ServiceView::CommitStall(Time aNow) const
-{
-  Time oldest = aNow;
-  for (const auto& [connection, sent] : this->unansweredCommits) {
-    oldest = std::min(oldest, sent);
-  }
-  return aNow - std::max(oldest, this->lastAcknowledged);
-}
-
 /**
  * Sets `allHeldSince`: the time from which all members except the primary have
  * been replicas held for a higher term. From then on no report of a replica can
@@ -423,57 +367,6 @@
   }
 }
 
-void
-ServiceView::NotePathWorks(Time aAsked)
-{
-  this->pathWorkedAt = std::max(this->pathWorkedAt, aAsked);
-}
-
-void
-ServiceView::NoteAttempt(UpstreamIndex aUpstream, Time aNow)
-{
-  ProxyUpstream& upstream = this->upstreams[aUpstream];
-  if (aNow - this->pathWorkedAt > detail::kPathCheckValidity) {
-    upstream.unansweredSince = kInfiniteFuture;
-  } else if (upstream.failures > 0) {
-    upstream.unansweredSince = std::min(upstream.unansweredSince, aNow);
-  }
-}
-
-bool
-ServiceView::IsSilent(UpstreamIndex aUpstream, Time aNow) const
-{
-  const ProxyUpstream& upstream = this->upstreams[aUpstream];
-  return aNow - upstream.failingSince >= kFailureTimeout &&
-         aNow - upstream.unansweredSince >= detail::kUnansweredTimeout &&
-         this->pathWorkedAt >= upstream.unansweredSince;
-}
-
-void
-ServiceView::Answered(UpstreamIndex aUpstream, Time aNow)
-{
-  ProxyUpstream& upstream = this->upstreams[aUpstream];
-  upstream.lastAnswer = aNow;
-  upstream.failures = 0;
-  upstream.failingSince = kInfiniteFuture;
-  upstream.unansweredSince = kInfiniteFuture;
-  upstream.avoidUntil = kInfinitePast;
-}
-
-void
-ServiceView::Failed(UpstreamIndex aUpstream, Time aNow)
-{
-  ProxyUpstream& upstream = this->upstreams[aUpstream];
-  if (upstream.failures == 0) {
-    upstream.failingSince = aNow;
-  }
-  int64_t backoff = detail::kFirstBackoff.ms << std::min(upstream.failures, 3u);
-  ++upstream.failures;
-  upstream.avoidUntil =
-    aNow + Duration{ std::min(backoff, detail::kMaxBackoff.ms) };
-  upstream.reportWanted = true;
-}
-
 std::optional<Departure>
 ServiceView::TakeFinishedDeparture(UpstreamIndex aUpstream, Time aNow)
 {
--- /dev/null
+++ b/test/fakes/proxy-simulation-store.cc
@@ -0,0 +1,133 @@
+#include "fakes/proxy-simulation.h"
+
+#include <algorithm>
+
+// The store of `ProxySimulation`: the registry and the group's record.
+
+namespace marigoldpitch::fakes {
+
+namespace {
+
+constexpr Duration kRecordDelay = Millis(1);
+
+} // namespace
+
+RegistryRead
+ProxySimulation::MakeRegistryRead()
+{
+  RegistryRead event;
+  for (FakeUpstream& upstream : this->upstreams) {
+    upstream.entry.role = upstream.role;
+    if (upstream.isAlive && upstream.isListed) {
+      event.upstreams.push_back(upstream.entry);
+    }
+  }
+  return event;
+}
+
+void
+ProxySimulation::SendRegistryToAll()
+{
+  RegistryRead event = this->MakeRegistryRead();
+  for (size_t i = 0; i < this->hosts.size(); ++i) {
+    this->SendRegistry(i, event);
+  }
+}
+
+void
+ProxySimulation::SendRegistry(size_t aHost, const RegistryRead& aRegistry)
+{
+  this->registries[aHost] = aRegistry;
+  this->Send(aHost, aRegistry);
+}
+
+/** Reads the registry now, and again after each interval. */
+void
+ProxySimulation::PollRegistry(size_t aHost)
+{
+  if (!this->options.registryInterval) {
+    return;
+  }
+  if (this->withoutRegistry.count(aHost) == 0) {
+    this->SendRegistry(aHost, this->MakeRegistryRead());
+  }
+  this->After(aHost, *this->options.registryInterval, [this, aHost] {
+    this->PollRegistry(aHost);
+  });
+}
+
+/** Whether the host could read the registry, and would find nothing new. */
+bool
+ProxySimulation::HasCurrentRegistry(size_t aHost)
+{
+  auto found = this->registries.find(aHost);
+  if (this->withoutRegistry.count(aHost) != 0 ||
+      found == this->registries.end()) {
+    return false;
+  }
+  auto isSame = [](const RegisteredUpstream& aOne,
+                   const RegisteredUpstream& aTwo) {
+    return aOne.id == aTwo.id && aOne.leaving == aTwo.leaving &&
+           aOne.incarnation == aTwo.incarnation;
+  };
+  const auto& sent = found->second.upstreams;
+  auto current = this->MakeRegistryRead().upstreams;
+  return std::equal(
+    sent.begin(), sent.end(), current.begin(), current.end(), isSame);
+}
+
+void
+ProxySimulation::SendPartialRegistry(size_t aHost,
+                                     const std::vector<size_t>& aUpstreams)
+{
+  RegistryRead event;
+  for (size_t i : aUpstreams) {
+    this->upstreams[i].entry.role = this->upstreams[i].role;
+    event.upstreams.push_back(this->upstreams[i].entry);
+  }
+  this->SendRegistry(aHost, event);
+}
+
+void
+ProxySimulation::AnnounceDeparture(size_t aUpstream)
+{
+  this->upstreams[aUpstream].entry.leaving = true;
+  this->upstreams[aUpstream].departed = this->Now();
+}
+
+void
+ProxySimulation::SendGroups(size_t aHost)
+{
+  if (this->isGroupStoreDown) {
+    return;
+  }
+  GroupsRead event;
+  if (this->group.revision != 0) {
+    event.groups.push_back(this->group);
+  }
+  this->Send(aHost, event);
+}
+
+void
+ProxySimulation::SendGroupsToAll()
+{
+  for (size_t i = 0; i < this->hosts.size(); ++i) {
+    this->SendGroups(i);
+  }
+}
+
+/** Compare-and-set: a write with an outdated revision has no effect. */
+void
+ProxySimulation::Record(const GroupRecord& aRecord)
+{
+  if (this->isGroupStoreDown || aRecord.revision != this->group.revision) {
+    return;
+  }
+  this->group = aRecord;
+  ++this->group.revision;
+  for (size_t i = 0; i < this->hosts.size(); ++i) {
+    this->After(i, kRecordDelay, [this, i] { this->SendGroups(i); });
+  }
+}
+
+} // namespace marigoldpitch::fakes
--- a/test/fakes/proxy-simulation-upstreams.cc
+++ b/test/fakes/proxy-simulation-upstreams.cc
@@ -55,13 +55,6 @@
   return report;
 }
 
-void
-ProxySimulation::AnnounceDeparture(size_t aUpstream)
-{
-  this->upstreams[aUpstream].entry.leaving = true;
-  this->upstreams[aUpstream].departed = this->Now();
-}
-
 /** Statements of a transaction that has read or written before may be late. */
 void
 ProxySimulation::CheckDeparture(const FakeLink& aLink,
