Tell callers when to try again if the primary has left

What needs a primary that leaves and has no successor is refused at once; the text of the refusal said that no answer had come in time. It now says why, and that a promotion takes about half a second. The margin before the end of the drain time grows to a second: a first statement may follow the setup of its connection and the start of its transaction, 300 ms each, and the way to the upstream.

--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -213,6 +213,7 @@
   void Close(ConnectionId aConnection, bool aIsUpstreamAtFault);
   void CheckDeadlines();
   Time DeadlineOf(const CallerSession& aSession) const;
+  bool NeedsPrimaryThatHasLeft(const PendingStatement& aPending) const;
   void Expire(CallerSession& aSession);
   void LogUnprovedRead(const CallerSession& aSession);
 
--- a/src/coordination/departures.cc
+++ b/src/coordination/departures.cc
@@ -10,8 +10,8 @@
 // for two seconds; half a second is left for a host to read it.
 constexpr Duration kUnlistedGrace = Millis(2500);
 // A statement that is placed now may reach the upstream this much later: after
-// the setup of its connection and the way there.
-constexpr Duration kDrainMargin = Millis(700);
+// the setup of its connection, the start of its transaction and the way there.
+constexpr Duration kDrainMargin = Millis(1000);
 
 } // namespace detail
 
--- a/src/coordination/proxy-losses.cc
+++ b/src/coordination/proxy-losses.cc
@@ -9,6 +9,9 @@
 constexpr Duration kRecentAnswerSpan = Millis(300);
 // Share of a statement's timeout that it may wait in the queue.
 constexpr double kMaxQueueTimeShare = 0.45;
+// A promotion takes about this long, so a caller that tries again sooner is
+// likely to be refused again.
+constexpr Duration kSuccessorRetryTime = Millis(500);
 
 } // namespace detail
 
@@ -160,7 +163,7 @@
     static_cast<double>(pending.route.timeout.ms) * detail::kMaxQueueTimeShare;
   Duration maxQueueTime{ static_cast<int64_t>(share) };
   const ProxyService& service = this->services.at(pending.route.service);
-  if (pending.needsPrimary && service.view.HasPrimaryLeft(this->now)) {
+  if (this->NeedsPrimaryThatHasLeft(pending)) {
     return pending.arrived;
   }
   bool waitsForPrimary =
@@ -208,7 +211,19 @@
   } else if (wasSent || pending.mayHaveRun) {
     code = pending.writes ? FailureCode::OutcomeUnknown : FailureCode::Timeout;
   }
-  this->AnswerFailure(aSession, code, "no answer in time");
+  std::string why = "no answer in time";
+  if (code == FailureCode::Busy && this->NeedsPrimaryThatHasLeft(pending)) {
+    why = "the primary has left; retry after " +
+          std::to_string(detail::kSuccessorRetryTime.ms) + " ms";
+  }
+  this->AnswerFailure(aSession, code, why);
+}
+
+bool
+ProxyEngine::NeedsPrimaryThatHasLeft(const PendingStatement& aPending) const
+{
+  const ProxyService& service = this->services.at(aPending.route.service);
+  return aPending.needsPrimary && service.view.HasPrimaryLeft(this->now);
 }
 
 /**
