Let the soak make primaries leave beside lost hosts and a store that goes away

Seeds 5, 13, 21 and so on now make the primary leave again and again: alone, just after half of the hosts were killed, beside a paused host, with a store that goes away while leases and the entry expire, or with an entry that expires and all hosts killed. The stand-in reports each single statement, or first one of a transaction, that arrives after the drain time; one of an undisturbed host is a violation (late). Other seeds draw what they drew before.

--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -28,6 +28,15 @@
 // Seeds 3, 7, 11, ... also inject `HostRestarts` at a fixed interval. If every
 // seed did so, little time would be left for other faults.
 constexpr uint32_t kHostRestartsRemainder = 3;
+// Seeds 5, 13, 21, ... inject only `PrimaryLeaves`. A host counts as
+// undisturbed a while after the faults that go with it, before the upstream
+// ends.
+constexpr uint32_t kDepartureSeedInterval = 8;
+constexpr uint32_t kDepartureRemainder = 5;
+constexpr Duration kDepartureInterval = Seconds(13);
+// The drain time of 7 s, and some time in which late statements can arrive.
+constexpr Duration kDepartureTime = Seconds(11);
+constexpr size_t kDrawnFaults = kFaultKindNames.Size() - 1;
 constexpr FaultKind kMaintenanceEvents[] = { FaultKind::ProxyTerm,
                                              FaultKind::ProxyReload,
                                              FaultKind::ConfigChange };
@@ -41,6 +50,7 @@
   , onlyMaintenance(aSeed % kMaintenanceSeedInterval == 0)
   , schedulesHostRestarts(aSeed % kMaintenanceSeedInterval ==
                           kHostRestartsRemainder)
+  , onlyDepartures(aSeed % kDepartureSeedInterval == kDepartureRemainder)
   , hostDisturbedUntil(aTarget.Hosts(), kInfinitePast)
 {
 }
@@ -91,9 +101,13 @@
   if (ReadBootClock() >= this->end) {
     return;
   }
+  if (this->onlyDepartures) {
+    this->InjectDeparture();
+    this->loop.After(kDepartureInterval, [this] { this->InjectNext(); });
+    return;
+  }
   size_t randomNumber = this->random();
-  FaultKind drawn =
-    kFaultKindNames.rows[randomNumber % kFaultKindNames.Size()].value;
+  FaultKind drawn = kFaultKindNames.rows[randomNumber % kDrawnFaults].value;
   bool areHostRestartsDue = this->schedulesHostRestarts &&
                             ReadBootClock() >= this->nextHostRestarts &&
                             ReadBootClock() >= this->exclusiveFaultUntil;
@@ -271,6 +285,56 @@
   });
 }
 
+void
+Faults::KillHosts(size_t aFirst, size_t aCount)
+{
+  for (size_t i = 0; i < aCount; ++i) {
+    size_t host = (aFirst + i) % this->target.Hosts();
+    this->MarkHostDisturbed(host, Seconds(1));
+    this->target.SignalHost(host, SIGKILL);
+  }
+}
+
+/**
+ * The primary leaves. Beside it, as drawn: nothing; half of the hosts are
+ * killed just before; a host is paused; the store goes away while its leases
+ * and the entry expire; or the entry expires and all hosts are killed.
+ */
+void
+Faults::InjectDeparture()
+{
+  constexpr size_t kVariants = 5;
+  constexpr Duration kAnnouncement = Millis(600);
+  constexpr Duration kExpiry = Millis(1100);
+  static constexpr Duration kStoreOutage = Seconds(2);
+  constexpr Duration kPause = Millis(2500);
+  size_t variant = this->random() % kVariants;
+  size_t host = this->random() % this->target.Hosts();
+  this->Log(FaultKind::PrimaryLeaves, variant, kDepartureTime);
+  ++this->counts[FaultKind::PrimaryLeaves];
+  if (variant == 1) {
+    this->KillHosts(host, this->target.Hosts() / 2);
+  }
+  this->loop.After(kAnnouncement, [this, variant] {
+    this->target.Control(R"({"leave":"primary"})");
+    if (variant == 2) {
+      this->InjectHost(FaultKind::ProxyPause, kPause);
+    }
+  });
+  this->loop.After(kAnnouncement + kExpiry, [this, variant, host] {
+    if (variant == 3) {
+      this->MarkDisturbed(kStoreOutage);
+      this->target.Control(
+        R"({"forget_leaving":true,"lapse":true,"down":true})");
+      this->loop.After(kStoreOutage,
+                       [this] { this->target.Control(R"({"down":false})"); });
+    } else if (variant == 4) {
+      this->target.Control(R"({"forget_leaving":true})");
+      this->KillHosts(host, this->target.Hosts());
+    }
+  });
+}
+
 void
 Faults::InjectStoreOrConfig(FaultKind aKind, Duration aDuration)
 {
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -43,9 +43,12 @@
   StoreSilence,      // one host's open connections carry no more data
   StoreCut,          // one host can't reach the store
   ConfigChange,
+  // The primary announces its departure and ends after its drain time, beside
+  // faults of hosts and of the store. Never drawn: see `onlyDepartures`.
+  PrimaryLeaves,
 };
 
-constexpr NameTable<FaultKind, 23> kFaultKindNames{ {
+constexpr NameTable<FaultKind, 24> kFaultKindNames{ {
   { FaultKind::ProxyKill, "proxy-kill" },
   { FaultKind::ProxyTerm, "proxy-term" },
   { FaultKind::ProxyPause, "proxy-pause" },
@@ -69,6 +72,7 @@
   { FaultKind::StoreSilence, "store-silence" },
   { FaultKind::StoreCut, "store-cut" },
   { FaultKind::ConfigChange, "config-change" },
+  { FaultKind::PrimaryLeaves, "primary-leaves" },
 } };
 
 /** The operations on the site that faults are made of. */
@@ -110,6 +114,8 @@
   void InjectHost(FaultKind aKind, Duration aDuration);
   void InjectUpstream(FaultKind aKind, Duration aDuration);
   void InjectHostRestarts(Duration aDuration);
+  void InjectDeparture();
+  void KillHosts(size_t aFirst, size_t aCount);
   void InjectStoreOrConfig(FaultKind aKind, Duration aDuration);
   void MarkDisturbed(Duration aDuration);
   void MarkHostDisturbed(size_t aHost, Duration aDuration);
@@ -122,6 +128,7 @@
   std::mt19937 random;
   bool onlyMaintenance;
   bool schedulesHostRestarts;
+  bool onlyDepartures;
   Time started = kInfinitePast;
   Time end = kInfinitePast;
   // The end of the faults that affect all hosts, then of the exclusive fault.
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -86,6 +86,7 @@
       }
       this->callers.Start(this->options.hosts * kSessionsPerHost);
     });
+    this->ReadLateStatements();
     this->loop.After(kWarmUp,
                      [this] { this->faults.Start(this->options.duration); });
     this->loop.After(kWarmUp + this->options.duration + Millis(3600),
@@ -294,6 +295,41 @@
     this->loop.After(kPollInterval, [this] { this->RestartEndedHosts(); });
   }
 
+  /** Reports late statements of hosts that are undisturbed, periodically. */
+  void ReadLateStatements()
+  {
+    HttpCall call{ "POST", "/control" };
+    call.body = R"({"late":true})";
+    this->control->Send(call, [this](const Result<HttpReply>& aReply) {
+      auto body = nlohmann::json::parse(
+        aReply ? aReply.value().body : "", nullptr, false);
+      if (!body.is_object()) {
+        return; // the next answer names what this one would have named
+      }
+      for (const auto& late : body.value("late", nlohmann::json::array())) {
+        this->CheckLateStatement(late[0], late[1], late[2]);
+      }
+    });
+    this->loop.After(kPollInterval, [this] { this->ReadLateStatements(); });
+  }
+
+  void CheckLateStatement(const std::string& aHost,
+                          const std::string& aUpstream,
+                          int64_t aSinceLeftMs)
+  {
+    ++this->lateStatements;
+    for (size_t host = 0; host < this->options.hosts; ++host) {
+      if (aHost == this->HostName(host) && this->faults.IsUndisturbed(host)) {
+        this->history.ReportViolation(
+          Violation::LateStatement,
+          fmt::format("{} to {}, {} ms after it said that it leaves",
+                      aHost,
+                      aUpstream,
+                      aSinceLeftMs));
+      }
+    }
+  }
+
   void CommandRelay(int aPort, const std::string& aCommand)
   {
     auto& client = this->relays[aPort];
@@ -394,7 +430,8 @@
       fmt::print("WRONG {}\n", violation);
     }
     fmt::print("seed {}: {} faults, {} served, {} refused, {} unsure, {} "
-               "connections lost with a request pending, {} probes, {} wrong\n",
+               "connections lost with a request pending, {} probes, {} late, "
+               "{} wrong\n",
                this->options.seed,
                faultCount,
                stats.served,
@@ -402,6 +439,7 @@
                stats.unsure,
                stats.connectionsLost,
                this->probes,
+               this->lateStatements,
                this->history.Violations().size());
   }
 
@@ -419,6 +457,7 @@
   std::map<size_t, uint64_t> recovered;
   uint64_t version = 10;
   uint64_t probes = 0;
+  uint64_t lateStatements = 0; // of all hosts, also of disturbed ones
 };
 
 int
--- a/test/soak/write-history.h
+++ b/test/soak/write-history.h
@@ -26,9 +26,10 @@
   DrainCutOff,      // a planned shutdown cut off a pending request
   MissingDatabase,  // a host refused a database of the configuration
   NotRecovered,     // a host served no writes after the faults had ended
+  LateStatement,    // an undisturbed host used an upstream that had left
 };
 
-constexpr NameTable<Violation, 10> kViolationNames{ {
+constexpr NameTable<Violation, 11> kViolationNames{ {
   { Violation::UnknownWrite, "unasked" },
   { Violation::WrongItem, "mixed" },
   { Violation::SessionNotPinned, "pinned" },
@@ -39,6 +40,7 @@
   { Violation::DrainCutOff, "drain" },
   { Violation::MissingDatabase, "config" },
   { Violation::NotRecovered, "recover" },
+  { Violation::LateStatement, "late" },
 } };
 
 enum class WriteOutcome
--- a/test/standin/site-store.cc
+++ b/test/standin/site-store.cc
@@ -84,6 +84,7 @@
 {
   for (Upstream& upstream : this->upstreams.All()) {
     std::string key = "servers/" + upstream.id;
+    this->upstreams.NoteLeft(upstream);
     if (!upstream.isRunning || upstream.isUnregistered) {
       this->items.erase(key);
       continue;
@@ -92,6 +93,7 @@
                 { "addr", FormatEndpoint(upstream.advertised) },
                 { "zone", "zone-" + upstream.id.substr(2) },
                 { "state", upstream.isLeaving ? "draining" : "ready" },
+                { "born", upstream.incarnation },
                 { "dbRole", upstream.isPrimary ? "primary" : "replica" } };
     this->Put(key, entry.dump());
   }
@@ -318,6 +320,7 @@
     200,
     { { "primary", primary },
       { "strange", this->upstreams.UnexpectedLines() },
+      { "late", aBody.contains("late") ? this->Late() : Json::array() },
       { "log", aBody.contains("log") ? this->Log() : Json::array() } });
 }
 
@@ -361,8 +364,24 @@
     this->upstreams.SetExecutionTime(Millis(static_cast<int64_t>(*work)));
   }
   if (auto index = numberAt("leave")) {
-    this->upstreams.All()[*index].isLeaving = true;
+    this->upstreams.Leave(*index);
   }
+  if (aBody.contains("forget_leaving")) {
+    for (Upstream& upstream : this->upstreams.All()) {
+      upstream.isUnregistered = upstream.isUnregistered || upstream.isLeaving;
+    }
+  }
+}
+
+/** The late statements since the last call, as host, upstream and time. */
+Store::Json
+Store::Late()
+{
+  Json list = Json::array();
+  for (const LateStatement& late : this->upstreams.TakeLateStatements()) {
+    list.push_back({ late.host, late.upstream, late.sinceLeft.ms });
+  }
+  return list;
 }
 
 /** The primary's log as pairs of item and value; empty without a primary. */
--- a/test/standin/site-store.h
+++ b/test/standin/site-store.h
@@ -62,6 +62,7 @@
   /** Accepts an upstream as an index or a name in `kMemberNames`. */
   void ControlUpstreams(const Json& aBody);
   Json Log();
+  Json Late();
   void Write(const std::string& aKey, const Item& aItem);
   void ExpireLeases();
   Json ItemToJson(const std::string& aKey, const Item& aItem) const;
--- a/test/standin/site-upstreams.cc
+++ b/test/standin/site-upstreams.cc
@@ -1,11 +1,23 @@
 #include "standin/site-upstreams.h"
 
+#include "marigoldpitch/transport/clock.h"
+
 #include <fmt/format.h>
 
 #include <sstream>
 
 namespace marigoldpitch::standin {
 
+namespace {
+
+// Upstreams that announce their departure go on serving for this long.
+constexpr Duration kDrainTime = Seconds(7);
+// How much longer they serve, and for how long they are gone.
+constexpr Duration kLingerTime = Millis(3500);
+constexpr Duration kAbsence = Millis(1000);
+
+} // namespace
+
 Upstreams::Upstreams(Loop& aLoop)
   : loop(aLoop)
 {
@@ -78,6 +90,32 @@
   this->CatchUp(upstream);
 }
 
+void
+Upstreams::Leave(size_t aUpstream)
+{
+  if (std::exchange(this->upstreams[aUpstream].isLeaving, true)) {
+    return;
+  }
+  this->loop.After(kDrainTime + kLingerTime, [this, aUpstream] {
+    this->Kill(aUpstream);
+    this->loop.After(kAbsence, [this, aUpstream] {
+      Upstream& upstream = this->upstreams[aUpstream];
+      upstream.isLeaving = false;
+      upstream.isUnregistered = false;
+      upstream.leftAt = kInfiniteFuture;
+      ++upstream.incarnation;
+      this->Restart(aUpstream);
+    });
+  });
+}
+
+void
+Upstreams::NoteLeft(Upstream& aUpstream)
+{
+  bool isNew = aUpstream.isLeaving && aUpstream.leftAt == kInfiniteFuture;
+  aUpstream.leftAt = isNew ? ReadBootClock() : aUpstream.leftAt;
+}
+
 void
 Upstreams::SetReplicationBlocked(size_t aUpstream, bool aIsBlocked)
 {
@@ -208,6 +246,7 @@
     bool isThisUpstream = words.size() >= 4 && words[0] == "START" &&
                           words[1] == "svc" && words[3] == upstream.id;
     session.hasStarted = isThisUpstream;
+    session.host = words.size() >= 3 ? words[2] : "";
     link.Send(isThisUpstream ? end : "ERR MISROUTED -\r\n");
     return;
   }
@@ -215,6 +254,7 @@
     ++this->unexpectedLines;
     return;
   }
+  this->CheckDeparture(session, words[1]);
   std::vector<std::string> statement(words.begin() + 2, words.end());
   std::string answer = this->Answer(session, statement);
   bool isAnswerDropped = this->answerLossInterval != 0 &&
@@ -235,6 +275,20 @@
   }
 }
 
+void
+Upstreams::CheckDeparture(Session& aSession, const std::string& aRequestId)
+{
+  if (aRequestId == "-") {
+    return; // the proxy's own
+  }
+  bool isFirst = !std::exchange(aSession.hasRun, aSession.state == 'T');
+  const Upstream& upstream = this->upstreams[aSession.upstream];
+  Duration sinceLeft = ReadBootClock() - upstream.leftAt;
+  if (isFirst && sinceLeft > kDrainTime) {
+    this->lateStatements.push_back({ aSession.host, upstream.id, sinceLeft });
+  }
+}
+
 std::string
 Upstreams::StatusReply(Upstream& aUpstream)
 {
@@ -293,6 +347,7 @@
       return "ERR READONLY -\r\n";
     }
     aSession.state = 'T';
+    aSession.hasRun = false;
     return done;
   }
   if (verb == "ROLLBACK" || verb == "COMMIT") {
--- a/test/standin/site-upstreams.h
+++ b/test/standin/site-upstreams.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_TEST_STANDIN_SITE_UPSTREAMS_H
 
 #include "marigoldpitch/state/names.h"
+#include "marigoldpitch/state/time.h"
 #include "marigoldpitch/transport/line-link.h"
 #include "marigoldpitch/transport/tcp-listener.h"
 
@@ -10,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 /** Three upstreams of one service in one process, with a line protocol. */
@@ -39,12 +41,22 @@
   uint64_t holdTerm = 0; // term of the HOLD in force; 0 for none
   bool isRunning = true;
   bool isLeaving = false;
+  Time leftAt = kInfiniteFuture;     // when the registry first said so
+  uint64_t incarnation = 1;          // how often it was started
   bool isReplicationBlocked = false; // does not receive log entries
   bool isUnregistered = false;       // not in the registry, but still serves
   std::vector<std::pair<std::string, std::string>> log; // item and value
   size_t visibleEntries = 0; // number of log entries that reads see
 };
 
+/** A statement that arrived after the drain time of its upstream. */
+struct LateStatement
+{
+  std::string host;
+  std::string upstream;
+  Duration sinceLeft;
+};
+
 class Upstreams : public LineLinkListener
 {
 public:
@@ -67,6 +79,24 @@
 
   /** Restarts it with its log, as a replica if there is another primary. */
   void Restart(size_t aUpstream);
+
+  /**
+   * The upstream announces that it is leaving. It ends some time after the
+   * drain time, and later starts again with its log.
+   */
+  void Leave(size_t aUpstream);
+
+  /** The registry has said since now that the upstream is leaving. */
+  void NoteLeft(Upstream& aUpstream);
+
+  /**
+   * Single statements, and first ones of a transaction, that arrived late since
+   * the last call.
+   */
+  std::vector<LateStatement> TakeLateStatements()
+  {
+    return std::exchange(this->lateStatements, {});
+  }
   void SetReplicationBlocked(size_t aUpstream, bool aIsBlocked);
   void SetReplayLag(Duration aLag) { this->replayLag = aLag; }
   void SetExecutionTime(Duration aExecutionTime)
@@ -99,13 +129,16 @@
     size_t upstream = 0;
     std::shared_ptr<LineLink> link;
     bool hasStarted = false;
+    std::string host; // which has opened the connection
     char state = 'I';
+    bool hasRun = false; // a statement of the open transaction has run
     std::map<std::string, std::string> prepared; // name to `READ` or `WRITE`
     std::string who; // session setting `who`, part of each signature
     std::vector<std::pair<std::string, std::string>> pendingWrites;
   };
 
   void RunStatement(uint64_t aSession, const std::string& aLine);
+  void CheckDeparture(Session& aSession, const std::string& aRequestId);
   std::string Answer(Session& aSession, const std::vector<std::string>& aWords);
   std::string Read(Session& aSession, const std::string& aItem);
   std::string CommitEntries(
@@ -127,6 +160,7 @@
   Duration executionTime = Millis(0); // delay before each statement runs
   uint64_t answerLossInterval = 0;
   uint64_t answerCount = 0;
+  std::vector<LateStatement> lateStatements;
   uint64_t unexpectedLines = 0; // received lines that violate the protocol
 };
 
