Keep a promoter that stood still from resuming its successor's replicas

The promoter had stood still for 5 s, and another host had taken over, held the replicas and ordered the promotion. When the first one ran again, it started a promotion of its own for the same leaving primary, noticed 30 ms later that it had lost the lease, and resumed what it thought that it had held itself. A resumed replica confirmed commits to the old primary that the new one lacked.

Cause: the engine had the lease as a flag, which the keeper clears at its next turn, up to 100 ms after a pause; and a promotion that ends because the lease is lost resumed replicas. Before, a successor acted 9 s after the loss at the earliest, so a shorter pause did not show it.

The lease now reaches the engine with its end, on the clock that counts pauses, and a replica is resumed only while the lease is held; the next holder resumes what was left. Either alone mends the test promoter_that_stood_still_resumes_no_replica; without both it loses commits.

--- a/include/marigoldpitch/coordination/promoter-lease.h
+++ b/include/marigoldpitch/coordination/promoter-lease.h
@@ -103,6 +103,9 @@
    * was sent recently enough.
    */
   bool MayPromote(Time aNow) const;
+
+  /** Until when a promotion may be ordered unless a later check succeeds. */
+  Time MayPromoteUntil() const;
   uint64_t Token() const { return this->token; }
   PromoterLeaseState State() const { return this->state; }
 
--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy-engine.h
@@ -223,6 +223,10 @@
   void On(const PromoterLeaseChanged& aEvent);
   void On(const PromotionOrdered& aEvent);
   void On(const GroupsRead& aEvent);
+  bool MayPromote() const
+  {
+    return this->mayPromote && this->now < this->mayPromoteUntil;
+  }
   void UpdateService(ProxyService& aService);
   void UpdateGroupRecord(ProxyService& aService);
   void RequestProof(ProxyService& aService);
@@ -258,7 +262,9 @@
   Time fewerHostsSince = kInfiniteFuture;
   // Sessions that wait for the first configuration.
   std::vector<SessionOpened> sessionsAwaitingConfig;
-  bool mayPromote = false; // whether this host may order promotions
+  // Whether and until when this host may order promotions.
+  bool mayPromote = false;
+  Time mayPromoteUntil = kInfinitePast;
   Time mayPromoteSince = kInfinitePast;
   // When the newest request that any upstream has answered was sent.
   Time pathWorkedAt = kInfinitePast;
--- a/include/marigoldpitch/coordination/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy-io.h
@@ -106,10 +106,15 @@
   size_t hosts = 1;
 };
 
-/** Whether this host may order promotions, after a change. */
+/**
+ * Whether this host may order promotions, and until when unless a later event
+ * extends the time. The host may be paused before it can tell that it has lost
+ * the lease.
+ */
 struct PromoterLeaseChanged
 {
   bool mayPromote = false;
+  Time until = kInfiniteFuture;
 };
 
 /**
--- a/src/coordination/promoter-lease.cc
+++ b/src/coordination/promoter-lease.cc
@@ -121,7 +121,13 @@
 PromoterLease::MayPromote(Time aNow) const
 {
   return this->token != 0 && aNow >= this->mayPromoteFrom &&
-         aNow - this->provedAsked < detail::kProofValidity;
+         aNow < this->MayPromoteUntil();
+}
+
+Time
+PromoterLease::MayPromoteUntil() const
+{
+  return this->provedAsked + detail::kProofValidity;
 }
 
 } // namespace marigoldpitch
--- a/src/coordination/proxy-watch.cc
+++ b/src/coordination/proxy-watch.cc
@@ -23,8 +23,9 @@
 void
 ProxyEngine::On(const PromoterLeaseChanged& aEvent)
 {
-  bool isNew = aEvent.mayPromote && !this->mayPromote;
+  bool isNew = aEvent.mayPromote && !this->MayPromote();
   this->mayPromote = aEvent.mayPromote;
+  this->mayPromoteUntil = aEvent.until;
   if (!isNew) {
     return;
   }
@@ -100,9 +101,9 @@
   }
   PromotionPhase before = aService.promotion.Phase();
   this->Perform(aService,
-                aService.promotion.Update(view, this->mayPromote, this->now));
+                aService.promotion.Update(view, this->MayPromote(), this->now));
   this->LogPromotion(aService, before);
-  if (this->mayPromote) {
+  if (this->MayPromote()) {
     this->UpdateGroupRecord(aService);
   }
   this->CleanUpStaleStates(aService);
@@ -167,6 +168,10 @@
   for (auto it = aService.queuedCommands.begin();
        it != aService.queuedCommands.end();) {
     UpstreamCommand command = it->second;
+    // The next holder of the lease may rely on the replica being held.
+    if (command.kind == StatementKind::Resume && !this->MayPromote()) {
+      command = { command.upstream };
+    }
     if (!aService.view.Members().MayConfirm(command.upstream, this->now)) {
       aService.view.At(command.upstream).reportRequestOpen = false;
       it = aService.queuedCommands.erase(it);
@@ -434,7 +439,7 @@
 void
 ProxyEngine::CleanUpStaleStates(ProxyService& aService)
 {
-  if (!this->mayPromote || aService.promotion.IsRunning()) {
+  if (!this->MayPromote() || aService.promotion.IsRunning()) {
     return;
   }
   for (const auto& [upstream, staleState] : aService.staleStates) {
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -144,6 +144,9 @@
 ProxySimulation::Tick()
 {
   for (size_t i = 0; i < this->hosts.size(); ++i) {
+    if (this->paused.count(i) != 0) {
+      continue;
+    }
     if (this->HasCurrentRegistry(i)) {
       this->Send(i, RegistryConfirmed{ this->Now() });
     }
@@ -202,9 +205,20 @@
   return best;
 }
 
+void
+ProxySimulation::SendOnceResumed(size_t aHost, const ProxyEvent& aEvent)
+{
+  this->After(
+    aHost, kNetworkDelay, [this, aHost, aEvent] { this->Send(aHost, aEvent); });
+}
+
 void
 ProxySimulation::Send(size_t aHost, const ProxyEvent& aEvent)
 {
+  if (this->paused.count(aHost) != 0) {
+    this->SendOnceResumed(aHost, aEvent);
+    return;
+  }
   for (const ProxyAction& action :
        this->hosts[aHost]->Handle(this->queue.Now(), aEvent)) {
     this->Perform(aHost, action);
@@ -404,9 +418,9 @@
 }
 
 void
-ProxySimulation::SetPromoterLease(size_t aHost, bool aMayPromote)
+ProxySimulation::SetPromoterLease(size_t aHost, bool aMayPromote, Time aUntil)
 {
-  this->Send(aHost, PromoterLeaseChanged{ aMayPromote });
+  this->Send(aHost, PromoterLeaseChanged{ aMayPromote, aUntil });
 }
 
 size_t
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -188,7 +188,12 @@
   void Reset(size_t aHost, size_t aUpstream);
 
   /** Gives the host the promoter lease, or withdraws it. */
-  void SetPromoterLease(size_t aHost, bool aMayPromote);
+  void SetPromoterLease(size_t aHost,
+                        bool aMayPromote,
+                        Time aUntil = kInfiniteFuture);
+
+  /** Hosts that stand still: what reaches them is handled later. */
+  std::set<size_t> paused;
 
   size_t OpenLinks(size_t aUpstream) const;
   const std::vector<std::shared_ptr<FakeRequest>>& Requests() const
@@ -225,6 +230,7 @@
   void CheckDeparture(const FakeLink& aLink, FakeRequest& aRequest) const;
   void After(size_t aHost, Duration aSpan, std::function<void()> aCall);
   void Tick();
+  void SendOnceResumed(size_t aHost, const ProxyEvent& aEvent);
   Duration MessageDelay(Time& aLastArrival);
   void Perform(size_t aHost, const ProxyAction& aAction);
   void Open(size_t aHost, const OpenLink& aAction);
--- a/test/leaving-upstreams-test.cc
+++ b/test/leaving-upstreams-test.cc
@@ -182,29 +182,36 @@
   cr_assert_eq(FirstViolation(simulation), "");
 }
 
+namespace {
+
+/** A host is replaced while u0 leaves, with or without its entry. */
+void
+CheckNewHost(bool aIsListed)
+{
+  for (Duration age : { Seconds(4), Seconds(6) }) {
+    ProxySimulation simulation(Options(Freshness::Newest));
+    UseFor(simulation, Seconds(2));
+    simulation.AnnounceDeparture(0);
+    simulation.Upstream(0).isListed = aIsListed;
+    UseFor(simulation, age);
+    simulation.ReplaceHost(1);
+    UseFor(simulation, Seconds(8));
+    cr_assert_eq(FirstViolation(simulation), "");
+  }
+}
+
+} // namespace
+
 Test(leaving_upstreams, new_host_does_not_use_a_primary_that_is_leaving)
 {
-  ProxySimulation simulation(Options(Freshness::Newest));
-  UseFor(simulation, Seconds(2));
-  simulation.AnnounceDeparture(0);
-  UseFor(simulation, Seconds(4));
-  simulation.ReplaceHost(1);
-  UseFor(simulation, Seconds(8));
-  cr_assert_eq(FirstViolation(simulation), "");
+  CheckNewHost(true);
 }
 
 // Guards against the group's record as the only word on an upstream: it names
 // the members, not whether they leave.
 Test(leaving_upstreams, new_host_does_not_use_a_primary_known_by_record_alone)
 {
-  ProxySimulation simulation(Options(Freshness::Newest));
-  UseFor(simulation, Seconds(2));
-  simulation.AnnounceDeparture(0);
-  simulation.Upstream(0).isListed = false;
-  UseFor(simulation, Seconds(4));
-  simulation.ReplaceHost(1);
-  UseFor(simulation, Seconds(8));
-  cr_assert_eq(FirstViolation(simulation), "");
+  CheckNewHost(false);
 }
 
 // Guards against an announcement that is dated to when it was read: the reader
@@ -255,6 +262,47 @@
   cr_assert_gt(ServedShare(requests, StatementKind::Write, end), 0.95);
 }
 
+// Guards against a lost commit: a promoter that had stood still resumed
+// replicas that its successor held, and one of them confirmed a commit to the
+// old primary.
+Test(leaving_upstreams, promoter_that_stood_still_resumes_no_replica)
+{
+  for (int64_t offsetMs = 80; offsetMs <= 400; offsetMs += 20) {
+    ProxySimulationOptions options = Options(Freshness::Newest);
+    options.upstreams = 4;
+    ProxySimulation simulation(options);
+    simulation.SetPromoterLease(0, true, simulation.Now() + Seconds(5));
+    UseFor(simulation, Seconds(2));
+    simulation.RunFor(Seconds(1));
+    simulation.paused.insert(0);
+    simulation.RunFor(Seconds(3));
+    simulation.AnnounceDeparture(0);
+    simulation.RunFor(Seconds(1));
+    simulation.SetPromoterLease(1, true);
+    simulation.RunFor(Duration{ offsetMs });
+    simulation.paused.erase(0);
+    simulation.SendRegistryToAll();
+    // The host is still holding replicas when it notices, and the chosen one
+    // receives nothing more before it leads.
+    simulation.Upstream(3).unreachableFrom.insert(0);
+    simulation.SetReplicationBlocked(1, true);
+    for (int i = 0; i < 40; ++i) {
+      bool isNoticed = i == 3; // that the lease is lost
+      if (isNoticed) {
+        simulation.SetPromoterLease(0, false);
+      }
+      simulation.SubmitStatement(1,
+                                 simulation.OpenSession(1),
+                                 WriteStatement("a", "n" + std::to_string(i)));
+      simulation.RunFor(Millis(10));
+    }
+    simulation.SetReplicationBlocked(1, false);
+    simulation.RunFor(Seconds(2));
+    cr_assert_eq(simulation.Promotions(), 1, "resumed %ld ms after", offsetMs);
+    cr_assert_eq(FirstViolation(simulation), "", "%ld ms after", offsetMs);
+  }
+}
+
 // A first read of the registry after an outage lacks the entries that expired.
 Test(leaving_upstreams,
      entries_that_come_back_after_an_outage_cost_no_promotion)
--- a/test/promoter-lease-test.cc
+++ b/test/promoter-lease-test.cc
@@ -115,7 +115,6 @@
   PromoterLease lease;
   Time now{ 1000 };
   lease.Handle(LeaseObserved{ false, 1, Seconds(5) }, now);
-  lease.Handle(LeaseObserved{ true, 1 }, now);
   now = now + Seconds(5);
   // Another host has taken and lost the lease since the last read.
   lease.Handle(LeaseObserved{ false, 2 }, now);
