--- a/src/transport/http-client.cc
+++ b/src/transport/http-client.cc
@@ -3,6 +3,8 @@
 #include "marigoldpitch/protocol/settings.h"
 #include "marigoldpitch/transport/socket-address.h"
 
+#include <sys/socket.h>
+
 namespace marigoldpitch {
 
 namespace detail {
@@ -10,6 +12,22 @@
 constexpr uint64_t kPooledIdleMs = 5000;
 // The I/O timeout of libh2o; each call also has its own `HttpCall::timeout`.
 constexpr uint64_t kIoTimeoutMs = 120000;
+
+/**
+ * Makes the socket discard what it has not delivered when it is closed. A call
+ * that was given up must not arrive later, when a cut in the network heals.
+ */
+void
+DiscardOnClose(h2o_socket_t* aSocket)
+{
+  linger discard{ 1, 0 };
+  setsockopt(h2o_socket_get_fd(aSocket),
+             SOL_SOCKET,
+             SO_LINGER,
+             &discard,
+             sizeof(discard));
+}
+
 } // namespace detail
 
 struct HttpClient::Call
@@ -86,6 +104,9 @@
   this->calls.insert(call);
   call->timer = this->loop.After(aTimeout, [this, call] {
     if (call->handle != nullptr) {
+      if (call->handle->sock != nullptr) {
+        detail::DiscardOnClose(call->handle->sock);
+      }
       h2o_http1client_cancel(std::exchange(call->handle, nullptr));
     }
     this->Finish(
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -3,6 +3,7 @@
 
 #include "marigoldpitch/protocol/proxy-settings.h"
 #include "marigoldpitch/transport/clock.h"
+#include "marigoldpitch/transport/http-client.h"
 #include "marigoldpitch/transport/json-log.h"
 #include "marigoldpitch/transport/loop.h"
 #include "marigoldpitch/transport/unique-fd.h"
@@ -11,7 +12,10 @@
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
+#include <arpa/inet.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 // The platform's lines and documents, settings, logs and
@@ -268,6 +272,41 @@
   cr_assert(error.find("host") != std::string::npos);
 }
 
+// Guards against an order to promote that was given up, was held up by a cut
+// and then arrives after the orders of the next promoter.
+Test(http_client, call_that_times_out_leaves_nothing_on_the_way)
+{
+  UniqueFd listener(socket(AF_INET, SOCK_STREAM, 0));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  auto* raw = reinterpret_cast<sockaddr*>(&address);
+  cr_assert_eq(bind(listener.Get(), raw, length), 0);
+  cr_assert_eq(listen(listener.Get(), 1), 0);
+  cr_assert_eq(getsockname(listener.Get(), raw, &length), 0);
+  auto loop = Loop::Create();
+  cr_assert(loop);
+  auto client =
+    HttpClient::Create(*loop.value(), { "127.0.0.1", ntohs(address.sin_port) });
+  cr_assert(client);
+  HttpCall call{ "POST", "/promote" };
+  call.timeout = Millis(50);
+  client.value()->Send(call, [&](const Result<HttpReply>& aReply) {
+    cr_assert_not(aReply);
+    loop.value()->Stop();
+  });
+  loop.value()->Run();
+  UniqueFd accepted(accept(listener.Get(), nullptr, nullptr));
+  char bytes[4096];
+  ssize_t size = 0;
+  do {
+    size = recv(accepted.Get(), bytes, sizeof(bytes), 0);
+  } while (size > 0);
+  cr_assert_eq(size, -1);
+  cr_assert_eq(errno, ECONNRESET);
+}
+
 Test(log, full_pipe_drops_lines_and_logs_the_loss)
 {
   int ends[2];
