--- a/test/expired-registrations-test.cc
+++ b/test/expired-registrations-test.cc
@@ -14,12 +14,6 @@
 
 namespace {
 
-bool
-IsOk(const std::shared_ptr<FakeRequest>& aRequest)
-{
-  return aRequest->reply && !aRequest->reply->failure;
-}
-
 /** Gives host 0 the promoter lease and commits a few writes. */
 void
 WarmUp(ProxySimulation& aSimulation)
--- a/test/fakes/group-faults.cc
+++ b/test/fakes/group-faults.cc
@@ -182,12 +182,6 @@
   return GroupPlanRunner(aPlan).Run(aPlan);
 }
 
-bool
-IsOk(const std::shared_ptr<FakeRequest>& aRequest)
-{
-  return aRequest->reply && !aRequest->reply->failure;
-}
-
 bool
 ServiceRecovers(ProxySimulation& aSimulation,
                 size_t aHost,
--- a/test/fakes/group-faults.h
+++ b/test/fakes/group-faults.h
@@ -66,9 +66,6 @@
 std::string
 RunGroupPlan(const GroupPlan& aPlan);
 
-bool
-IsOk(const std::shared_ptr<FakeRequest>& aRequest);
-
 /**
  * Ends all faults, but does not restart the upstreams in `aLost`. Returns
  * whether a write and a read at `aHost` succeed within 10 s.
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -12,6 +12,12 @@
 
 } // namespace
 
+bool
+IsOk(const std::shared_ptr<FakeRequest>& aRequest)
+{
+  return aRequest->reply && !aRequest->reply->failure;
+}
+
 SessionStatement
 ReadStatement(const std::string& aItem)
 {
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -282,6 +282,10 @@
   CallerId lastCaller = 0;
 };
 
+/** Whether the request was answered without a failure. */
+bool
+IsOk(const std::shared_ptr<FakeRequest>& aRequest);
+
 /** Statements for tests. */
 SessionStatement
 ReadStatement(const std::string& aItem);
--- a/test/leaving-upstreams-test.cc
+++ b/test/leaving-upstreams-test.cc
@@ -24,12 +24,6 @@
 
 using Requests = std::vector<std::shared_ptr<FakeRequest>>;
 
-bool
-IsOk(const std::shared_ptr<FakeRequest>& aRequest)
-{
-  return aRequest->reply && !aRequest->reply->failure;
-}
-
 ProxySimulationOptions
 Options(Freshness aFreshness)
 {
