Make the soak's departures find a primary that is used without limit

Half of the hosts now stand still for longer than their keys live, and the entry expires before any host has read the announcement.

--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -295,43 +295,56 @@
   }
 }
 
+/** Pauses hosts for longer than the store keeps their keys. */
+void
+Faults::PauseHosts(size_t aFirst, size_t aCount)
+{
+  constexpr Duration kPause = Seconds(6);
+  for (size_t i = 0; i < aCount; ++i) {
+    size_t host = (aFirst + i) % this->target.Hosts();
+    this->MarkHostDisturbed(host, kPause);
+    this->target.SignalHost(host, SIGSTOP);
+    this->loop.After(kPause,
+                     [this, host] { this->target.SignalHost(host, SIGCONT); });
+  }
+}
+
 /**
  * The primary leaves. Beside it, as drawn: nothing; half of the hosts are
- * killed just before; a host is paused; the store goes away while its leases
- * and the entry expire; or the entry expires and all hosts are killed.
+ * killed, or paused; its entry and all leases expire in an outage of the store;
+ * or its entry expires and all hosts are killed. Half of the hosts include the
+ * holder of the promoter lease in half of the cases.
  */
 void
 Faults::InjectDeparture()
 {
   constexpr size_t kVariants = 5;
-  constexpr Duration kAnnouncement = Millis(600);
-  constexpr Duration kExpiry = Millis(1100);
+  constexpr Duration kLead = Millis(300);
   static constexpr Duration kStoreOutage = Seconds(2);
-  constexpr Duration kPause = Millis(2500);
   size_t variant = this->random() % kVariants;
   size_t host = this->random() % this->target.Hosts();
   this->Log(FaultKind::PrimaryLeaves, variant, kDepartureTime);
   ++this->counts[FaultKind::PrimaryLeaves];
   if (variant == 1) {
     this->KillHosts(host, this->target.Hosts() / 2);
+  } else if (variant == 2) {
+    this->PauseHosts(host, this->target.Hosts() / 2);
   }
-  this->loop.After(kAnnouncement, [this, variant] {
+  this->loop.After(kLead, [this, variant, host] {
     this->target.Control(R"({"leave":"primary"})");
-    if (variant == 2) {
-      this->InjectHost(FaultKind::ProxyPause, kPause);
+    if (variant < 3) {
+      return;
     }
-  });
-  this->loop.After(kAnnouncement + kExpiry, [this, variant, host] {
-    if (variant == 3) {
-      this->MarkDisturbed(kStoreOutage);
-      this->target.Control(
-        R"({"forget_leaving":true,"lapse":true,"down":true})");
-      this->loop.After(kStoreOutage,
-                       [this] { this->target.Control(R"({"down":false})"); });
-    } else if (variant == 4) {
-      this->target.Control(R"({"forget_leaving":true})");
+    // No host has read the announcement.
+    this->target.Control(R"({"forget_leaving":true})");
+    if (variant == 4) {
       this->KillHosts(host, this->target.Hosts());
+      return;
     }
+    this->MarkDisturbed(kStoreOutage);
+    this->target.Control(R"({"lapse":true,"down":true})");
+    this->loop.After(kStoreOutage,
+                     [this] { this->target.Control(R"({"down":false})"); });
   });
 }
 
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -116,6 +116,7 @@
   void InjectHostRestarts(Duration aDuration);
   void InjectDeparture();
   void KillHosts(size_t aFirst, size_t aCount);
+  void PauseHosts(size_t aFirst, size_t aCount);
   void InjectStoreOrConfig(FaultKind aKind, Duration aDuration);
   void MarkDisturbed(Duration aDuration);
   void MarkHostDisturbed(size_t aHost, Duration aDuration);
--- a/test/standin/site-upstreams.cc
+++ b/test/standin/site-upstreams.cc
@@ -354,6 +354,9 @@
     aSession.state = 'I';
     auto pendingWrites = std::exchange(aSession.pendingWrites, {});
     bool hasWrites = verb == "COMMIT" && !pendingWrites.empty();
+    if (hasWrites && !upstream.isPrimary) {
+      return "ERR READONLY -\r\n"; // it has lost the lead since the BEGIN
+    }
     return hasWrites ? this->CommitEntries(aSession, pendingWrites)
                      : DoneWithSignature(aSession, "end");
   }
