--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -303,10 +303,8 @@
     this->control->Send(call, [this](const Result<HttpReply>& aReply) {
       auto body = nlohmann::json::parse(
         aReply ? aReply.value().body : "", nullptr, false);
-      if (!body.is_object()) {
-        return; // the next answer names what this one would have named
-      }
-      for (const auto& late : body.value("late", nlohmann::json::array())) {
+      nlohmann::json none = nlohmann::json::array(); // the answer was lost
+      for (const auto& late : body.is_object() ? body["late"] : none) {
         this->CheckLateStatement(late[0], late[1], late[2]);
       }
     });
