Sort the coordination layer into folders by engine

Moves only, with the headers, their guards and the includes: `common` for what both engines use, `owner` for owners and entries, `proxy` for the proxy. With 35 files side by side, a reader could not see which belong together.

--- a/include/marigoldpitch/coordination/gossip.h
+++ b/include/marigoldpitch/coordination/common/gossip.h
@@ -1,5 +1,5 @@
-#ifndef MARIGOLDPITCH_COORDINATION_GOSSIP_H
-#define MARIGOLDPITCH_COORDINATION_GOSSIP_H
+#ifndef MARIGOLDPITCH_COORDINATION_COMMON_GOSSIP_H
+#define MARIGOLDPITCH_COORDINATION_COMMON_GOSSIP_H
 
 #include "marigoldpitch/state/config.h"
 #include "marigoldpitch/state/names.h"
--- a/include/marigoldpitch/coordination/confirmations.h
+++ b/include/marigoldpitch/coordination/owner/confirmations.h
@@ -1,7 +1,7 @@
-#ifndef MARIGOLDPITCH_COORDINATION_CONFIRMATIONS_H
-#define MARIGOLDPITCH_COORDINATION_CONFIRMATIONS_H
+#ifndef MARIGOLDPITCH_COORDINATION_OWNER_CONFIRMATIONS_H
+#define MARIGOLDPITCH_COORDINATION_OWNER_CONFIRMATIONS_H
 
-#include "marigoldpitch/coordination/policies.h"
+#include "marigoldpitch/coordination/owner/policies.h"
 #include "marigoldpitch/state/position.h"
 #include "marigoldpitch/state/upstream-status.h"
 
--- a/include/marigoldpitch/coordination/failover.h
+++ b/include/marigoldpitch/coordination/owner/failover.h
@@ -1,8 +1,8 @@
-#ifndef MARIGOLDPITCH_COORDINATION_FAILOVER_H
-#define MARIGOLDPITCH_COORDINATION_FAILOVER_H
+#ifndef MARIGOLDPITCH_COORDINATION_OWNER_FAILOVER_H
+#define MARIGOLDPITCH_COORDINATION_OWNER_FAILOVER_H
 
-#include "marigoldpitch/coordination/group-io.h"
-#include "marigoldpitch/coordination/group-view.h"
+#include "marigoldpitch/coordination/owner/group-io.h"
+#include "marigoldpitch/coordination/owner/group-view.h"
 
 #include <map>
 #include <optional>
--- a/include/marigoldpitch/coordination/group-engine.h
+++ b/include/marigoldpitch/coordination/owner/group-engine.h
@@ -1,13 +1,13 @@
-#ifndef MARIGOLDPITCH_COORDINATION_GROUP_ENGINE_H
-#define MARIGOLDPITCH_COORDINATION_GROUP_ENGINE_H
+#ifndef MARIGOLDPITCH_COORDINATION_OWNER_GROUP_ENGINE_H
+#define MARIGOLDPITCH_COORDINATION_OWNER_GROUP_ENGINE_H
 
-#include "marigoldpitch/coordination/confirmations.h"
-#include "marigoldpitch/coordination/failover.h"
-#include "marigoldpitch/coordination/group-io.h"
-#include "marigoldpitch/coordination/group-view.h"
-#include "marigoldpitch/coordination/policies.h"
-#include "marigoldpitch/coordination/retry-budget.h"
-#include "marigoldpitch/coordination/work-queue.h"
+#include "marigoldpitch/coordination/owner/confirmations.h"
+#include "marigoldpitch/coordination/owner/failover.h"
+#include "marigoldpitch/coordination/owner/group-io.h"
+#include "marigoldpitch/coordination/owner/group-view.h"
+#include "marigoldpitch/coordination/owner/policies.h"
+#include "marigoldpitch/coordination/owner/retry-budget.h"
+#include "marigoldpitch/coordination/owner/work-queue.h"
 #include "marigoldpitch/state/config.h"
 #include "marigoldpitch/state/connection-table.h"
 #include "marigoldpitch/state/error.h"
--- a/include/marigoldpitch/coordination/group-io.h
+++ b/include/marigoldpitch/coordination/owner/group-io.h
@@ -1,7 +1,7 @@
-#ifndef MARIGOLDPITCH_COORDINATION_GROUP_IO_H
-#define MARIGOLDPITCH_COORDINATION_GROUP_IO_H
+#ifndef MARIGOLDPITCH_COORDINATION_OWNER_GROUP_IO_H
+#define MARIGOLDPITCH_COORDINATION_OWNER_GROUP_IO_H
 
-#include "marigoldpitch/coordination/upstream-call.h"
+#include "marigoldpitch/coordination/owner/upstream-call.h"
 #include "marigoldpitch/state/config.h"
 #include "marigoldpitch/state/connection-table.h"
 #include "marigoldpitch/state/log-event.h"
--- a/include/marigoldpitch/coordination/group-view.h
+++ b/include/marigoldpitch/coordination/owner/group-view.h
@@ -1,5 +1,5 @@
-#ifndef MARIGOLDPITCH_COORDINATION_GROUP_VIEW_H
-#define MARIGOLDPITCH_COORDINATION_GROUP_VIEW_H
+#ifndef MARIGOLDPITCH_COORDINATION_OWNER_GROUP_VIEW_H
+#define MARIGOLDPITCH_COORDINATION_OWNER_GROUP_VIEW_H
 
 #include "marigoldpitch/state/config.h"
 #include "marigoldpitch/state/connection-table.h"
--- a/include/marigoldpitch/coordination/policies.h
+++ b/include/marigoldpitch/coordination/owner/policies.h
@@ -1,7 +1,7 @@
-#ifndef MARIGOLDPITCH_COORDINATION_POLICIES_H
-#define MARIGOLDPITCH_COORDINATION_POLICIES_H
+#ifndef MARIGOLDPITCH_COORDINATION_OWNER_POLICIES_H
+#define MARIGOLDPITCH_COORDINATION_OWNER_POLICIES_H
 
-#include "marigoldpitch/coordination/group-view.h"
+#include "marigoldpitch/coordination/owner/group-view.h"
 #include "marigoldpitch/state/config.h"
 #include "marigoldpitch/state/connection-table.h"
 #include "marigoldpitch/state/request.h"
--- a/include/marigoldpitch/coordination/sql-class.h
+++ b/include/marigoldpitch/coordination/owner/sql-class.h
@@ -1,5 +1,5 @@
-#ifndef MARIGOLDPITCH_COORDINATION_SQL_CLASS_H
-#define MARIGOLDPITCH_COORDINATION_SQL_CLASS_H
+#ifndef MARIGOLDPITCH_COORDINATION_OWNER_SQL_CLASS_H
+#define MARIGOLDPITCH_COORDINATION_OWNER_SQL_CLASS_H
 
 #include "marigoldpitch/state/names.h"
 #include "marigoldpitch/state/outcome.h"
--- a/include/marigoldpitch/coordination/upstream-call.h
+++ b/include/marigoldpitch/coordination/owner/upstream-call.h
@@ -1,7 +1,7 @@
-#ifndef MARIGOLDPITCH_COORDINATION_UPSTREAM_CALL_H
-#define MARIGOLDPITCH_COORDINATION_UPSTREAM_CALL_H
+#ifndef MARIGOLDPITCH_COORDINATION_OWNER_UPSTREAM_CALL_H
+#define MARIGOLDPITCH_COORDINATION_OWNER_UPSTREAM_CALL_H
 
-#include "marigoldpitch/coordination/sql-class.h"
+#include "marigoldpitch/coordination/owner/sql-class.h"
 #include "marigoldpitch/state/request.h"
 #include "marigoldpitch/state/upstream-status.h"
 
--- a/include/marigoldpitch/coordination/work-queue.h
+++ b/include/marigoldpitch/coordination/owner/work-queue.h
@@ -1,9 +1,9 @@
-#ifndef MARIGOLDPITCH_COORDINATION_WORK_QUEUE_H
-#define MARIGOLDPITCH_COORDINATION_WORK_QUEUE_H
+#ifndef MARIGOLDPITCH_COORDINATION_OWNER_WORK_QUEUE_H
+#define MARIGOLDPITCH_COORDINATION_OWNER_WORK_QUEUE_H
 
-#include "marigoldpitch/coordination/confirmations.h"
-#include "marigoldpitch/coordination/policies.h"
-#include "marigoldpitch/coordination/upstream-call.h"
+#include "marigoldpitch/coordination/owner/confirmations.h"
+#include "marigoldpitch/coordination/owner/policies.h"
+#include "marigoldpitch/coordination/owner/upstream-call.h"
 #include "marigoldpitch/state/request.h"
 
 #include <array>
--- a/include/marigoldpitch/coordination/departures.h
+++ b/include/marigoldpitch/coordination/proxy/departures.h
@@ -1,5 +1,5 @@
-#ifndef MARIGOLDPITCH_COORDINATION_DEPARTURES_H
-#define MARIGOLDPITCH_COORDINATION_DEPARTURES_H
+#ifndef MARIGOLDPITCH_COORDINATION_PROXY_DEPARTURES_H
+#define MARIGOLDPITCH_COORDINATION_PROXY_DEPARTURES_H
 
 #include "marigoldpitch/state/connection-table.h"
 #include "marigoldpitch/state/names.h"
--- a/include/marigoldpitch/coordination/group-recorder.h
+++ b/include/marigoldpitch/coordination/proxy/group-recorder.h
@@ -1,7 +1,7 @@
-#ifndef MARIGOLDPITCH_COORDINATION_GROUP_RECORDER_H
-#define MARIGOLDPITCH_COORDINATION_GROUP_RECORDER_H
+#ifndef MARIGOLDPITCH_COORDINATION_PROXY_GROUP_RECORDER_H
+#define MARIGOLDPITCH_COORDINATION_PROXY_GROUP_RECORDER_H
 
-#include "marigoldpitch/coordination/service-view.h"
+#include "marigoldpitch/coordination/proxy/service-view.h"
 
 #include <optional>
 
--- a/include/marigoldpitch/coordination/promotion.h
+++ b/include/marigoldpitch/coordination/proxy/promotion.h
@@ -1,7 +1,7 @@
-#ifndef MARIGOLDPITCH_COORDINATION_PROMOTION_H
-#define MARIGOLDPITCH_COORDINATION_PROMOTION_H
+#ifndef MARIGOLDPITCH_COORDINATION_PROXY_PROMOTION_H
+#define MARIGOLDPITCH_COORDINATION_PROXY_PROMOTION_H
 
-#include "marigoldpitch/coordination/service-view.h"
+#include "marigoldpitch/coordination/proxy/service-view.h"
 
 #include <map>
 #include <optional>
--- a/include/marigoldpitch/coordination/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -1,10 +1,10 @@
-#ifndef MARIGOLDPITCH_COORDINATION_PROXY_ENGINE_H
-#define MARIGOLDPITCH_COORDINATION_PROXY_ENGINE_H
+#ifndef MARIGOLDPITCH_COORDINATION_PROXY_PROXY_ENGINE_H
+#define MARIGOLDPITCH_COORDINATION_PROXY_PROXY_ENGINE_H
 
-#include "marigoldpitch/coordination/group-recorder.h"
-#include "marigoldpitch/coordination/policies.h"
-#include "marigoldpitch/coordination/promotion.h"
-#include "marigoldpitch/coordination/proxy-session.h"
+#include "marigoldpitch/coordination/owner/policies.h"
+#include "marigoldpitch/coordination/proxy/group-recorder.h"
+#include "marigoldpitch/coordination/proxy/promotion.h"
+#include "marigoldpitch/coordination/proxy/proxy-session.h"
 
 #include <memory>
 #include <set>
--- a/include/marigoldpitch/coordination/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-io.h
@@ -1,7 +1,7 @@
-#ifndef MARIGOLDPITCH_COORDINATION_PROXY_IO_H
-#define MARIGOLDPITCH_COORDINATION_PROXY_IO_H
+#ifndef MARIGOLDPITCH_COORDINATION_PROXY_PROXY_IO_H
+#define MARIGOLDPITCH_COORDINATION_PROXY_PROXY_IO_H
 
-#include "marigoldpitch/coordination/statement.h"
+#include "marigoldpitch/coordination/proxy/statement.h"
 #include "marigoldpitch/state/connection-table.h"
 #include "marigoldpitch/state/log-event.h"
 #include "marigoldpitch/state/proxy-config.h"
--- a/include/marigoldpitch/coordination/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -1,7 +1,7 @@
-#ifndef MARIGOLDPITCH_COORDINATION_PROXY_SESSION_H
-#define MARIGOLDPITCH_COORDINATION_PROXY_SESSION_H
+#ifndef MARIGOLDPITCH_COORDINATION_PROXY_PROXY_SESSION_H
+#define MARIGOLDPITCH_COORDINATION_PROXY_PROXY_SESSION_H
 
-#include "marigoldpitch/coordination/proxy-io.h"
+#include "marigoldpitch/coordination/proxy/proxy-io.h"
 #include "marigoldpitch/state/freshness.h"
 
 #include <deque>
--- a/include/marigoldpitch/coordination/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -1,9 +1,9 @@
-#ifndef MARIGOLDPITCH_COORDINATION_SERVICE_VIEW_H
-#define MARIGOLDPITCH_COORDINATION_SERVICE_VIEW_H
+#ifndef MARIGOLDPITCH_COORDINATION_PROXY_SERVICE_VIEW_H
+#define MARIGOLDPITCH_COORDINATION_PROXY_SERVICE_VIEW_H
 
-#include "marigoldpitch/coordination/departures.h"
-#include "marigoldpitch/coordination/group-membership.h"
-#include "marigoldpitch/coordination/statement.h"
+#include "marigoldpitch/coordination/proxy/departures.h"
+#include "marigoldpitch/coordination/proxy/group-membership.h"
+#include "marigoldpitch/coordination/proxy/statement.h"
 #include "marigoldpitch/state/connection-table.h"
 #include "marigoldpitch/state/freshness.h"
 #include "marigoldpitch/state/proxy-config.h"
--- a/include/marigoldpitch/coordination/statement.h
+++ b/include/marigoldpitch/coordination/proxy/statement.h
@@ -1,5 +1,5 @@
-#ifndef MARIGOLDPITCH_COORDINATION_STATEMENT_H
-#define MARIGOLDPITCH_COORDINATION_STATEMENT_H
+#ifndef MARIGOLDPITCH_COORDINATION_PROXY_STATEMENT_H
+#define MARIGOLDPITCH_COORDINATION_PROXY_STATEMENT_H
 
 #include "marigoldpitch/state/names.h"
 #include "marigoldpitch/state/upstream-status.h"
--- a/include/marigoldpitch/protocol/documents.h
+++ b/include/marigoldpitch/protocol/documents.h
@@ -1,7 +1,7 @@
 #ifndef MARIGOLDPITCH_PROTOCOL_DOCUMENTS_H
 #define MARIGOLDPITCH_PROTOCOL_DOCUMENTS_H
 
-#include "marigoldpitch/coordination/term-reserver.h"
+#include "marigoldpitch/coordination/owner/term-reserver.h"
 #include "marigoldpitch/state/config.h"
 #include "marigoldpitch/state/error.h"
 
--- a/include/marigoldpitch/protocol/upstream-sql.h
+++ b/include/marigoldpitch/protocol/upstream-sql.h
@@ -1,7 +1,7 @@
 #ifndef MARIGOLDPITCH_PROTOCOL_UPSTREAM_SQL_H
 #define MARIGOLDPITCH_PROTOCOL_UPSTREAM_SQL_H
 
-#include "marigoldpitch/coordination/upstream-call.h"
+#include "marigoldpitch/coordination/owner/upstream-call.h"
 #include "marigoldpitch/state/config.h"
 #include "marigoldpitch/state/error.h"
 
--- a/include/marigoldpitch/protocol/wire.h
+++ b/include/marigoldpitch/protocol/wire.h
@@ -1,7 +1,7 @@
 #ifndef MARIGOLDPITCH_PROTOCOL_WIRE_H
 #define MARIGOLDPITCH_PROTOCOL_WIRE_H
 
-#include "marigoldpitch/coordination/gossip.h"
+#include "marigoldpitch/coordination/common/gossip.h"
 #include "marigoldpitch/state/error.h"
 #include "marigoldpitch/state/request.h"
 
--- a/include/marigoldpitch/transport/entry-daemon.h
+++ b/include/marigoldpitch/transport/entry-daemon.h
@@ -1,7 +1,7 @@
 #ifndef MARIGOLDPITCH_TRANSPORT_ENTRY_DAEMON_H
 #define MARIGOLDPITCH_TRANSPORT_ENTRY_DAEMON_H
 
-#include "marigoldpitch/coordination/entry-engine.h"
+#include "marigoldpitch/coordination/owner/entry-engine.h"
 #include "marigoldpitch/transport/daemon-core.h"
 
 #include <unordered_map>
--- a/include/marigoldpitch/transport/gossip-links.h
+++ b/include/marigoldpitch/transport/gossip-links.h
@@ -1,7 +1,7 @@
 #ifndef MARIGOLDPITCH_TRANSPORT_GOSSIP_LINKS_H
 #define MARIGOLDPITCH_TRANSPORT_GOSSIP_LINKS_H
 
-#include "marigoldpitch/coordination/gossip.h"
+#include "marigoldpitch/coordination/common/gossip.h"
 #include "marigoldpitch/transport/peer-network.h"
 
 #include <map>
--- a/include/marigoldpitch/transport/owner-daemon.h
+++ b/include/marigoldpitch/transport/owner-daemon.h
@@ -1,8 +1,8 @@
 #ifndef MARIGOLDPITCH_TRANSPORT_OWNER_DAEMON_H
 #define MARIGOLDPITCH_TRANSPORT_OWNER_DAEMON_H
 
-#include "marigoldpitch/coordination/group-engine.h"
-#include "marigoldpitch/coordination/term-reserver.h"
+#include "marigoldpitch/coordination/owner/group-engine.h"
+#include "marigoldpitch/coordination/owner/term-reserver.h"
 #include "marigoldpitch/transport/daemon-core.h"
 #include "marigoldpitch/transport/upstream-pool.h"
 
--- a/include/marigoldpitch/transport/upstream-pool.h
+++ b/include/marigoldpitch/transport/upstream-pool.h
@@ -1,7 +1,7 @@
 #ifndef MARIGOLDPITCH_TRANSPORT_UPSTREAM_POOL_H
 #define MARIGOLDPITCH_TRANSPORT_UPSTREAM_POOL_H
 
-#include "marigoldpitch/coordination/group-io.h"
+#include "marigoldpitch/coordination/owner/group-io.h"
 #include "marigoldpitch/state/config.h"
 #include "marigoldpitch/transport/pg-connection.h"
 
--- a/src/coordination/gossip.cc
+++ b/src/coordination/common/gossip.cc
@@ -1,6 +1,6 @@
-#include "marigoldpitch/coordination/gossip.h"
+#include "marigoldpitch/coordination/common/gossip.h"
 
-#include "marigoldpitch/coordination/ownership.h"
+#include "marigoldpitch/coordination/common/ownership.h"
 
 #include <algorithm>
 
--- a/src/coordination/ownership.cc
+++ b/src/coordination/common/ownership.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/ownership.h"
+#include "marigoldpitch/coordination/common/ownership.h"
 
 #include <algorithm>
 #include <xxhash.h>
--- a/src/coordination/confirmations.cc
+++ b/src/coordination/owner/confirmations.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/confirmations.h"
+#include "marigoldpitch/coordination/owner/confirmations.h"
 
 #include <algorithm>
 
--- a/src/coordination/entry-engine.cc
+++ b/src/coordination/owner/entry-engine.cc
@@ -1,6 +1,6 @@
-#include "marigoldpitch/coordination/entry-engine.h"
+#include "marigoldpitch/coordination/owner/entry-engine.h"
 
-#include "marigoldpitch/coordination/ownership.h"
+#include "marigoldpitch/coordination/common/ownership.h"
 
 #include <algorithm>
 
--- a/src/coordination/failover.cc
+++ b/src/coordination/owner/failover.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/failover.h"
+#include "marigoldpitch/coordination/owner/failover.h"
 
 #include <algorithm>
 
--- a/src/coordination/group-engine.cc
+++ b/src/coordination/owner/group-engine.cc
@@ -1,6 +1,6 @@
-#include "marigoldpitch/coordination/group-engine.h"
+#include "marigoldpitch/coordination/owner/group-engine.h"
 
-#include "marigoldpitch/coordination/statement-check.h"
+#include "marigoldpitch/coordination/owner/statement-check.h"
 
 #include <algorithm>
 
--- a/src/coordination/group-outcomes.cc
+++ b/src/coordination/owner/group-outcomes.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/group-engine.h"
+#include "marigoldpitch/coordination/owner/group-engine.h"
 
 // Retries, deadlines, answers held for confirmation, and final answers.
 
--- a/src/coordination/group-reads.cc
+++ b/src/coordination/owner/group-reads.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/group-engine.h"
+#include "marigoldpitch/coordination/owner/group-engine.h"
 
 // Reads: routing to an upstream that is fresh enough, and checking the status
 // that it reports after the read.
--- a/src/coordination/group-view.cc
+++ b/src/coordination/owner/group-view.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/group-view.h"
+#include "marigoldpitch/coordination/owner/group-view.h"
 
 #include <algorithm>
 
--- a/src/coordination/policies.cc
+++ b/src/coordination/owner/policies.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/policies.h"
+#include "marigoldpitch/coordination/owner/policies.h"
 
 #include <algorithm>
 
--- a/src/coordination/retry-budget.cc
+++ b/src/coordination/owner/retry-budget.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/retry-budget.h"
+#include "marigoldpitch/coordination/owner/retry-budget.h"
 
 #include <algorithm>
 
--- a/src/coordination/sql-class.cc
+++ b/src/coordination/owner/sql-class.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/sql-class.h"
+#include "marigoldpitch/coordination/owner/sql-class.h"
 
 namespace marigoldpitch {
 
--- a/src/coordination/statement-check.cc
+++ b/src/coordination/owner/statement-check.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/statement-check.h"
+#include "marigoldpitch/coordination/owner/statement-check.h"
 
 #include <array>
 #include <cctype>
--- a/src/coordination/upstream-call.cc
+++ b/src/coordination/owner/upstream-call.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/upstream-call.h"
+#include "marigoldpitch/coordination/owner/upstream-call.h"
 
 namespace marigoldpitch {
 
--- a/src/coordination/work-queue.cc
+++ b/src/coordination/owner/work-queue.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/work-queue.h"
+#include "marigoldpitch/coordination/owner/work-queue.h"
 
 namespace marigoldpitch {
 
--- a/src/coordination/departures.cc
+++ b/src/coordination/proxy/departures.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/departures.h"
+#include "marigoldpitch/coordination/proxy/departures.h"
 
 #include <algorithm>
 
--- a/src/coordination/former-holder.cc
+++ b/src/coordination/proxy/former-holder.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/former-holder.h"
+#include "marigoldpitch/coordination/proxy/former-holder.h"
 
 namespace marigoldpitch {
 
--- a/src/coordination/group-membership.cc
+++ b/src/coordination/proxy/group-membership.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/group-membership.h"
+#include "marigoldpitch/coordination/proxy/group-membership.h"
 
 #include <algorithm>
 
--- a/src/coordination/group-recorder.cc
+++ b/src/coordination/proxy/group-recorder.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/group-recorder.h"
+#include "marigoldpitch/coordination/proxy/group-recorder.h"
 
 namespace marigoldpitch {
 
--- a/src/coordination/promoter-lease.cc
+++ b/src/coordination/proxy/promoter-lease.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/promoter-lease.h"
+#include "marigoldpitch/coordination/proxy/promoter-lease.h"
 
 #include <algorithm>
 
--- a/src/coordination/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/promotion.h"
+#include "marigoldpitch/coordination/proxy/promotion.h"
 
 namespace marigoldpitch {
 
--- a/src/coordination/proxy-answers.cc
+++ b/src/coordination/proxy/proxy-answers.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/proxy-engine.h"
+#include "marigoldpitch/coordination/proxy/proxy-engine.h"
 
 #include <algorithm>
 
--- a/src/coordination/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/service-view.h"
+#include "marigoldpitch/coordination/proxy/service-view.h"
 
 #include <algorithm>
 
--- a/src/transport/owner-daemon.cc
+++ b/src/transport/owner-daemon.cc
@@ -1,6 +1,6 @@
 #include "marigoldpitch/transport/owner-daemon.h"
 
-#include "marigoldpitch/coordination/ownership.h"
+#include "marigoldpitch/coordination/common/ownership.h"
 #include "marigoldpitch/protocol/documents.h"
 #include "marigoldpitch/transport/clock.h"
 #include "marigoldpitch/transport/log.h"
--- a/test/bench/decisions-bench.cc
+++ b/test/bench/decisions-bench.cc
@@ -1,6 +1,6 @@
-#include "marigoldpitch/coordination/entry-engine.h"
-#include "marigoldpitch/coordination/gossip.h"
-#include "marigoldpitch/coordination/group-engine.h"
+#include "marigoldpitch/coordination/common/gossip.h"
+#include "marigoldpitch/coordination/owner/entry-engine.h"
+#include "marigoldpitch/coordination/owner/group-engine.h"
 #include "marigoldpitch/protocol/documents.h"
 #include "marigoldpitch/transport/clock.h"
 
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -1,5 +1,5 @@
-#include "marigoldpitch/coordination/entry-engine.h"
-#include "marigoldpitch/coordination/ownership.h"
+#include "marigoldpitch/coordination/common/ownership.h"
+#include "marigoldpitch/coordination/owner/entry-engine.h"
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
--- a/test/fakes/gossip-simulation.h
+++ b/test/fakes/gossip-simulation.h
@@ -3,7 +3,7 @@
 
 #include "fakes/event-queue.h"
 
-#include "marigoldpitch/coordination/gossip.h"
+#include "marigoldpitch/coordination/common/gossip.h"
 
 #include <algorithm>
 #include <functional>
--- a/test/fakes/group-simulation.cc
+++ b/test/fakes/group-simulation.cc
@@ -1,6 +1,6 @@
 #include "group-simulation.h"
 
-#include "marigoldpitch/coordination/ownership.h"
+#include "marigoldpitch/coordination/common/ownership.h"
 
 #include <algorithm>
 
--- a/test/fakes/group-simulation.h
+++ b/test/fakes/group-simulation.h
@@ -2,8 +2,8 @@
 #define MARIGOLDPITCH_TEST_FAKES_GROUP_SIMULATION_H
 
 #include "event-queue.h"
-#include "marigoldpitch/coordination/entry-engine.h"
-#include "marigoldpitch/coordination/group-engine.h"
+#include "marigoldpitch/coordination/owner/entry-engine.h"
+#include "marigoldpitch/coordination/owner/group-engine.h"
 #include "marigoldpitch/protocol/upstream-sql.h"
 #include "standin/database.h"
 
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -3,7 +3,7 @@
 
 #include "fakes/event-queue.h"
 
-#include "marigoldpitch/coordination/proxy-engine.h"
+#include "marigoldpitch/coordination/proxy/proxy-engine.h"
 
 #include <functional>
 #include <map>
--- a/test/gossip-dates-test.cc
+++ b/test/gossip-dates-test.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/gossip.h"
+#include "marigoldpitch/coordination/common/gossip.h"
 
 #include <criterion/criterion.h>
 
--- a/test/promoter-lease-test.cc
+++ b/test/promoter-lease-test.cc
@@ -1,5 +1,5 @@
-#include "marigoldpitch/coordination/former-holder.h"
-#include "marigoldpitch/coordination/promoter-lease.h"
+#include "marigoldpitch/coordination/proxy/former-holder.h"
+#include "marigoldpitch/coordination/proxy/promoter-lease.h"
 
 #include <criterion/criterion.h>
 
--- a/test/terms-test.cc
+++ b/test/terms-test.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/term-reserver.h"
+#include "marigoldpitch/coordination/owner/term-reserver.h"
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
