--- a/include/marigoldpitch/coordination/owner/policies.h
+++ b/include/marigoldpitch/coordination/owner/policies.h
@@ -1,6 +1,7 @@
 #ifndef MARIGOLDPITCH_COORDINATION_OWNER_POLICIES_H
 #define MARIGOLDPITCH_COORDINATION_OWNER_POLICIES_H
 
+#include "marigoldpitch/coordination/common/admission.h"
 #include "marigoldpitch/coordination/owner/group-view.h"
 #include "marigoldpitch/state/config.h"
 #include "marigoldpitch/state/connection-table.h"
@@ -115,36 +116,6 @@
 std::unique_ptr<SuspicionPolicy>
 MakeQuorumSuspicion();
 
-/** Load that a new request meets. */
-struct QueueLoad
-{
-  size_t ahead = 0;     // queued work that runs before it
-  size_t slots = 0;     // slots of the upstreams that can serve it
-  double serviceMs = 1; // average time that a request holds a slot
-};
-
-/** Decides whether a new request is queued, and the order of the queue. */
-class AdmissionPolicy
-{
-public:
-  virtual ~AdmissionPolicy() = default;
-  virtual bool Admits(const QueueLoad& aLoad, Duration aTimeLeft) const = 0;
-
-  /** Whether the queue is ordered by priority rather than by arrival. */
-  virtual bool OrdersByPriority() const = 0;
-};
-
-/**
- * Rejects a request that is not expected to finish by its deadline, unless no
- * upstream can serve it at the moment.
- */
-std::unique_ptr<AdmissionPolicy>
-MakeDeadlineAdmission();
-
-/** Admits everything, first in, first out; the baseline for comparisons. */
-std::unique_ptr<AdmissionPolicy>
-MakeFifoAdmission();
-
 struct Policies
 {
   std::unique_ptr<RoutingPolicy> routing;
--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -1,7 +1,7 @@
 #ifndef MARIGOLDPITCH_COORDINATION_PROXY_PROXY_ENGINE_H
 #define MARIGOLDPITCH_COORDINATION_PROXY_PROXY_ENGINE_H
 
-#include "marigoldpitch/coordination/owner/policies.h"
+#include "marigoldpitch/coordination/common/admission.h"
 #include "marigoldpitch/coordination/proxy/group-recorder.h"
 #include "marigoldpitch/coordination/proxy/promotion.h"
 #include "marigoldpitch/coordination/proxy/proxy-session.h"
