Do not count a replica that may have lost its log

Cause: the store's record of a group named its members, not their incarnations.

Change: the record names, for each member, the newest incarnation whose log is known to be complete. A member with another incarnation, or whose log was cut back within a term, is found complete once it holds what a proved primary reported after the restart. Until then, while it is behind a member that has not restarted, it counts in no quorum and is not accounted for in a promotion.

--- a/include/marigoldpitch/coordination/proxy/group-membership.h
+++ b/include/marigoldpitch/coordination/proxy/group-membership.h
@@ -40,6 +40,44 @@
   /** Sets whether the registry has an entry of the upstream. */
   void SetListed(UpstreamIndex aUpstream, bool aIsListed, Time aNow);
 
+  /** Sets the incarnation that the upstream's entry names. */
+  void SetIncarnation(UpstreamIndex aUpstream,
+                      uint64_t aIncarnation,
+                      Time aNow);
+
+  /** The upstream's log has become shorter within a term. */
+  void NoteLostLog(UpstreamIndex aUpstream, Time aNow);
+
+  /** The upstream's log contains every commit that it has confirmed. */
+  void NoteCompleteLog(UpstreamIndex aUpstream);
+
+  bool HasLostLog(UpstreamIndex aUpstream) const
+  {
+    return this->memberStates[aUpstream].hasLostLog;
+  }
+
+  /**
+   * Whether the upstream has restarted, and it is not known whether its log
+   * still contains every commit that it has confirmed. `NoteCompleteLog` ends
+   * this, here or in the process that wrote the record. The restart of an
+   * unlisted upstream shows only when it is listed again.
+   */
+  bool HasUnverifiedLog(UpstreamIndex aUpstream) const;
+
+  /** Since when `HasUnverifiedLog`, as far as this process can tell. */
+  Time UnverifiedSince(UpstreamIndex aUpstream) const
+  {
+    return this->memberStates[aUpstream].unverifiedSince;
+  }
+
+  /** The newest incarnation whose log is known to be complete; 0: none is. */
+  uint64_t CompleteIncarnation(UpstreamIndex aUpstream) const;
+
+  uint64_t RecordedIncarnation(UpstreamIndex aUpstream) const
+  {
+    return this->memberStates[aUpstream].recordedIncarnation;
+  }
+
   /** Another upstream registered at its address and has taken over its log. */
   void SetReplaced(UpstreamIndex aUpstream)
   {
@@ -50,9 +88,16 @@
     return this->memberStates[aUpstream].isReplaced;
   }
 
+  /** A member in the store's record. */
+  struct RecordedMember
+  {
+    UpstreamIndex upstream = 0;
+    uint64_t incarnation = 0;
+  };
+
   /** Applies the store's record; ignores one that is not newer. */
   void ApplyRecord(uint64_t aRevision,
-                   const std::vector<UpstreamIndex>& aMembers,
+                   const std::vector<RecordedMember>& aMembers,
                    Time aNow);
 
   /** Whether a record of the group has been read. */
@@ -98,6 +143,12 @@
     bool wasRecorded = false; // in an earlier record
     bool isReplaced = false;
     Time unlistedSince = kInfiniteFuture;
+    uint64_t incarnation = 0;      // as listed; 0: not listed yet
+    uint64_t firstIncarnation = 0; // the first that this process saw listed
+    uint64_t recordedIncarnation = 0;
+    uint64_t completeIncarnation = 0; // as found by this process
+    bool hasLostLog = false;
+    Time unverifiedSince = kInfinitePast;
   };
 
   std::vector<MemberState> memberStates;
--- a/include/marigoldpitch/coordination/proxy/group-recorder.h
+++ b/include/marigoldpitch/coordination/proxy/group-recorder.h
@@ -26,6 +26,7 @@
 private:
   std::optional<GroupRecord> InitialRecord(const ServiceView& aView, Time aNow);
   static std::optional<UpstreamIndex> FindUnrecorded(const ServiceView& aView);
+  static bool HasNewIncarnation(ServiceView& aView);
   static std::optional<UpstreamIndex> FindRemovable(ServiceView& aView,
                                                     Time aNow);
   static bool AreCommitsContainedWithout(const ServiceView& aView,
--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -135,6 +135,13 @@
 
   const GroupMembership& Members() const { return this->members; }
 
+  /**
+   * Whether the upstream's log may lack commits that it has confirmed: it was
+   * cut back within a term; or the upstream has restarted, has not been found
+   * complete since, and is behind the log of a member that has not restarted.
+   */
+  bool MayLackCommits(UpstreamIndex aUpstream) const;
+
   const Departure& DepartureOf(UpstreamIndex aUpstream) const
   {
     return this->departures.Of(aUpstream);
@@ -324,6 +331,8 @@
   void ApplyProof(Time aAsked);
   void PublishProvedSamples();
   void SampleAllButOne(Time aNow);
+  void NoteCompleteLogs();
+  void RequestReportIfUnverified(UpstreamIndex aUpstream);
   void NoteHolds(Time aNow);
   std::optional<UpstreamIndex> Find(const std::string& aId) const;
 
--- a/include/marigoldpitch/state/proxy-config.h
+++ b/include/marigoldpitch/state/proxy-config.h
@@ -93,6 +93,9 @@
   std::string id;
   Endpoint endpoint;
   std::string zone;
+  // The newest incarnation whose log is known to contain every commit that the
+  // upstream has confirmed; 0: not known.
+  uint64_t incarnation = 0;
 };
 
 /** The members of a service's group, as recorded in the store. */
--- a/src/coordination/proxy/group-membership.cc
+++ b/src/coordination/proxy/group-membership.cc
@@ -15,9 +15,66 @@
     aIsListed ? kInfiniteFuture : std::min(state.unlistedSince, aNow);
 }
 
+void
+GroupMembership::SetIncarnation(UpstreamIndex aUpstream,
+                                uint64_t aIncarnation,
+                                Time aNow)
+{
+  MemberState& state = this->memberStates[aUpstream];
+  if (state.incarnation == aIncarnation) {
+    return;
+  }
+  state.incarnation = aIncarnation;
+  state.unverifiedSince = aNow;
+  if (state.firstIncarnation == 0) {
+    state.firstIncarnation = aIncarnation;
+  }
+}
+
+void
+GroupMembership::NoteLostLog(UpstreamIndex aUpstream, Time aNow)
+{
+  MemberState& state = this->memberStates[aUpstream];
+  state.hasLostLog = true;
+  state.unverifiedSince = aNow;
+}
+
+void
+GroupMembership::NoteCompleteLog(UpstreamIndex aUpstream)
+{
+  MemberState& state = this->memberStates[aUpstream];
+  state.completeIncarnation = state.incarnation;
+  state.hasLostLog = false;
+}
+
+bool
+GroupMembership::HasUnverifiedLog(UpstreamIndex aUpstream) const
+{
+  const MemberState& state = this->memberStates[aUpstream];
+  bool isComplete = state.incarnation == state.recordedIncarnation ||
+                    state.incarnation == state.completeIncarnation;
+  // Without a recorded incarnation there is nothing to compare the first one
+  // with.
+  bool isFirst = state.recordedIncarnation == 0 &&
+                 state.incarnation == state.firstIncarnation;
+  return state.hasLostLog ||
+         (state.incarnation != 0 && !isComplete && !isFirst);
+}
+
+uint64_t
+GroupMembership::CompleteIncarnation(UpstreamIndex aUpstream) const
+{
+  const MemberState& state = this->memberStates[aUpstream];
+  if (!this->HasUnverifiedLog(aUpstream) && state.incarnation != 0) {
+    return state.incarnation;
+  }
+  return state.recordedIncarnation != 0 ? state.recordedIncarnation
+                                        : state.firstIncarnation;
+}
+
 void
 GroupMembership::ApplyRecord(uint64_t aRevision,
-                             const std::vector<UpstreamIndex>& aMembers,
+                             const std::vector<RecordedMember>& aMembers,
                              Time aNow)
 {
   if (aRevision <= this->revision) {
@@ -28,9 +85,10 @@
     state.wasRecorded = state.wasRecorded || state.isRecorded;
     state.isRecorded = false;
   }
-  for (UpstreamIndex member : aMembers) {
-    MemberState& state = this->memberStates[member];
+  for (const RecordedMember& member : aMembers) {
+    MemberState& state = this->memberStates[member.upstream];
     state.isRecorded = true;
+    state.recordedIncarnation = member.incarnation;
     if (!state.isListed) {
       state.unlistedSince = std::min(state.unlistedSince, aNow);
     }
--- a/src/coordination/proxy/group-recorder.cc
+++ b/src/coordination/proxy/group-recorder.cc
@@ -15,10 +15,13 @@
 constexpr Duration kProbeInterval = Millis(1000);
 
 GroupMember
-MemberOf(const ProxyUpstream& aUpstream)
+MemberOf(const ServiceView& aView, UpstreamIndex aUpstream)
 {
-  const RegisteredUpstream& registration = aUpstream.registration;
-  return { registration.id, registration.endpoint, registration.zone };
+  const RegisteredUpstream& registration = aView.At(aUpstream).registration;
+  return { registration.id,
+           registration.endpoint,
+           registration.zone,
+           aView.Members().CompleteIncarnation(aUpstream) };
 }
 
 GroupRecord
@@ -31,7 +34,7 @@
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
     bool isIn = aView.Members().IsRecorded(i) || aAdded == i;
     if (isIn && aDropped != i) {
-      record.members.push_back(MemberOf(aView.At(i)));
+      record.members.push_back(MemberOf(aView, i));
     }
   }
   return record;
@@ -52,6 +55,8 @@
     record = detail::RecordOf(aView, added, std::nullopt);
   } else if (auto dropped = FindRemovable(aView, aNow)) {
     record = detail::RecordOf(aView, std::nullopt, dropped);
+  } else if (HasNewIncarnation(aView)) {
+    record = detail::RecordOf(aView, std::nullopt, std::nullopt);
   }
   if (record) {
     this->nextWrite = aNow + detail::kWriteInterval;
@@ -80,7 +85,7 @@
   GroupRecord record;
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
     if (aView.Members().MayConfirm(i, aNow)) {
-      record.members.push_back(detail::MemberOf(aView.At(i)));
+      record.members.push_back(detail::MemberOf(aView, i));
     }
   }
   return record;
@@ -98,6 +103,30 @@
   return std::nullopt;
 }
 
+/**
+ * Whether the log of a listed member is known to be complete in a newer
+ * incarnation than the recorded one. Requests the reports that are needed to
+ * find that out.
+ */
+bool
+GroupRecorder::HasNewIncarnation(ServiceView& aView)
+{
+  bool isFound = false;
+  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
+    const GroupMembership& members = aView.Members();
+    if (!members.IsRecorded(i) || !members.IsListed(i)) {
+      continue;
+    }
+    if (members.HasUnverifiedLog(i) && aView.Primary()) {
+      aView.At(i).reportWanted = true;
+      aView.At(*aView.Primary()).reportWanted = true;
+    }
+    isFound = isFound ||
+              members.CompleteIncarnation(i) != members.RecordedIncarnation(i);
+  }
+  return isFound;
+}
+
 /**
  * A recorded member to drop. Requests the reports that are needed to decide
  * about the members that cannot be dropped yet. The member must be unlisted,
--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -224,7 +224,8 @@
  * for, another member with that commit is accounted for.
  *
  * A member is accounted for if it is held, if it is the candidate that is not
- * held, or if `CoversCommitsOf` is true for it.
+ * held, or if `CoversCommitsOf` is true for it. A member that may have lost its
+ * log is not.
  */
 bool
 Promotion::ContainsAllCommits(const ServiceView& aView,
@@ -238,7 +239,8 @@
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
     bool isUnheldCandidate = !this->holdsCandidate && this->candidate == i;
     bool isHeldOrCandidate = this->held.count(i) != 0 || isUnheldCandidate;
-    bool isAccountedFor = isHeldOrCandidate || aView.CoversCommitsOf(i, aPoint);
+    bool isAccountedFor = (isHeldOrCandidate && !aView.MayLackCommits(i)) ||
+                          aView.CoversCommitsOf(i, aPoint);
     bool isUnaccounted = aView.Members().MayConfirm(i, aNow) && !isAccountedFor;
     unaccounted += isUnaccounted ? 1 : 0;
   }
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -55,6 +55,10 @@
   }
   for (UpstreamIndex i = 0; i < seen.size(); ++i) {
     this->members.SetListed(i, seen[i] != nullptr, aNow);
+    if (seen[i] != nullptr) {
+      this->members.SetIncarnation(i, seen[i]->incarnation, aNow);
+      this->RequestReportIfUnverified(i);
+    }
     if (this->departures.Apply(i, seen[i], aNow)) {
       changes.departed.push_back(i);
     }
@@ -89,7 +93,7 @@
 ServiceView::ApplyRecord(const GroupRecord& aRecord, Time aNow)
 {
   size_t added = 0;
-  std::vector<UpstreamIndex> indices;
+  std::vector<GroupMembership::RecordedMember> recorded;
   for (const GroupMember& member : aRecord.members) {
     auto index = this->Find(member.id);
     if (!index) {
@@ -104,9 +108,12 @@
       }
       ++added;
     }
-    indices.push_back(*index);
+    recorded.push_back({ *index, member.incarnation });
+  }
+  this->members.ApplyRecord(aRecord.revision, recorded, aNow);
+  for (const auto& member : recorded) {
+    this->RequestReportIfUnverified(member.upstream);
   }
-  this->members.ApplyRecord(aRecord.revision, indices, aNow);
   this->NoteReplacements();
   return added;
 }
@@ -118,8 +125,16 @@
                          Time aNow)
 {
   ProxyUpstream& upstream = this->upstreams[aUpstream];
+  // A log is cut back only by a new term.
+  bool isCutBack = upstream.report && aAsked >= upstream.reportAsked &&
+                   aReport.term <= upstream.report->term &&
+                   aReport.logEnd.IsBehind(upstream.report->logEnd);
+  if (isCutBack) {
+    this->members.NoteLostLog(aUpstream, aNow);
+  }
   upstream.report = aReport;
   upstream.reportAsked = aAsked;
+  this->NoteCompleteLogs();
   this->SampleAllButOne(aNow);
   if (aReport.role == Role::Primary) {
     // Within a term, a primary replaces one that is unknown, unlisted or
@@ -158,7 +173,8 @@
  *
  * Requires a known group with at least two members, and reports of at least
  * n - 1 of them; the n - 1 newest reports are used. `asked` lists the members
- * that have reported.
+ * that have reported. The report of a member that may have lost its log says
+ * nothing of what it has confirmed, so it does not count.
  */
 void
 ServiceView::SampleAllButOne(Time aNow)
@@ -172,7 +188,7 @@
     const ProxyUpstream& upstream = this->upstreams[i];
     bool mayConfirm = this->members.MayConfirm(i, aNow);
     memberCount += mayConfirm ? 1 : 0;
-    if (mayConfirm && upstream.report) {
+    if (mayConfirm && upstream.report && !this->MayLackCommits(i)) {
       asked.push_back(&upstream);
     }
   }
@@ -202,6 +218,65 @@
                        { SampleSource::Quorum, asked.size(), memberCount });
 }
 
+bool
+ServiceView::MayLackCommits(UpstreamIndex aUpstream) const
+{
+  if (this->members.HasLostLog(aUpstream)) {
+    return true;
+  }
+  const auto& report = this->upstreams[aUpstream].report;
+  if (!this->members.HasUnverifiedLog(aUpstream) || !report) {
+    return false;
+  }
+  for (UpstreamIndex i = 0; i < this->upstreams.size(); ++i) {
+    const auto& other = this->upstreams[i].report;
+    bool isAhead = other && report->logEnd.IsBehind(other->logEnd);
+    if (isAhead && !this->members.HasUnverifiedLog(i)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/**
+ * Marks the logs of restarted members that now contain all that the primary had
+ * at a time after the restart: every commit that such a member had confirmed
+ * before it. The primary must be proved at that time.
+ */
+void
+ServiceView::NoteCompleteLogs()
+{
+  if (!this->primary || !this->IsPrimaryProvedAt(this->primaryLogEnd.asked)) {
+    return;
+  }
+  for (UpstreamIndex i = 0; i < this->upstreams.size(); ++i) {
+    if (!this->members.HasUnverifiedLog(i)) {
+      continue;
+    }
+    const ProxyUpstream& upstream = this->upstreams[i];
+    Time since = this->members.UnverifiedSince(i);
+    bool isReported = upstream.report && upstream.reportAsked >= since &&
+                      upstream.report->term == this->term;
+    bool hasAll = isReported && this->primaryLogEnd.asked >= since &&
+                  !upstream.report->logEnd.IsBehind(this->primaryLogEnd.point);
+    if (hasAll) {
+      this->members.NoteCompleteLog(i);
+    }
+  }
+}
+
+/** Requests the reports that `NoteCompleteLogs` needs of the upstream. */
+void
+ServiceView::RequestReportIfUnverified(UpstreamIndex aUpstream)
+{
+  if (this->members.HasUnverifiedLog(aUpstream)) {
+    this->upstreams[aUpstream].reportWanted = true;
+    if (this->primary) {
+      this->upstreams[*this->primary].reportWanted = true;
+    }
+  }
+}
+
 bool
 ServiceView::CoversCommitsOf(UpstreamIndex aUpstream,
                              const LogPoint& aPoint) const
--- a/src/protocol/proxy-documents.cc
+++ b/src/protocol/proxy-documents.cc
@@ -98,7 +98,8 @@
   for (const GroupMember& member : aRecord.members) {
     members.push_back({ { "id", member.id },
                         { "endpoint", FormatEndpoint(member.endpoint) },
-                        { "zone", member.zone } });
+                        { "zone", member.zone },
+                        { "incarnation", member.incarnation } });
   }
   return { { "service", aRecord.service }, { "members", members } };
 }
@@ -117,6 +118,7 @@
                       ParseEndpoint(value.at("endpoint").get<std::string>()));
     member.endpoint = endpoint;
     member.zone = value.at("zone").get<std::string>();
+    member.incarnation = value.value("incarnation", member.incarnation);
     ids.insert(member.id);
     record.members.push_back(member);
   }
--- a/test/codec-test.cc
+++ b/test/codec-test.cc
@@ -254,7 +254,8 @@
     rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~'))));
   for (const std::string& id : ids) {
     Endpoint endpoint{ "10.0.0.1", *rc::gen::inRange<uint16_t>(1, 65535) };
-    record.members.push_back({ id, endpoint, "zone " + id });
+    auto incarnation = *rc::gen::arbitrary<uint64_t>();
+    record.members.push_back({ id, endpoint, "zone " + id, incarnation });
   }
   record.revision = *rc::gen::arbitrary<uint64_t>();
   return record;
@@ -268,7 +269,8 @@
     const GroupMember& left = aLeft.members[i];
     const GroupMember& right = aRight.members[i];
     isSame = left.id == right.id && left.endpoint == right.endpoint &&
-             left.zone == right.zone;
+             left.zone == right.zone &&
+             left.incarnation == right.incarnation;
   }
   return isSame;
 }
--- a/test/fakes/proxy-simulation-upstreams.cc
+++ b/test/fakes/proxy-simulation-upstreams.cc
@@ -421,3 +421,4 @@
 }
 
 } // namespace marigoldpitch::fakes
+  ++upstream.entry.incarnation;
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -45,7 +45,8 @@
   for (size_t i = 0; i < aOptions.upstreams; ++i) {
     this->upstreams.push_back(this->NewUpstream(i));
     const RegisteredUpstream& entry = this->upstreams.back().entry;
-    this->group.members.push_back({ entry.id, entry.endpoint, entry.zone });
+    this->group.members.push_back(
+      { entry.id, entry.endpoint, entry.zone, entry.incarnation });
   }
   this->group.revision = 1; // written before the run
   for (size_t i = 0; i < aOptions.hosts; ++i) {
@@ -69,6 +70,7 @@
   upstream.entry.service = kService;
   upstream.entry.endpoint = { "10.0.0.1", static_cast<uint16_t>(1 + aIndex) };
   upstream.entry.zone = "z" + std::to_string(aIndex);
+  upstream.entry.incarnation = 1;
   upstream.role = aIndex == 0 ? Role::Primary : Role::Replica;
   upstream.entry.role = upstream.role;
   return upstream;
