Keep members in the record while a successor may come

Its successor, with its address and its log, or the member itself, may confirm commits before any host has listed it. A promoter that held all members that it could name then ordered a replica that lacked such a commit (LOST).

Change: a member is dropped when its successor is registered, or after 30 s; while the primary answers, its commits must then be contained elsewhere. Until then a promotion must cover its commits, which a stalled log does not.

The simulation now acknowledges commits that hung when a replica joins, lets a successor take an address, and rejects a connection that expects another id. The record's test of a lost member waited for 10 s; it now requires that the member stays without limit while its commits are not contained, and 30 s if they are.

--- a/include/marigoldpitch/coordination/proxy/group-recorder.h
+++ b/include/marigoldpitch/coordination/proxy/group-recorder.h
@@ -29,6 +29,10 @@
   static bool HasNewIncarnation(ServiceView& aView);
   static std::optional<UpstreamIndex> FindRemovable(ServiceView& aView,
                                                     Time aNow);
+  static bool MayDoWithout(const ServiceView& aView,
+                           UpstreamIndex aUpstream,
+                           size_t aRecorded,
+                           Time aNow);
   static bool AreCommitsContainedWithout(const ServiceView& aView,
                                          UpstreamIndex aUpstream);
 
--- a/src/coordination/proxy/group-recorder.cc
+++ b/src/coordination/proxy/group-recorder.cc
@@ -130,12 +130,10 @@
 /**
  * A recorded member to drop. Requests the reports that are needed to decide
  * about the members that cannot be dropped yet. The member must be unlisted,
- * and one of the following must be true:
- *
- * - another upstream has registered at its address;
- * - `AreCommitsContainedWithout` is true for it;
- * - it has been unlisted and failing for `kAbsentMemberTimeout`, it is not the
- *   known primary, and more than `kMinMembers` are recorded.
+ * and either another upstream has registered at its address, or it has been
+ * unlisted and failing for `kAbsentMemberTimeout` and `MayDoWithout` is true
+ * for it. Until then it, or its successor with its address and its log, may
+ * come back and confirm commits before any host has listed it.
  */
 std::optional<UpstreamIndex>
 GroupRecorder::FindRemovable(ServiceView& aView, Time aNow)
@@ -157,10 +155,9 @@
     if (aNow - upstream.lastAsked >= detail::kProbeInterval) {
       upstream.reportWanted = true;
     }
-    bool isExpired =
-      aNow - aView.UnlistedAndFailingSince(i) >= kAbsentMemberTimeout &&
-      aView.Primary() != i && recorded > detail::kMinMembers;
-    if (AreCommitsContainedWithout(aView, i) || isExpired) {
+    bool isAbsent =
+      aNow - aView.UnlistedAndFailingSince(i) >= kAbsentMemberTimeout;
+    if (isAbsent && MayDoWithout(aView, i, recorded, aNow)) {
       return i;
     }
     aView.RequestReportsSince(aNow - detail::kProbeInterval);
@@ -168,6 +165,25 @@
   return std::nullopt;
 }
 
+/**
+ * Whether the group can do without the member, which is absent. While the
+ * primary answers, `AreCommitsContainedWithout` has to be true. Otherwise
+ * nothing can show that; the member must not be the known primary, and more
+ * than `kMinMembers` must be recorded.
+ */
+bool
+GroupRecorder::MayDoWithout(const ServiceView& aView,
+                            UpstreamIndex aUpstream,
+                            size_t aRecorded,
+                            Time aNow)
+{
+  auto primary = aView.Primary();
+  if (primary && !aView.IsFailingLong(*primary, aNow)) {
+    return AreCommitsContainedWithout(aView, aUpstream);
+  }
+  return primary != aUpstream && aRecorded > detail::kMinMembers;
+}
+
 /**
  * Whether the logs of the primary and of a replica of the current term, other
  * than the unlisted member and both listed and recorded, contain every commit
--- a/test/fakes/proxy-simulation-upstreams.cc
+++ b/test/fakes/proxy-simulation-upstreams.cc
@@ -237,14 +237,47 @@
     });
   }
   if (isConfirmed) {
-    // Checked now, as `acknowledged` is replaced by this log in the next line.
-    this->lost += this->LostCommits(aPrimary);
-    this->acknowledged = aPrimary.log;
-    this->acknowledgedAt.resize(aPrimary.log.size(), this->Now());
+    this->Acknowledge(aPrimary);
   }
   return isConfirmed;
 }
 
+/** All commits in the primary's log are acknowledged now. */
+void
+ProxySimulation::Acknowledge(const FakeUpstream& aPrimary)
+{
+  // Checked now, as `acknowledged` is replaced by this log in the next line.
+  this->lost += this->LostCommits(aPrimary);
+  this->acknowledged = aPrimary.log;
+  this->acknowledgedAt.resize(aPrimary.log.size(), this->Now());
+}
+
+/** The replica has received the log of the primary, and confirms it. */
+void
+ProxySimulation::ConfirmCommits(size_t aPrimary, const FakeUpstream& aReplica)
+{
+  auto isConfirmed = [&](const UnconfirmedCommit& aCommit) {
+    return aCommit.upstream == aPrimary &&
+           aCommit.logSize <= aReplica.log.size();
+  };
+  bool isAny = false;
+  for (const UnconfirmedCommit& commit : this->unconfirmedCommits) {
+    if (isConfirmed(commit)) {
+      isAny = true;
+      this->SendReply(commit.link,
+                      LinkAnswered{ commit.link.second, commit.reply });
+    }
+  }
+  if (isAny) {
+    this->Acknowledge(this->upstreams[aPrimary]);
+    this->unconfirmedCommits.erase(
+      std::remove_if(this->unconfirmedCommits.begin(),
+                     this->unconfirmedCommits.end(),
+                     isConfirmed),
+      this->unconfirmedCommits.end());
+  }
+}
+
 /** Returns a line for each acknowledged commit that the log lacks. */
 std::string
 ProxySimulation::LostCommits(const FakeUpstream& aPrimary) const
@@ -313,6 +346,7 @@
     aReplica.term = leader.term;
     aReplica.log = leader.log;
     aReplica.applied = leader.log.size();
+    this->ConfirmCommits(this->PrimaryIndex(), aReplica);
   }
 }
 
@@ -390,6 +424,7 @@
 ProxySimulation::Restart(size_t aUpstream)
 {
   FakeUpstream& upstream = this->upstreams[aUpstream];
+  ++upstream.entry.incarnation;
   upstream.isAlive = true;
   upstream.held = 0;
   this->StepDown(upstream);
@@ -421,4 +456,3 @@
 }
 
 } // namespace marigoldpitch::fakes
-  ++upstream.entry.incarnation;
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -347,21 +347,40 @@
   return upstream.isAlive && upstream.unreachableFrom.count(aHost) == 0;
 }
 
+/** The upstream at the endpoint: a running one if there is any. */
+size_t
+ProxySimulation::UpstreamAt(const Endpoint& aEndpoint) const
+{
+  for (size_t i = 0; i < this->upstreams.size(); ++i) {
+    const FakeUpstream& upstream = this->upstreams[i];
+    if (upstream.isAlive && upstream.entry.endpoint == aEndpoint) {
+      return i;
+    }
+  }
+  return aEndpoint.port - 1U;
+}
+
 void
 ProxySimulation::Open(size_t aHost, const OpenLink& aAction)
 {
-  size_t upstream = aAction.endpoint.port - 1U;
+  size_t upstream = this->UpstreamAt(aAction.endpoint);
   LinkKey key{ aHost, aAction.connection };
   FakeLink link;
   link.host = aHost;
   link.upstream = upstream;
   this->links[key] = link;
-  this->After(aHost, kNetworkDelay + kNetworkDelay, [this, key, upstream] {
+  std::string expected = aAction.upstream;
+  this->After(aHost, kNetworkDelay + kNetworkDelay, [=] {
     auto found = this->links.find(key);
     if (found == this->links.end()) {
       return;
     }
-    if (!this->upstreams[upstream].isAlive) {
+    if (this->upstreams[upstream].entry.id != expected) {
+      this->links.erase(found);
+      this->Send(key.first,
+                 LinkLost{ key.second,
+                           StatementFailure{ FailureCode::Misrouted, "" } });
+    } else if (!this->upstreams[upstream].isAlive) {
       this->links.erase(found);
       this->Send(key.first, LinkLost{ key.second, {} });
     } else if (this->Reaches(key.first, upstream)) {
@@ -407,21 +426,36 @@
       event = LinkReported{ aKey.second, this->Report(upstream, aAction) };
     } else {
       StatementReply reply = this->Execute(linkEntry->second, aAction);
-      if (reply.signature == "none") {
-        return; // a commit hangs until a replica confirms it
-      }
+      bool isUnconfirmed = reply.signature == "none";
       reply.position = this->LogPointAfter(upstream, upstream.applied);
       event = LinkAnswered{ aKey.second, reply };
-    }
-    Duration delay = this->MessageDelay(linkEntry->second.lastAnswerArrival) +
-                     upstream.extraDelay;
-    this->After(aKey.first, delay, [this, aKey, event] {
-      auto openLink = this->links.find(aKey);
-      if (openLink != this->links.end() && !openLink->second.isSilent &&
-          this->Reaches(aKey.first, openLink->second.upstream)) {
-        this->Send(aKey.first, event);
+      if (isUnconfirmed) {
+        reply.signature = "s-" + aAction.requestId;
+        this->unconfirmedCommits.push_back(
+          { aKey, linkEntry->second.upstream, upstream.log.size(), reply });
+        return;
       }
-    });
+    }
+    this->SendReply(aKey, event);
+  });
+}
+
+/** Sends an upstream's reply to the host of the link. */
+void
+ProxySimulation::SendReply(LinkKey aKey, const ProxyEvent& aEvent)
+{
+  auto found = this->links.find(aKey);
+  if (found == this->links.end()) {
+    return;
+  }
+  Duration delay = this->MessageDelay(found->second.lastAnswerArrival) +
+                   this->upstreams[found->second.upstream].extraDelay;
+  this->After(aKey.first, delay, [this, aKey, aEvent] {
+    auto openLink = this->links.find(aKey);
+    if (openLink != this->links.end() && !openLink->second.isSilent &&
+        this->Reaches(aKey.first, openLink->second.upstream)) {
+      this->Send(aKey.first, aEvent);
+    }
   });
 }
 
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -220,6 +220,15 @@
 private:
   using LinkKey = std::pair<size_t, ConnectionId>;
 
+  /** A commit that waits until a replica confirms it. */
+  struct UnconfirmedCommit
+  {
+    LinkKey link;
+    size_t upstream = 0;
+    size_t logSize = 0; // that a replica must have received
+    StatementReply reply;
+  };
+
   FakeUpstream NewUpstream(size_t aIndex) const;
   std::unique_ptr<ProxyEngine> NewProcess(size_t aHost);
   void SendInitialState(size_t aHost);
@@ -233,6 +242,7 @@
   void SendOnceResumed(size_t aHost, const ProxyEvent& aEvent);
   Duration MessageDelay(Time& aLastArrival);
   void Perform(size_t aHost, const ProxyAction& aAction);
+  size_t UpstreamAt(const Endpoint& aEndpoint) const;
   void Open(size_t aHost, const OpenLink& aAction);
   void Run(LinkKey aKey, const SendToUpstream& aAction);
   StatementReply Execute(FakeLink& aLink, const SendToUpstream& aAction);
@@ -241,6 +251,9 @@
   StatementReply Commit(FakeLink& aLink, const SendToUpstream& aAction);
   std::string LostCommits(const FakeUpstream& aPrimary) const;
   bool Append(FakeUpstream& aPrimary, const std::vector<LogEntry>& aEntries);
+  void Acknowledge(const FakeUpstream& aPrimary);
+  void ConfirmCommits(size_t aPrimary, const FakeUpstream& aReplica);
+  void SendReply(LinkKey aKey, const ProxyEvent& aEvent);
   UpstreamReport Report(FakeUpstream& aUpstream, const SendToUpstream& aAction);
   void Promote(const RequestPromotion& aAction, size_t aHost);
   void Record(const GroupRecord& aRecord);
@@ -273,6 +286,7 @@
     openRequests;
   std::map<std::pair<size_t, CallerId>, std::map<std::string, std::string>>
     settings;
+  std::vector<UnconfirmedCommit> unconfirmedCommits;
   std::vector<LogEntry> acknowledged;
   std::vector<Time> acknowledgedAt;
   std::string lost; // a line for each lost commit
--- a/test/group-record-test.cc
+++ b/test/group-record-test.cc
@@ -213,9 +213,8 @@
   view.ApplyRecord(Record(5, { 0, 1, 2 }), now);
   view.ApplyRegistrations({ Registration(0), Registration(1) }, now);
   view.Failed(2, now);
-  Time lostAt = now;
   // The other replica's log ends before the end that the primary reports.
-  for (int i = 0; i < 200; ++i) {
+  for (int i = 0; i < 400; ++i) {
     now = now + Millis(100);
     view.ApplyReport(0, Report(Role::Primary, 1, { 1, 20 }), now, now);
     view.ApplyReport(1, Report(Role::Replica, 1, { 1, 10 }), now, now);
@@ -224,7 +223,30 @@
   }
   view.ApplyReport(1, Report(Role::Replica, 1, { 1, 20 }), now, now);
   cr_assert_eq(MemberIds(recorder.Update(view, now)), "u0 u1");
-  cr_assert_geq((now - lostAt).ms, 10000);
+}
+
+// A successor with the member's address and log may confirm commits before it
+// is listed.
+Test(record, lost_member_stays_while_a_successor_may_come)
+{
+  ServiceView view = View();
+  GroupRecorder recorder;
+  Time now = kStart;
+  view.ApplyRecord(Record(5, { 0, 1, 2 }), now);
+  RegisteredUpstream leaving = Registration(2);
+  leaving.leaving = true;
+  view.ApplyRegistrations({ Registration(0), Registration(1), leaving }, now);
+  view.ApplyRegistrations({ Registration(0), Registration(1) }, now);
+  view.Failed(2, now);
+  Time lostAt = now;
+  std::optional<GroupRecord> next;
+  while (!next && now - lostAt < Seconds(60)) {
+    now = now + Millis(100);
+    ReportHealthyGroup(view, now);
+    next = recorder.Update(view, now);
+  }
+  cr_assert_eq(MemberIds(next), "u0 u1");
+  cr_assert_geq((now - lostAt).ms, kAbsentMemberTimeout.ms);
 }
 
 // Guards against losing commits: a member that failed for a short time was
