Let a host borrow connections that others leave unused

Cause: each host had an even share of an upstream's connections, by the number of hosts. When the callers of a zone moved to another one's hosts (`shift`), those had no more connections than before, while the others' stayed closed.

Change: `connection-budget` holds the share. A host whose share is in use asks the upstream for its count of connections and borrows its part of those that are free, up to three quarters of the limit. What it borrowed is closed after 200 ms without use. The window of concurrent statements follows.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_COORDINATION_PROXY_PROXY_ENGINE_H
 
 #include "marigoldpitch/coordination/common/admission.h"
+#include "marigoldpitch/coordination/proxy/connection-budget.h"
 #include "marigoldpitch/coordination/proxy/group-recorder.h"
 #include "marigoldpitch/coordination/proxy/promotion.h"
 #include "marigoldpitch/coordination/proxy/proxy-session.h"
@@ -55,7 +56,7 @@
   Promotion promotion;
   GroupRecorder recorder;
   std::set<QueueKey> queue;
-  uint32_t share = 1; // connections that this host may open to one upstream
+  uint32_t share = 1; // this host's even share of an upstream's connections
   // By database: a decaying maximum of the response times, in milliseconds.
   std::map<std::string, double> maxLatencyMs;
   // A statement waits for a newer proof that the primary is still the primary.
@@ -114,6 +115,8 @@
   void On(const ProxyTick& aEvent);
   ProxyService& ServiceOf(const std::string& aName);
   void ShareConnections(ProxyService& aService);
+  uint32_t ConnectionLimit(const ProxyService& aService,
+                           UpstreamIndex aUpstream) const;
   void DrainSessions();
 
   // proxy-sessions.cc: statements that the proxy answers itself, replies to
@@ -146,6 +149,8 @@
   double CostOf(const ProxyService& aService, UpstreamIndex aUpstream) const;
   static bool IsCommit(const CallerSession& aSession);
   bool HasCapacity(const ProxyService& aService, UpstreamIndex aUpstream) const;
+  bool MayOpen(const ProxyService& aService, UpstreamIndex aUpstream) const;
+  void RequestCensus(ProxyService& aService, UpstreamIndex aUpstream);
   double EstimateWait(const ProxyService& aService,
                       UpstreamIndex aUpstream,
                       const std::optional<FreshnessSample>& aAfter) const;
@@ -198,8 +203,7 @@
   void HandleFailure(ProxyLink& aLink,
                      CallerSession& aSession,
                      const StatementReply& aReply);
-  static void AdaptWindow(const ProxyService& aService,
-                          ProxyUpstream& aUpstream);
+  void AdaptWindow(ProxyService& aService, UpstreamIndex aUpstream) const;
   void NoteBusy(ProxyService& aService, UpstreamIndex aUpstream);
   void NoteFailure(ProxyLink& aLink,
                    CallerSession& aSession,
--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -70,6 +70,7 @@
   Time unansweredSince = kInfiniteFuture;
   Time avoidUntil = kInfinitePast;
   Time fullUntil = kInfinitePast; // accepts no more connections until then
+  uint32_t openedSinceReport = 0; // connections of this host
   LogPoint behind;                // a point that its log did not reach
   Time behindUntil = kInfinitePast;
   double lagMs = 20; // estimate of its replication lag
--- /dev/null
+++ b/src/coordination/proxy/connection-budget.cc
@@ -0,0 +1,46 @@
+#include "marigoldpitch/coordination/proxy/connection-budget.h"
+
+#include <algorithm>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+// Share of an upstream's connections that no host counts on.
+constexpr double kReservedShare = 0.1;
+// Share of an upstream's connections up to which hosts may borrow. The rest
+// lets hosts with unused shares open theirs.
+constexpr double kBorrowableShare = 0.75;
+constexpr Duration kMaxCensusAge = Millis(1000);
+
+} // namespace detail
+
+uint32_t
+EvenShare(uint32_t aConnectionLimit, size_t aHosts)
+{
+  auto reserve =
+    static_cast<uint32_t>(aConnectionLimit * detail::kReservedShare);
+  uint32_t shared = aConnectionLimit - reserve;
+  auto share = static_cast<uint32_t>(shared / std::max<size_t>(aHosts, 1));
+  return std::max(share, 1u);
+}
+
+uint32_t
+BorrowableConnections(uint32_t aConnectionLimit,
+                      size_t aHosts,
+                      const ConnectionCensus& aCensus,
+                      uint32_t aOpenedSince,
+                      Time aNow)
+{
+  auto borrowable =
+    static_cast<uint32_t>(aConnectionLimit * detail::kBorrowableShare);
+  bool isOutdated = aNow - aCensus.asked > detail::kMaxCensusAge;
+  if (isOutdated || aCensus.connections >= borrowable) {
+    return 0;
+  }
+  auto part = static_cast<uint32_t>((borrowable - aCensus.connections) /
+                                    std::max<size_t>(aHosts, 1));
+  return part > aOpenedSince ? part - aOpenedSince : 0;
+}
+
+} // namespace marigoldpitch
--- a/src/coordination/proxy/proxy-answers.cc
+++ b/src/coordination/proxy/proxy-answers.cc
@@ -198,7 +198,7 @@
   auto elapsedMs = static_cast<double>((this->now - pending.sent).ms);
   upstream.latencyMs +=
     (elapsedMs - upstream.latencyMs) * detail::kLatencyWeight;
-  this->AdaptWindow(service, upstream);
+  this->AdaptWindow(service, aLink.upstream);
   if (pending.after) {
     upstream.lagMs =
       std::max(upstream.lagMs * detail::kLagDecay, detail::kMinLagMs);
@@ -240,19 +240,20 @@
  * shrinks when it exceeds `kCongestionFactor` times that.
  */
 void
-ProxyEngine::AdaptWindow(const ProxyService& aService, ProxyUpstream& aUpstream)
+ProxyEngine::AdaptWindow(ProxyService& aService, UpstreamIndex aUpstream) const
 {
-  aUpstream.minLatencyMs = std::min(
-    aUpstream.minLatencyMs * detail::kMinLatencyGrowth, aUpstream.latencyMs);
-  if (aUpstream.window == 0) {
-    aUpstream.window = aService.share;
+  ProxyUpstream& upstream = aService.view.At(aUpstream);
+  upstream.minLatencyMs = std::min(
+    upstream.minLatencyMs * detail::kMinLatencyGrowth, upstream.latencyMs);
+  if (upstream.window == 0) {
+    upstream.window = aService.share;
   }
   bool isCongested =
-    aUpstream.latencyMs > aUpstream.minLatencyMs * detail::kCongestionFactor;
+    upstream.latencyMs > upstream.minLatencyMs * detail::kCongestionFactor;
   double step = isCongested ? -detail::kWindowShrink
-                            : detail::kWindowGrowth / aUpstream.window;
-  aUpstream.window = std::clamp<double>(
-    aUpstream.window + step, 1, std::max<double>(aService.share, 1));
+                            : detail::kWindowGrowth / upstream.window;
+  upstream.window = std::clamp<double>(
+    upstream.window + step, 1, this->ConnectionLimit(aService, aUpstream));
 }
 
 void
--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -18,6 +18,7 @@
 constexpr double kFailedCostMs = 1000;
 constexpr uint32_t kMaxTries = 6;
 constexpr Duration kCommitStall = Millis(300);
+constexpr Duration kCensusInterval = Millis(200);
 // Times are whole milliseconds; this margin covers the rounding of two of them.
 constexpr Duration kClockMargin = Millis(2);
 
@@ -279,6 +280,31 @@
   return pending.writes && aSession.state == SessionState::Idle;
 }
 
+bool
+ProxyEngine::MayOpen(const ProxyService& aService,
+                     UpstreamIndex aUpstream) const
+{
+  return aService.connections.UsageOf(aUpstream).open <
+           this->ConnectionLimit(aService, aUpstream) &&
+         aService.view.At(aUpstream).fullUntil <= this->now;
+}
+
+/**
+ * Requests a report for its count of connections, if this host needs more than
+ * its share.
+ */
+void
+ProxyEngine::RequestCensus(ProxyService& aService, UpstreamIndex aUpstream)
+{
+  ProxyUpstream& upstream = aService.view.At(aUpstream);
+  bool isShareOpen =
+    aService.connections.UsageOf(aUpstream).open >= aService.share;
+  if (isShareOpen &&
+      this->now - upstream.reportAsked >= detail::kCensusInterval) {
+    upstream.reportWanted = true;
+  }
+}
+
 /** Statements beyond the window would only queue up at the upstream. */
 bool
 ProxyEngine::HasCapacity(const ProxyService& aService,
@@ -307,8 +333,8 @@
 }
 
 /**
- * Whether another transaction may take a connection. One of this host's share
- * stays free of transactions, unless the share is a single connection.
+ * Whether another transaction may take a connection. One of those that this
+ * host may have stays free of transactions, unless it is the only one.
  */
 bool
 ProxyEngine::HasCapacityForTransaction(const ProxyService& aService,
@@ -318,7 +344,8 @@
   for (ConnectionId id : aService.connections.ConnectionsOf(aUpstream)) {
     open += aService.connections.Find(id)->transaction.empty() ? 0 : 1;
   }
-  return open + 1 < aService.share || (open == 0 && aService.share == 1);
+  uint32_t limit = this->ConnectionLimit(aService, aUpstream);
+  return open + 1 < limit || (open == 0 && limit == 1);
 }
 
 double
@@ -349,14 +376,13 @@
   double bestCost = std::numeric_limits<double>::max();
   bool mustWait = false;
   for (UpstreamIndex i = 0; i < aService.view.Size(); ++i) {
-    if (!this->MayServe(aService, aSession, i, aAfter) ||
-        !this->HasCapacity(aService, i)) {
+    if (!this->MayServe(aService, aSession, i, aAfter)) {
       continue;
     }
     bool isIdle = this->FindLink(aService, i, aSession).has_value();
-    bool mayOpen = aService.connections.CanOpen(i) &&
-                   aService.view.At(i).fullUntil <= this->now;
-    if (!isIdle && !mayOpen) {
+    bool isReachable = isIdle || this->MayOpen(aService, i);
+    if (!isReachable || !this->HasCapacity(aService, i)) {
+      this->RequestCensus(aService, i);
       continue;
     }
     double wait = this->EstimateWait(aService, i, aAfter);
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -9,9 +9,6 @@
 // The load balancer needs two failed health checks, a second apart, to stop
 // sending new callers.
 constexpr Duration kBalancerReactionTime = Millis(2200);
-// Share of an upstream's connections that is kept free, because connections of
-// crashed hosts stay open there for a while.
-constexpr double kReservedShare = 0.1;
 constexpr size_t kMaxInbox = 32;
 constexpr Duration kHostDecreaseDelay = Seconds(4);
 constexpr ConnectionId kIdsPerService = ConnectionId{ 1 } << 40;
@@ -245,21 +242,36 @@
   }
 }
 
-/**
- * Divides the connections that one upstream accepts, less the reserved share,
- * evenly among the hosts. Until the hosts are counted, this host opens one.
- */
+/** Until the hosts are counted, this host opens one connection. */
 void
 ProxyEngine::ShareConnections(ProxyService& aService)
 {
-  uint32_t all = aService.config.connections;
-  auto reserve = static_cast<uint32_t>(all * detail::kReservedShare);
-  uint32_t shared = all - reserve;
-  size_t hostsAssumed = this->hosts == 0 ? shared : this->hosts;
-  auto share =
-    static_cast<uint32_t>(shared / std::max<size_t>(hostsAssumed, 1));
-  aService.share = std::max(share, 1u);
-  aService.connections.SetLimits(aService.share, aService.share);
+  aService.share =
+    this->hosts == 0 ? 1 : EvenShare(aService.config.connections, this->hosts);
+}
+
+/**
+ * How many connections this host may have to the upstream now: its share, or
+ * what it has and may borrow beyond it.
+ */
+uint32_t
+ProxyEngine::ConnectionLimit(const ProxyService& aService,
+                             UpstreamIndex aUpstream) const
+{
+  const ProxyUpstream& upstream = aService.view.At(aUpstream);
+  uint32_t open = aService.connections.UsageOf(aUpstream).open;
+  if (open < aService.share) {
+    return aService.share;
+  }
+  ConnectionCensus census;
+  if (upstream.report) {
+    census = { upstream.report->connections, upstream.reportAsked };
+  }
+  return open + BorrowableConnections(aService.config.connections,
+                                      this->hosts,
+                                      census,
+                                      upstream.openedSinceReport,
+                                      this->now);
 }
 
 void
--- a/src/coordination/proxy/proxy-placing.cc
+++ b/src/coordination/proxy/proxy-placing.cc
@@ -36,6 +36,7 @@
   link.asked = this->now;
   link.limit = this->now + detail::kOpenTimeout;
   aService.view.NoteAttempt(aUpstream, this->now);
+  ++aService.view.At(aUpstream).openedSinceReport;
   this->links[link.id] = link;
   this->Emit(OpenLink{ link.id,
                        aService.name,
--- a/src/coordination/proxy/proxy-watch.cc
+++ b/src/coordination/proxy/proxy-watch.cc
@@ -13,6 +13,7 @@
 constexpr Duration kQuietPrimaryInterval = Millis(1000);
 constexpr Duration kProofInterval = Millis(30);
 constexpr Duration kUnusedLinkTimeout = Millis(700);
+constexpr Duration kBorrowedLinkTimeout = Millis(200);
 // For this long after a replica read had no log point to wait for, reports are
 // requested to get one.
 constexpr Duration kPointDemandPeriod = Millis(500);
@@ -187,7 +188,7 @@
       idle = isFree ? id : idle;
     }
     if (!idle) {
-      if (!isOpening && aService.connections.CanOpen(command.upstream)) {
+      if (!isOpening && this->MayOpen(aService, command.upstream)) {
         this->Open(aService, command.upstream);
       }
       ++it;
@@ -210,8 +211,9 @@
 
 /**
  * Closes at most one idle connection per upstream: to an upstream that is no
- * longer a member, beyond this host's share, or, except for the last one,
- * unused for `kUnusedLinkTimeout`. An upstream keeps the connections of a
+ * longer a member, beyond this host's share and unused for
+ * `kBorrowedLinkTimeout`, or, except for the last one, unused for
+ * `kUnusedLinkTimeout`. An upstream keeps the connections of a
  * crashed host open for a while. Idle connections of the other hosts would then
  * leave no room for the host that replaces it.
  */
@@ -225,9 +227,11 @@
     for (ConnectionId id : aService.connections.ConnectionsOf(i)) {
       const ProxyLink& link = this->links.at(id);
       bool isIdle = !link.isOpening && link.use == LinkUse::None;
-      bool isUnused =
-        open > 1 && this->now - link.lastAnswer >= detail::kUnusedLinkTimeout;
-      if (isIdle && (mayNotConfirm || isOverShare || isUnused)) {
+      Duration unused = this->now - link.lastAnswer;
+      bool isUnneeded =
+        (isOverShare && unused >= detail::kBorrowedLinkTimeout) ||
+        (open > 1 && unused >= detail::kUnusedLinkTimeout);
+      if (isIdle && (mayNotConfirm || isUnneeded)) {
         this->Close(id, false);
         break;
       }
@@ -254,6 +258,7 @@
     auto before = view.Primary();
     Term termBefore = view.CurrentTerm();
     upstream.reportWanted = false;
+    upstream.openedSinceReport = 0;
     view.ApplyReport(index, *aEvent.report, link.asked, this->now);
     if (aEvent.report->role == Role::Primary) {
       view.ApplyLogEnd(index, aEvent.report->logEnd, link.asked);
--- a/test/fakes/proxy-simulation-upstreams.cc
+++ b/test/fakes/proxy-simulation-upstreams.cc
@@ -52,6 +52,8 @@
   report.term = aUpstream.term;
   report.logEnd = { aUpstream.term, aUpstream.log.size() };
   report.held = aUpstream.held;
+  report.connections =
+    static_cast<uint32_t>(this->OpenLinks(&aUpstream - this->upstreams.data()));
   return report;
 }
 
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -377,9 +377,16 @@
     }
     if (this->upstreams[upstream].entry.id != expected) {
       this->links.erase(found);
-      this->Send(key.first,
-                 LinkLost{ key.second,
-                           StatementFailure{ FailureCode::Misrouted, "" } });
+      this->Send(
+        key.first,
+        LinkLost{ key.second, StatementFailure{ FailureCode::Misrouted, "" } });
+    } else if (this->OpenLinks(upstream) > this->options.connections) {
+      ++this->excessLinks;
+      this->links.erase(found);
+      this->Send(
+        key.first,
+        LinkLost{ key.second,
+                  StatementFailure{ FailureCode::TooManyConnections, "" } });
     } else if (!this->upstreams[upstream].isAlive) {
       this->links.erase(found);
       this->Send(key.first, LinkLost{ key.second, {} });
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -206,6 +206,9 @@
   }
   size_t Promotions() const { return this->promotions; }
 
+  /** How many connections the upstreams refused over their limit. */
+  size_t ExcessLinks() const { return this->excessLinks; }
+
   /** Returns how many status reports the upstreams have sent. */
   size_t ReportCount() const { return this->reportCount; }
 
@@ -292,6 +295,7 @@
   std::string lost; // a line for each lost commit
   std::map<std::string, size_t> placed;
   size_t promotions = 0;
+  size_t excessLinks = 0;
   size_t reportCount = 0;
   CallerId lastCaller = 0;
 };
