Let the hosts of a zone divide the services among them

Cause: each host opened its share of every upstream's connections, at least one.

Change: if a host's share is less than two connections, as few hosts of each zone serve a service as have enough, by rendezvous hashing. The others relay their callers' statements to them, with the session's settings, its last commit and the time spent. The session stays with its host; only an open transaction binds it to a serving host. Half of the connections are kept free, so that all hosts can connect again beside their lost processes. A standby host of each zone knows the primary. A host does not ask the upstreams of services in which it has no part; a promoter asks all, and takes a log end of the primary that reaches no other member for a stall.

A statement that was relayed and whose link is lost is repeated only if nothing of it can have been committed; a host that does not answer pings while statements wait for it counts as lost; a draining host declines new ones. A frame that cannot be decoded closes its link.

--- a/include/marigoldpitch/coordination/proxy/connection-budget.h
+++ b/include/marigoldpitch/coordination/proxy/connection-budget.h
@@ -24,6 +24,21 @@
 uint32_t
 EvenShare(uint32_t aConnectionLimit, size_t aHosts);
 
+/**
+ * The share of each serving host if only some hosts serve a service. Half of
+ * the connections are kept free, so that all hosts can connect again after a
+ * loss of power while the connections of their lost processes are still open.
+ * Each standby host has one connection.
+ */
+uint32_t
+ServingShare(uint32_t aConnectionLimit,
+             size_t aServingHosts,
+             size_t aStandbyHosts);
+
+/** How many connections the hosts may have together if they borrow. */
+uint32_t
+UsableConnections(uint32_t aConnectionLimit, bool aIsDivided);
+
 /**
  * How many connections more a host may open whose share is in use, because
  * other hosts leave theirs unused: callers may have moved to it. All hosts may
@@ -31,7 +46,7 @@
  * be recent; `aOpenedSince` is what this host has opened since.
  */
 uint32_t
-BorrowableConnections(uint32_t aConnectionLimit,
+BorrowableConnections(uint32_t aUsableConnections,
                       size_t aHosts,
                       const ConnectionCensus& aCensus,
                       uint32_t aOpenedSince,
--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -21,6 +21,7 @@
 struct ProxyOptions
 {
   std::string zone;
+  std::string host = {};
   // How long upstreams serve after they have announced that they leave.
   Duration upstreamDrainTime = Millis(0);
   std::unique_ptr<AdmissionPolicy> admission = MakeDeadlineAdmission();
@@ -57,6 +58,12 @@
   GroupRecorder recorder;
   std::set<QueueKey> queue;
   uint32_t share = 1; // this host's even share of an upstream's connections
+  ServingHosts serving;
+  std::vector<std::string> rankedHosts; // of this host's zone
+  bool isServedHere = true;             // by this host
+  bool isStandbyHere = false;           // this host serves it next
+  Time lastLocalUse = kInfinitePast;    // when a statement was last queued here
+  bool wasFollowed = true;              // as of the last update
   // By database: a decaying maximum of the response times, in milliseconds.
   std::map<std::string, double> maxLatencyMs;
   // A statement waits for a newer proof that the primary is still the primary.
@@ -94,6 +101,9 @@
   }
   bool IsDraining() const { return this->drainSince != kInfiniteFuture; }
   size_t Sessions() const { return this->sessions.size(); }
+
+  /** Hosts to which statements may be relayed, so links to them are needed. */
+  std::set<std::string> RelayHosts() const;
   uint64_t ConfigVersion() const { return this->config.version; }
   const std::map<std::string, ProxyService>& Services() const
   {
@@ -169,6 +179,28 @@
                                        UpstreamIndex aUpstream,
                                        const CallerSession& aSession) const;
 
+  // proxy-relay.cc: statements for services that other hosts serve.
+  void On(const RelayHostChanged& aEvent);
+  void On(const RelayedReplyArrived& aEvent);
+  void PlaceService(ProxyService& aService);
+  bool IsFollowed(const ProxyService& aService) const;
+  bool IsRelayAwaited(const ProxyService& aService) const;
+  bool Relay(ProxyService& aService, CallerSession& aSession);
+  std::string ChooseRelayHost(const ProxyService& aService,
+                              const CallerSession& aSession) const;
+  void SendToHost(CallerSession& aSession, const std::string& aHost);
+  void HandleLostRelay(CallerSession& aSession);
+  void EndRelayedWork(CallerSession& aSession);
+
+  // proxy-relay-serving.cc: statements that other hosts relay to this one.
+  void On(const RelayedStatementArrived& aEvent);
+  void On(const RelayedEndArrived& aEvent);
+  void On(const RelayLinkLost& aEvent);
+  CallerSession& RelayedSession(const RelayedStatementArrived& aEvent);
+  void Decline(const RelayedStatementArrived& aEvent);
+  void AnswerOrigin(CallerSession& aSession, StatementReply aReply);
+  void RemoveFinishedSessions();
+
   // proxy-placing.cc: sending a statement over a connection.
   void Open(ProxyService& aService, UpstreamIndex aUpstream);
   void Assign(ProxyService& aService,
@@ -263,6 +295,17 @@
   ProxyConfig config;
   bool hasRegistry = false;
   size_t hosts = 0; // 0: not counted yet
+  std::vector<HostPlace> places;
+  Time configuredSince = kInfiniteFuture;
+  // Hosts to which a link is up, and since when.
+  std::map<std::string, Time> relayHosts;
+  std::map<std::string, Time> relayAvoidUntil;
+  // Until then links to serving hosts are expected to come up.
+  Time relayExpectedUntil = kInfinitePast;
+  // By link and the sender's session: the session that serves it here.
+  std::map<std::pair<RelayLinkId, uint64_t>, CallerId> relayedSessions;
+  CallerId lastRelayedCaller = 0;
+  std::vector<CallerId> finishedSessions;
   Time fewerHostsSince = kInfiniteFuture;
   // Sessions that wait for the first configuration.
   std::vector<SessionOpened> sessionsAwaitingConfig;
--- a/include/marigoldpitch/coordination/proxy/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-io.h
@@ -1,6 +1,8 @@
 #ifndef MARIGOLDPITCH_COORDINATION_PROXY_PROXY_IO_H
 #define MARIGOLDPITCH_COORDINATION_PROXY_PROXY_IO_H
 
+#include "marigoldpitch/coordination/proxy/relay-io.h"
+#include "marigoldpitch/coordination/proxy/service-placement.h"
 #include "marigoldpitch/coordination/proxy/statement.h"
 #include "marigoldpitch/state/connection-table.h"
 #include "marigoldpitch/state/log-event.h"
@@ -36,6 +38,7 @@
   CallerId caller = 0;
   std::string requestId;
   SessionStatement statement;
+  Duration spent = {}; // since it arrived at the host that relayed it
 };
 
 /** A caller sent a message that is not a valid statement. */
@@ -100,10 +103,48 @@
   std::vector<GroupRecord> groups;
 };
 
-/** How many hosts share the connections that an upstream accepts. */
+/**
+ * How many hosts share the connections that an upstream accepts, and where they
+ * are; without places, every host serves every service.
+ */
 struct HostsCounted
 {
   size_t hosts = 1;
+  std::vector<HostPlace> places;
+};
+
+/** A link to a host to which statements may be relayed has come up or down. */
+struct RelayHostChanged
+{
+  std::string host;
+  bool isUp = false;
+};
+
+/** Another host relays a statement. */
+struct RelayedStatementArrived
+{
+  RelayLinkId link = 0;
+  RelayedStatement statement;
+};
+
+/** Another host has given up what it relayed. */
+struct RelayedEndArrived
+{
+  RelayLinkId link = 0;
+  RelayedEnd end;
+};
+
+/** The link to a host that relayed statements was lost. */
+struct RelayLinkLost
+{
+  RelayLinkId link = 0;
+};
+
+/** The serving host has replied. */
+struct RelayedReplyArrived
+{
+  std::string host;
+  RelayedReply reply;
 };
 
 /**
@@ -151,6 +192,11 @@
                                 PromoterLeaseChanged,
                                 PromotionOrdered,
                                 ProxyDrainRequested,
+                                RelayHostChanged,
+                                RelayedStatementArrived,
+                                RelayedEndArrived,
+                                RelayLinkLost,
+                                RelayedReplyArrived,
                                 ProxyTick>;
 
 // Actions.
@@ -239,6 +285,27 @@
   Duration span;
 };
 
+/** Relays a statement to the host. */
+struct RelayStatement
+{
+  std::string host;
+  RelayedStatement statement;
+};
+
+/** Tells the host that what was relayed to it has been given up. */
+struct EndRelay
+{
+  std::string host;
+  RelayedEnd end;
+};
+
+/** Replies to a statement that another host relayed. */
+struct AnswerRelay
+{
+  RelayLinkId link = 0;
+  RelayedReply reply;
+};
+
 using ProxyAction = std::variant<ConfirmSession,
                                  AnswerCaller,
                                  EndSession,
@@ -249,7 +316,10 @@
                                  RecordGroup,
                                  LogDecision,
                                  ObserveDeparture,
-                                 ObserveLatency>;
+                                 ObserveLatency,
+                                 RelayStatement,
+                                 EndRelay,
+                                 AnswerRelay>;
 
 using ProxyActions = std::vector<ProxyAction>;
 
--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -34,13 +34,15 @@
   Preparing, // the session's settings are being set on the connection
   Beginning, // its transaction is being started there
   Running,   // the statement itself was sent
+  Relayed,   // it was sent to the host that serves the service
 };
 
-constexpr NameTable<StatementPhase, 4> kStatementPhaseNames{ {
+constexpr NameTable<StatementPhase, 5> kStatementPhaseNames{ {
   { StatementPhase::Queued, "queued" },
   { StatementPhase::Preparing, "preparing" },
   { StatementPhase::Beginning, "beginning" },
   { StatementPhase::Running, "running" },
+  { StatementPhase::Relayed, "relayed" },
 } };
 
 /** A caller's statement that an upstream has to answer. */
@@ -66,6 +68,17 @@
   std::optional<FreshnessSample> after; // the replica's log must reach it
   uint32_t tries = 0;
   std::set<UpstreamIndex> failedAt; // avoided while another may serve it
+  std::string relayHost;            // that it was relayed to, if it was
+  uint64_t relayNumber = 0;
+  std::set<std::string> failedRelays; // hosts that declined it or were lost
+};
+
+/** Where a relayed session's statement came from. */
+struct RelayOrigin
+{
+  RelayLinkId link = 0;
+  uint64_t session = 0;
+  uint64_t number = 0;
 };
 
 /** A caller's session with its open transaction and statement. */
@@ -83,6 +96,9 @@
   Time transactionArrived = kInfinitePast;
   DatabaseRoute route;     // of the open transaction
   ConnectionId pinned = 0; // the connection of the open transaction
+  std::string relayHost;   // the host that has the transaction open
+  uint64_t lastRelayNumber = 0;
+  std::optional<RelayOrigin> origin; // set if another host relays this session
   LogPoint lastCommit;
   std::optional<PendingStatement> pending;
   std::deque<StatementArrived> inbox; // pipelined behind `pending`
--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -230,6 +230,18 @@
    */
   Duration CommitStall(Time aNow) const;
 
+  /**
+   * For how long a log end that the primary has reported has been missing from
+   * all members that can be asked. It needs no commits of this host.
+   */
+  Duration ReplicationStall(Time aNow) const;
+
+  /** Whether the primary has reported a log end that no member has yet. */
+  bool HasUnconfirmedLogEnd() const
+  {
+    return this->unconfirmedLogEnd.has_value();
+  }
+
   /**
    * The upstream refused a write as read-only, or reports another role: it is
    * not the primary any more.
@@ -331,6 +343,7 @@
   void StartTerm(Term aTerm);
   void ApplyProof(Time aAsked);
   void PublishProvedSamples();
+  void NoteLogEnd(const LogPoint& aEnd, Time aAsked);
   void SampleAllButOne(Time aNow);
   void NoteCompleteLogs();
   void RequestReportIfUnverified(UpstreamIndex aUpstream);
@@ -360,6 +373,9 @@
   Time lastAcknowledged = kInfinitePast; // when a commit was last acknowledged
   // When the newest request that an upstream of any service answered was sent.
   Time pathWorkedAt = kInfinitePast;
+  // The oldest end of the primary's log that no other member has reported.
+  std::optional<ObservedLogEnd> unconfirmedLogEnd;
+  std::optional<LogPoint> firstLogEnd; // that it reported in the current term
   LogPoint highestAcknowledged;
   ObservedLogEnd primaryLogEnd;
   // Samples of the current term, oldest first, for which it is not proved yet
--- a/include/marigoldpitch/protocol/proxy-settings.h
+++ b/include/marigoldpitch/protocol/proxy-settings.h
@@ -17,6 +17,9 @@
   Endpoint health;
   Endpoint metrics;
   Endpoint peers; // for connections from other proxies
+  // For statements that other proxies relay, one port below `peers`; port 0:
+  // this host relays none.
+  Endpoint relays;
   Endpoint store;
   Endpoint promotionService; // the platform's service for promotion requests
   Duration gracePeriod;      // from SIGTERM to the end of the process
--- a/include/marigoldpitch/protocol/wire.h
+++ b/include/marigoldpitch/protocol/wire.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_PROTOCOL_WIRE_H
 
 #include "marigoldpitch/coordination/common/gossip.h"
+#include "marigoldpitch/coordination/proxy/relay-io.h"
 #include "marigoldpitch/state/error.h"
 #include "marigoldpitch/state/request.h"
 
@@ -53,6 +54,21 @@
 struct PongFrame
 {};
 
+struct RelayedStatementFrame
+{
+  RelayedStatement statement;
+};
+
+struct RelayedReplyFrame
+{
+  RelayedReply reply;
+};
+
+struct RelayedEndFrame
+{
+  RelayedEnd end;
+};
+
 using Frame = std::variant<RequestFrame,
                            AnswerFrame,
                            CancelFrame,
@@ -60,7 +76,10 @@
                            DigestFrame,
                            DocumentFrame,
                            PingFrame,
-                           PongFrame>;
+                           PongFrame,
+                           RelayedStatementFrame,
+                           RelayedReplyFrame,
+                           RelayedEndFrame>;
 
 /** Encodes the frame without the size prefix. */
 std::string
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -65,6 +65,8 @@
   ReadUnproved,
   UpstreamLeft,
   StatementToLeaving,
+  StatementRelayed,
+  RelayHostChanged,
 };
 
 struct LogEventRow
@@ -75,7 +77,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 40> kLogEvents{ {
+constexpr std::array<LogEventRow, 42> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -125,6 +127,8 @@
   { LogEvent::ReadUnproved, 605, Severity::Warning, "read-unproved" },
   { LogEvent::UpstreamLeft, 411, Severity::Info, "upstream-left" },
   { LogEvent::StatementToLeaving, 606, Severity::Info, "statement-to-leaving" },
+  { LogEvent::StatementRelayed, 607, Severity::Info, "statement-relayed" },
+  { LogEvent::RelayHostChanged, 303, Severity::Info, "relay-host-changed" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/state/metrics.h
+++ b/include/marigoldpitch/state/metrics.h
@@ -27,9 +27,10 @@
   FramesRefused,
   ReadsUnproved,       // refused: no log point to prove a replica fresh enough
   StatementsToLeaving, // sent to an upstream known to be leaving or unlisted
+  StatementsRelayed,   // sent to the host that serves the service
 };
 
-constexpr NameTable<Counter, 11> kCounterNames{ {
+constexpr NameTable<Counter, 12> kCounterNames{ {
   { Counter::ReplicaReads, "replica_reads_total" },
   { Counter::PrimaryReads, "primary_reads_total" },
   { Counter::FallbackReads, "fallback_reads_total" },
@@ -41,6 +42,7 @@
   { Counter::FramesRefused, "frames_refused_total" },
   { Counter::ReadsUnproved, "reads_unproved_total" },
   { Counter::StatementsToLeaving, "statements_to_leaving_total" },
+  { Counter::StatementsRelayed, "statements_relayed_total" },
 } };
 
 enum class Measure
--- a/include/marigoldpitch/state/proxy-config.h
+++ b/include/marigoldpitch/state/proxy-config.h
@@ -76,6 +76,8 @@
   std::string zone;
   std::string run; // id of this process run, never reused
   Endpoint peers;  // for connections from other proxies
+  // For statements that other proxies relay; port 0: it takes none.
+  Endpoint relays = {};
 };
 
 /** The proxies' own keys in the store: hosts and the promoter's lease. */
--- a/include/marigoldpitch/transport/peer-network.h
+++ b/include/marigoldpitch/transport/peer-network.h
@@ -35,6 +35,9 @@
 
   /** A frame was refused; `aPeer` is empty if its name is not known yet. */
   virtual void OnBadFrame(const std::string& aPeer, const Error& aError) = 0;
+
+  /** Whether a link is closed after a frame that cannot be decoded. */
+  virtual bool ClosesOnBadFrame() const { return false; }
 };
 
 /**
@@ -70,6 +73,9 @@
   void SendTo(const std::string& aPeer, const Frame& aFrame);
   void SendTo(const std::string& aPeer, const std::string& aEncoded);
   void Send(LinkId aLink, const Frame& aFrame);
+
+  /** Closes the link and calls `OnPeerDown`. */
+  void CloseLink(LinkId aLink);
   void Broadcast(const Frame& aFrame);
 
   void OnAccept(h2o_socket_t* aSocket) override;
--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -1,5 +1,7 @@
 #include "marigoldpitch/coordination/proxy/promotion.h"
 
+#include <algorithm>
+
 namespace marigoldpitch {
 
 namespace detail {
@@ -27,7 +29,8 @@
  * - the primary has announced its shutdown;
  * - the registry shows that the primary is gone, although it may still answer;
  * - the primary answers, but no commit has been acknowledged for
- *   `kCommitStallTimeout` while commits wait for an answer.
+ *   `kCommitStallTimeout` while commits wait for an answer, or its log has not
+ *   reached any other member for as long.
  */
 std::optional<PromotionReason>
 Promotion::FindReason(const ServiceView& aView, Time aNow) const
@@ -52,7 +55,9 @@
   }
   // A primary that is only slow still acknowledges commits.
   bool answers = aNow - upstream.lastAnswer <= kFailureTimeout;
-  if (answers && aView.CommitStall(aNow) >= detail::kCommitStallTimeout) {
+  Duration stall =
+    std::max(aView.CommitStall(aNow), aView.ReplicationStall(aNow));
+  if (answers && stall >= detail::kCommitStallTimeout) {
     return PromotionReason::CommitsStalled;
   }
   return std::nullopt;
--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -19,6 +19,12 @@
 constexpr uint32_t kMaxTries = 6;
 constexpr Duration kCommitStall = Millis(300);
 constexpr Duration kCensusInterval = Millis(200);
+// A relayed statement is given up this long before the caller's limit, so that
+// the reply gets back in time.
+constexpr Duration kRelayMargin = Millis(30);
+// Hosts are known soon after the configuration. Until then all hosts may be
+// new, and must not fill the upstreams' connections.
+constexpr Duration kHostsTimeout = Millis(1000);
 // Times are whole milliseconds; this margin covers the rounding of two of them.
 constexpr Duration kClockMargin = Millis(2);
 
@@ -29,7 +35,7 @@
 {
   bool inTransaction = aSession.state == SessionState::InTransaction;
   const DatabaseRoute* route = &aSession.route;
-  if (!inTransaction) {
+  if (!inTransaction && !aSession.origin) {
     route = this->RouteOf(aSession.database);
   }
   PendingStatement pending;
@@ -54,11 +60,17 @@
   bool readsOnly = inTransaction ? aSession.readOnly : !pending.writes;
   pending.needsPrimary = !readsOnly || route->freshness == Freshness::Newest;
   pending.needsProof = inTransaction || !pending.writes;
-  pending.arrived = this->now;
-  pending.deadline = this->now + route->timeout;
+  pending.arrived = this->now - aEvent.spent;
+  pending.deadline = pending.arrived + route->timeout;
+  if (aSession.origin) {
+    pending.deadline = pending.deadline - detail::kRelayMargin;
+  }
   aSession.pending = pending;
   ProxyService& service = this->ServiceOf(route->service);
-  if (aSession.pinned == 0 && !this->Admits(service, pending)) {
+  // The host that serves the service decides about a relayed statement.
+  bool isServedHere = service.isServedHere || aSession.origin.has_value();
+  bool isPlaced = aSession.pinned != 0 || !aSession.relayHost.empty();
+  if (isServedHere && !isPlaced && !this->Admits(service, pending)) {
     if (inTransaction) {
       this->FailTransaction(aSession);
     }
@@ -186,6 +198,13 @@
     this->Assign(aService, aSession, aSession.pinned);
     return true;
   }
+  if (this->Relay(aService, aSession)) {
+    return true;
+  }
+  if (!aSession.origin && this->IsRelayAwaited(aService)) {
+    return false;
+  }
+  aService.lastLocalUse = this->now;
   auto after = this->FreshPointFor(aService, aSession);
   auto upstream = this->ChooseUpstream(aService, aSession, after);
   if (!upstream) {
@@ -284,7 +303,10 @@
 ProxyEngine::MayOpen(const ProxyService& aService,
                      UpstreamIndex aUpstream) const
 {
-  return aService.connections.UsageOf(aUpstream).open <
+  bool awaitsHosts = this->hosts == 0 &&
+                     this->now - this->configuredSince < detail::kHostsTimeout;
+  return !awaitsHosts &&
+         aService.connections.UsageOf(aUpstream).open <
            this->ConnectionLimit(aService, aUpstream) &&
          aService.view.At(aUpstream).fullUntil <= this->now;
 }
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -11,6 +11,8 @@
 constexpr Duration kBalancerReactionTime = Millis(2200);
 constexpr size_t kMaxInbox = 32;
 constexpr Duration kHostDecreaseDelay = Seconds(4);
+// How long links to serving hosts take to come up after a start.
+constexpr Duration kRelayConnectTime = Millis(500);
 constexpr ConnectionId kIdsPerService = ConnectionId{ 1 } << 40;
 
 } // namespace detail
@@ -26,6 +28,7 @@
       this->RequestProof(service);
     }
   }
+  this->RemoveFinishedSessions();
   return std::exchange(this->actions, {});
 }
 
@@ -102,6 +105,11 @@
   CallerSession& session = found->second;
   this->Dequeue(session);
   this->LeaveTransaction(session);
+  this->EndRelayedWork(session);
+  if (session.origin) {
+    this->relayedSessions.erase(
+      { session.origin->link, session.origin->session });
+  }
   if (session.pending && session.pending->connection != 0) {
     ProxyLink& link = this->links.at(session.pending->connection);
     link.use = LinkUse::Orphan;
@@ -175,6 +183,7 @@
     return;
   }
   this->config = aEvent.config;
+  this->configuredSince = std::min(this->configuredSince, this->now);
   for (const auto& [name, serviceConfig] : this->config.services) {
     ProxyService& service = this->ServiceOf(name);
     service.config = serviceConfig;
@@ -233,8 +242,13 @@
   // while.
   bool isSettled =
     this->now - this->fewerHostsSince >= detail::kHostDecreaseDelay;
-  if (counted > this->hosts || isSettled) {
+  bool isReplaced = counted == this->hosts && aEvent.places != this->places;
+  if (counted > this->hosts || isSettled || isReplaced) {
+    if (this->places.empty()) {
+      this->relayExpectedUntil = this->now + detail::kRelayConnectTime;
+    }
     this->hosts = counted;
+    this->places = aEvent.places;
     this->fewerHostsSince = kInfiniteFuture;
     for (auto& [name, service] : this->services) {
       this->ShareConnections(service);
@@ -246,8 +260,16 @@
 void
 ProxyEngine::ShareConnections(ProxyService& aService)
 {
-  aService.share =
-    this->hosts == 0 ? 1 : EvenShare(aService.config.connections, this->hosts);
+  this->PlaceService(aService);
+  uint32_t limit = aService.config.connections;
+  if (this->hosts == 0) {
+    aService.share = 1;
+  } else if (aService.serving.perZone == 0) {
+    aService.share = EvenShare(limit, this->hosts);
+  } else {
+    aService.share =
+      ServingShare(limit, aService.serving.total, aService.serving.zones);
+  }
 }
 
 /**
@@ -267,11 +289,13 @@
   if (upstream.report) {
     census = { upstream.report->connections, upstream.reportAsked };
   }
-  return open + BorrowableConnections(aService.config.connections,
-                                      this->hosts,
-                                      census,
-                                      upstream.openedSinceReport,
-                                      this->now);
+  bool isDivided = aService.serving.perZone != 0;
+  return open + BorrowableConnections(
+                  UsableConnections(aService.config.connections, isDivided),
+                  aService.serving.total,
+                  census,
+                  upstream.openedSinceReport,
+                  this->now);
 }
 
 void
--- a/src/coordination/proxy/proxy-losses.cc
+++ b/src/coordination/proxy/proxy-losses.cc
@@ -110,6 +110,7 @@
 ProxyEngine::AbortTransaction(CallerSession& aSession, const std::string& aWhy)
 {
   aSession.pinned = 0;
+  aSession.relayHost.clear();
   aSession.state = SessionState::Failed;
   aSession.abortUnreported = true;
   if (aSession.pending) {
@@ -186,11 +187,13 @@
   PendingStatement& pending = *aSession.pending;
   bool isCommit = pending.statement.kind == StatementKind::Commit;
   bool inTransaction = aSession.state == SessionState::InTransaction;
-  bool wasSent = pending.phase == StatementPhase::Running;
+  bool wasSent = pending.phase == StatementPhase::Running ||
+                 pending.phase == StatementPhase::Relayed;
   if (pending.phase == StatementPhase::Queued) {
     this->LogUnprovedRead(aSession);
     this->Dequeue(aSession);
   }
+  this->EndRelayedWork(aSession);
   if (pending.connection != 0) {
     ProxyLink& link = this->links.at(pending.connection);
     link.use = LinkUse::Orphan;
--- a/src/coordination/proxy/proxy-sessions.cc
+++ b/src/coordination/proxy/proxy-sessions.cc
@@ -124,6 +124,10 @@
   aReply.state = aSession.state;
   aSession.pending.reset();
   aSession.lastActive = this->now;
+  if (aSession.origin) {
+    this->AnswerOrigin(aSession, std::move(aReply));
+    return;
+  }
   this->Emit(AnswerCaller{ aSession.id, std::move(aReply) });
   this->HandleNextStatement(aSession);
 }
@@ -169,6 +173,9 @@
 {
   aSession.state = SessionState::Idle;
   aSession.abortUnreported = false;
+  if (!aSession.relayHost.empty()) {
+    this->EndRelayedWork(aSession);
+  }
   ConnectionId pinned = std::exchange(aSession.pinned, 0);
   if (pinned == 0) {
     return;
--- a/src/coordination/proxy/proxy-watch.cc
+++ b/src/coordination/proxy/proxy-watch.cc
@@ -11,6 +11,12 @@
 // A primary is sent a status request after this long without an answer from it
 // or a request to it.
 constexpr Duration kQuietPrimaryInterval = Millis(1000);
+// The same for a promoter that does not serve the service, so that no statement
+// would show it that the primary is silent.
+constexpr Duration kUnusedPrimaryInterval = Millis(400);
+// The same for a host that serves the service next; shorter than
+// `kUnusedLinkTimeout`, so that its connection stays open.
+constexpr Duration kStandbyInterval = Millis(600);
 constexpr Duration kProofInterval = Millis(30);
 constexpr Duration kUnusedLinkTimeout = Millis(700);
 constexpr Duration kBorrowedLinkTimeout = Millis(200);
@@ -69,12 +75,22 @@
 /**
  * Periodic work for one service: requests reports, runs the promotion, updates
  * the group record, cleans up after interrupted promotions and closes unneeded
- * connections.
+ * connections. A service that this host has no part in is not followed.
  */
 void
 ProxyEngine::UpdateService(ProxyService& aService)
 {
   ServiceView& view = aService.view;
+  bool isFollowed = this->IsFollowed(aService);
+  if (isFollowed && !aService.wasFollowed) {
+    view.RequestAllReports();
+  }
+  aService.wasFollowed = isFollowed;
+  if (!isFollowed) {
+    this->LogFinishedDepartures(aService);
+    this->CloseUnneededLinks(aService);
+    return;
+  }
   view.NotePathWorks(this->pathWorkedAt);
   // All upstreams are asked at once: their answers show whether the primary or
   // this host's outbound path has failed.
@@ -83,11 +99,19 @@
   if (isPrimaryInDoubt) {
     view.RequestAllReports();
   }
+  Duration quietInterval = detail::kQuietPrimaryInterval;
+  if (!aService.isServedHere) {
+    quietInterval = this->MayPromote() ? detail::kUnusedPrimaryInterval
+                                       : detail::kStandbyInterval;
+  }
+  if (!aService.isServedHere && view.HasUnconfirmedLogEnd()) {
+    view.RequestReportsSince(this->now - detail::kPointInterval);
+  }
   for (UpstreamIndex i = 0; i < view.Size(); ++i) {
     ProxyUpstream& upstream = view.At(i);
     Time lastContact = std::max(upstream.lastAnswer, upstream.lastAsked);
-    bool isQuiet = view.Primary() == i &&
-                   this->now - lastContact >= detail::kQuietPrimaryInterval;
+    bool isQuiet =
+      view.Primary() == i && this->now - lastContact >= quietInterval;
     bool isDue = view.Members().MayConfirm(i, this->now) &&
                  (upstream.reportWanted || isQuiet) &&
                  !upstream.reportRequestOpen &&
@@ -212,10 +236,10 @@
 /**
  * Closes at most one idle connection per upstream: to an upstream that is no
  * longer a member, beyond this host's share and unused for
- * `kBorrowedLinkTimeout`, or, except for the last one, unused for
- * `kUnusedLinkTimeout`. An upstream keeps the connections of a
- * crashed host open for a while. Idle connections of the other hosts would then
- * leave no room for the host that replaces it.
+ * `kBorrowedLinkTimeout`, or, except for the last one of a service that this
+ * host serves, unused for `kUnusedLinkTimeout`. An upstream keeps the
+ * connections of a crashed host open for a while. Idle connections of the other
+ * hosts would then leave no room for the host that replaces it.
  */
 void
 ProxyEngine::CloseUnneededLinks(ProxyService& aService)
@@ -230,7 +254,8 @@
       Duration unused = this->now - link.lastAnswer;
       bool isUnneeded =
         (isOverShare && unused >= detail::kBorrowedLinkTimeout) ||
-        (open > 1 && unused >= detail::kUnusedLinkTimeout);
+        ((open > 1 || !aService.isServedHere) &&
+         unused >= detail::kUnusedLinkTimeout);
       if (isIdle && (mayNotConfirm || isUnneeded)) {
         this->Close(id, false);
         break;
--- a/src/coordination/proxy/service-view-reachability.cc
+++ b/src/coordination/proxy/service-view-reachability.cc
@@ -65,6 +65,29 @@
   return aNow - std::max(oldest, this->lastAcknowledged);
 }
 
+Duration
+ServiceView::ReplicationStall(Time aNow) const
+{
+  if (!this->unconfirmedLogEnd) {
+    return Millis(0);
+  }
+  std::optional<Duration> stall;
+  for (UpstreamIndex i = 0; i < this->upstreams.size(); ++i) {
+    bool isAsked = this->primary != i && this->members.MayConfirm(i, aNow) &&
+                   !this->IsUnlistedAndFailingLong(i, aNow);
+    if (!isAsked) {
+      continue;
+    }
+    const ProxyUpstream& upstream = this->upstreams[i];
+    Duration span = upstream.reportAsked - this->unconfirmedLogEnd->asked;
+    if (!upstream.report || span < Millis(0)) {
+      return Millis(0);
+    }
+    stall = stall ? std::min(*stall, span) : span;
+  }
+  return stall.value_or(Millis(0));
+}
+
 void
 ServiceView::NotePathWorks(Time aAsked)
 {
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -145,6 +145,9 @@
     if (aReport.term > this->term || isSuccessor) {
       this->SetPrimary(aUpstream, aReport.term, aNow);
     }
+    if (this->primary == aUpstream) {
+      this->NoteLogEnd(aReport.logEnd, aAsked);
+    }
     return;
   }
   if (this->primary == aUpstream) {
@@ -159,9 +162,28 @@
   if (aReport.held <= this->term) {
     this->ApplyProof(aAsked);
   }
+  bool isConfirmed = this->unconfirmedLogEnd &&
+                     !aReport.logEnd.IsBehind(this->unconfirmedLogEnd->point);
+  if (isConfirmed) {
+    this->unconfirmedLogEnd.reset();
+  }
   this->NoteHolds(aNow);
 }
 
+/**
+ * The log end at which the term began shows no commit, so only a later one can
+ * be missing elsewhere.
+ */
+void
+ServiceView::NoteLogEnd(const LogPoint& aEnd, Time aAsked)
+{
+  if (!this->firstLogEnd) {
+    this->firstLogEnd = aEnd;
+  } else if (!this->unconfirmedLogEnd && this->firstLogEnd->IsBehind(aEnd)) {
+    this->unconfirmedLogEnd = { aAsked, aEnd };
+  }
+}
+
 /**
  * Adds a sample, without knowing the primary, from the reports of all members
  * but one. A commit is acknowledged only when the logs of two members contain
@@ -338,6 +360,8 @@
   this->term = aTerm;
   this->allHeldSince = kInfiniteFuture;
   this->primaryLogEnd = {};
+  this->firstLogEnd.reset();
+  this->unconfirmedLogEnd.reset();
   this->unprovedSamples.clear();
   this->newestProofAsked = kInfinitePast;
 }
--- a/src/protocol/proxy-documents.cc
+++ b/src/protocol/proxy-documents.cc
@@ -72,10 +72,14 @@
 json
 ProxyHostToJson(const ProxyHost& aHost)
 {
-  return { { "host", aHost.name },
-           { "zone", aHost.zone },
-           { "run", aHost.run },
-           { "peers", FormatEndpoint(aHost.peers) } };
+  json value{ { "host", aHost.name },
+              { "zone", aHost.zone },
+              { "run", aHost.run },
+              { "peers", FormatEndpoint(aHost.peers) } };
+  if (aHost.relays.port != 0) {
+    value["relays"] = FormatEndpoint(aHost.relays);
+  }
+  return value;
 }
 
 Result<ProxyHost>
@@ -88,6 +92,11 @@
   BOOST_OUTCOME_TRY(auto peers,
                     ParseEndpoint(aValue.at("peers").get<std::string>()));
   host.peers = peers;
+  if (aValue.contains("relays")) {
+    BOOST_OUTCOME_TRY(auto relays,
+                      ParseEndpoint(aValue.at("relays").get<std::string>()));
+    host.relays = relays;
+  }
   return host;
 }
 
--- a/src/protocol/proxy-settings.cc
+++ b/src/protocol/proxy-settings.cc
@@ -30,6 +30,10 @@
   settings.health = parseEndpoint("health");
   settings.metrics = parseEndpoint("metrics");
   settings.peers = parseEndpoint("peers");
+  if (value.value("relay", false)) {
+    settings.relays = settings.peers;
+    --settings.relays.port;
+  }
   settings.store = parseEndpoint("store");
   settings.promotionService = parseEndpoint("duties");
   constexpr double kMsPerSecond = 1000;
--- a/src/protocol/wire.cc
+++ b/src/protocol/wire.cc
@@ -227,6 +227,93 @@
   return { wire::Body_PongFrame, wire::CreatePongFrame(aBuilder).Union() };
 }
 
+EncodedBody
+EncodeBody(Builder& aBuilder, const RelayedStatementFrame& aFrame)
+{
+  const RelayedStatement& relayed = aFrame.statement;
+  const SessionStatement& statement = relayed.statement;
+  auto requestId = aBuilder.CreateString(relayed.requestId);
+  auto kind = aBuilder.CreateString(kStatementKindNames.TextOf(statement.kind));
+  auto name = aBuilder.CreateString(statement.name);
+  auto arguments = aBuilder.CreateString(statement.arguments);
+  auto preparedText = aBuilder.CreateString(statement.preparedText);
+  auto database = aBuilder.CreateString(relayed.route.database);
+  auto service = aBuilder.CreateString(relayed.route.service);
+  auto freshness =
+    aBuilder.CreateString(kFreshnessNames.TextOf(relayed.route.freshness));
+  std::vector<flatbuffers::Offset<wire::Setting>> settings;
+  settings.reserve(relayed.values.size());
+  for (const auto& [setting, value] : relayed.values) {
+    settings.push_back(wire::CreateSetting(
+      aBuilder, aBuilder.CreateString(setting), aBuilder.CreateString(value)));
+  }
+  auto settingVector = aBuilder.CreateVector(settings);
+  auto state = aBuilder.CreateString(kSessionStateNames.TextOf(relayed.state));
+  wire::RelayedStatementFrameBuilder frame(aBuilder);
+  frame.add_session(relayed.session);
+  frame.add_number(relayed.number);
+  frame.add_request_id(requestId);
+  frame.add_kind(kind);
+  frame.add_name(name);
+  frame.add_arguments(arguments);
+  frame.add_writes(statement.writes);
+  frame.add_prepared_text(preparedText);
+  frame.add_database(database);
+  frame.add_service(service);
+  frame.add_freshness(freshness);
+  frame.add_max_age_ms(relayed.route.maxAge.ms);
+  frame.add_timeout_ms(relayed.route.timeout.ms);
+  frame.add_latency_objective_ms(relayed.route.latencyObjective.ms);
+  frame.add_priority(relayed.route.priority);
+  frame.add_settings(settingVector);
+  frame.add_commit_term(relayed.lastCommit.term);
+  frame.add_commit_position(relayed.lastCommit.position);
+  frame.add_state(state);
+  frame.add_read_only(relayed.readOnly);
+  frame.add_continued(relayed.isContinued);
+  frame.add_spent_ms(relayed.spent.ms);
+  frame.add_transaction_spent_ms(relayed.transactionSpent.ms);
+  return { wire::Body_RelayedStatementFrame, frame.Finish().Union() };
+}
+
+EncodedBody
+EncodeBody(Builder& aBuilder, const RelayedReplyFrame& aFrame)
+{
+  const RelayedReply& relayed = aFrame.reply;
+  const StatementReply& reply = relayed.reply;
+  auto rows = aBuilder.CreateVectorOfStrings(reply.rows);
+  flatbuffers::Offset<flatbuffers::String> failure;
+  flatbuffers::Offset<flatbuffers::String> failureText;
+  if (reply.failure) {
+    failure =
+      aBuilder.CreateString(kFailureCodeNames.TextOf(reply.failure->code));
+    failureText = aBuilder.CreateString(reply.failure->text);
+  }
+  auto signature = aBuilder.CreateString(reply.signature);
+  auto state = aBuilder.CreateString(kSessionStateNames.TextOf(reply.state));
+  LogPoint position = reply.position.value_or(LogPoint{});
+  wire::RelayedReplyFrameBuilder frame(aBuilder);
+  frame.add_session(relayed.session);
+  frame.add_number(relayed.number);
+  frame.add_rows(rows);
+  frame.add_failure(failure);
+  frame.add_failure_text(failureText);
+  frame.add_signature(signature);
+  frame.add_state(state);
+  frame.add_has_position(reply.position.has_value());
+  frame.add_term(position.term);
+  frame.add_position(position.position);
+  frame.add_declined(relayed.isDeclined);
+  return { wire::Body_RelayedReplyFrame, frame.Finish().Union() };
+}
+
+EncodedBody
+EncodeBody(Builder& aBuilder, const RelayedEndFrame& aFrame)
+{
+  return { wire::Body_RelayedEndFrame,
+           wire::CreateRelayedEndFrame(aBuilder, aFrame.end.session).Union() };
+}
+
 Error
 UnknownNameError(const char* aField, const std::string& aName)
 {
@@ -346,6 +433,106 @@
   return frame;
 }
 
+/** Whether callers may send statements of this kind. */
+bool
+MayBeRelayed(StatementKind aKind)
+{
+  return aKind == StatementKind::Read || aKind == StatementKind::Write ||
+         aKind == StatementKind::Execute || aKind == StatementKind::Commit;
+}
+
+Result<Frame>
+DecodeBody(const wire::RelayedStatementFrame& aFrame)
+{
+  RelayedStatementFrame frame;
+  RelayedStatement& relayed = frame.statement;
+  relayed.session = aFrame.session();
+  relayed.number = aFrame.number();
+  relayed.requestId = StringOrEmpty(aFrame.request_id());
+  BOOST_OUTCOME_TRY(
+    auto kind, DecodeName(kStatementKindNames, "relayed.kind", aFrame.kind()));
+  if (!MayBeRelayed(kind)) {
+    return Error{ ErrorCode::BadFrame, "relayed.kind", "is not a caller's" };
+  }
+  SessionStatement& statement = relayed.statement;
+  statement.kind = kind;
+  statement.name = StringOrEmpty(aFrame.name());
+  statement.arguments = StringOrEmpty(aFrame.arguments());
+  statement.writes = aFrame.writes();
+  statement.preparedText = StringOrEmpty(aFrame.prepared_text());
+  DatabaseRoute& route = relayed.route;
+  route.database = StringOrEmpty(aFrame.database());
+  route.service = StringOrEmpty(aFrame.service());
+  BOOST_OUTCOME_TRY(
+    auto freshness,
+    DecodeName(kFreshnessNames, "relayed.freshness", aFrame.freshness()));
+  route.freshness = freshness;
+  route.maxAge = Millis(aFrame.max_age_ms());
+  route.timeout = Millis(aFrame.timeout_ms());
+  route.latencyObjective = Millis(aFrame.latency_objective_ms());
+  route.priority = aFrame.priority();
+  if (aFrame.settings() != nullptr) {
+    for (const wire::Setting* setting : *aFrame.settings()) {
+      relayed.values[StringOrEmpty(setting->name())] =
+        StringOrEmpty(setting->value());
+    }
+  }
+  relayed.lastCommit.term = aFrame.commit_term();
+  relayed.lastCommit.position = aFrame.commit_position();
+  BOOST_OUTCOME_TRY(
+    auto state,
+    DecodeName(kSessionStateNames, "relayed.state", aFrame.state()));
+  relayed.state = state;
+  relayed.readOnly = aFrame.read_only();
+  relayed.isContinued = aFrame.continued();
+  relayed.spent = Millis(aFrame.spent_ms());
+  relayed.transactionSpent = Millis(aFrame.transaction_spent_ms());
+  bool isConsistent = state != SessionState::Failed &&
+                      relayed.spent >= Millis(0) &&
+                      relayed.transactionSpent >= Millis(0) &&
+                      (state == SessionState::InTransaction ||
+                       (!relayed.isContinued && kind != StatementKind::Commit));
+  if (!isConsistent) {
+    return Error{ ErrorCode::BadFrame,
+                  "relayed.state",
+                  "does not fit the statement" };
+  }
+  return Frame(std::move(frame));
+}
+
+Result<Frame>
+DecodeBody(const wire::RelayedReplyFrame& aFrame)
+{
+  RelayedReplyFrame frame;
+  frame.reply.session = aFrame.session();
+  frame.reply.number = aFrame.number();
+  frame.reply.isDeclined = aFrame.declined();
+  StatementReply& reply = frame.reply.reply;
+  if (aFrame.rows() != nullptr) {
+    for (const flatbuffers::String* row : *aFrame.rows()) {
+      reply.rows.push_back(StringOrEmpty(row));
+    }
+  }
+  if (aFrame.failure() != nullptr) {
+    BOOST_OUTCOME_TRY(
+      auto code,
+      DecodeName(kFailureCodeNames, "relayed.failure", aFrame.failure()));
+    reply.failure =
+      StatementFailure{ code, StringOrEmpty(aFrame.failure_text()) };
+  }
+  reply.signature = StringOrEmpty(aFrame.signature());
+  BOOST_OUTCOME_TRY(
+    auto state,
+    DecodeName(kSessionStateNames, "relayed.state", aFrame.state()));
+  reply.state = state;
+  if (aFrame.has_position()) {
+    reply.position = LogPoint{};
+    reply.position->term = aFrame.term();
+    reply.position->position = aFrame.position();
+  }
+  return Frame(std::move(frame));
+}
+
 } // namespace detail
 
 std::string
@@ -391,6 +578,13 @@
       return Frame(PingFrame{});
     case wire::Body_PongFrame:
       return Frame(PongFrame{});
+    case wire::Body_RelayedStatementFrame:
+      return detail::DecodeBody(*frame->body_as_RelayedStatementFrame());
+    case wire::Body_RelayedReplyFrame:
+      return detail::DecodeBody(*frame->body_as_RelayedReplyFrame());
+    case wire::Body_RelayedEndFrame:
+      return Frame(
+        RelayedEndFrame{ { frame->body_as_RelayedEndFrame()->session() } });
     default:
       return Error{ ErrorCode::BadFrame, "frame", "the body type is unknown" };
   }
--- a/src/transport/peer-network.cc
+++ b/src/transport/peer-network.cc
@@ -145,6 +145,21 @@
   }
 }
 
+void
+PeerNetwork::CloseLink(LinkId aLink)
+{
+  auto found = this->peers.find(aLink);
+  if (found == this->peers.end()) {
+    return;
+  }
+  Peer closed = found->second;
+  closed.link->Close();
+  this->Remove(aLink);
+  if (closed.up || closed.outbound) {
+    this->listener.OnPeerDown(closed.id, closed.name, closed.outbound);
+  }
+}
+
 void
 PeerNetwork::Broadcast(const Frame& aFrame)
 {
@@ -190,9 +205,12 @@
   std::string name = peer->name;
   auto frame = DecodeFrame(aFrame);
   if (!frame) {
-    // The link stays open: the size prefix of the invalid frame tells where the
-    // next frame starts.
+    // The link may stay open: the size prefix of the invalid frame tells where
+    // the next frame starts.
     this->listener.OnBadFrame(name, frame.error());
+    if (this->listener.ClosesOnBadFrame()) {
+      this->CloseLink(id);
+    }
     return;
   }
   if (const auto* hello = std::get_if<HelloFrame>(&frame.value())) {
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -101,6 +101,11 @@
   bool withholdsGroups = false;
   // How often each host reads the registry; unset: when the test sends it.
   std::optional<Duration> registryInterval;
+  // How many zones the hosts are spread over; 0: each has a zone of its own,
+  // and no host relays statements.
+  size_t zones = 0;
+  // How long upstreams keep the connections of a process that was replaced.
+  Duration lingerTime = Millis(0);
 };
 
 class ProxySimulation
@@ -170,6 +175,12 @@
   /** Replaces the process of a host; its sessions and links are lost. */
   void ReplaceHost(size_t aHost);
 
+  /** Closes the link over which a host relays to another; it opens another. */
+  void LoseRelayLink(size_t aFrom, size_t aTo);
+
+  /** Whether the host keeps connections to the upstream. */
+  bool HasLinks(size_t aHost, size_t aUpstream) const;
+
   void Kill(size_t aUpstream);
 
   /** Restarts an upstream under its id with its log. */
@@ -223,6 +234,15 @@
 private:
   using LinkKey = std::pair<size_t, ConnectionId>;
 
+  /** A link over which one host relays statements to another. */
+  struct RelayLink
+  {
+    size_t from = 0;
+    size_t to = 0;
+    Time lastRequestArrival = kInfinitePast;
+    Time lastReplyArrival = kInfinitePast;
+  };
+
   /** A commit that waits until a replica confirms it. */
   struct UnconfirmedCommit
   {
@@ -232,6 +252,15 @@
     StatementReply reply;
   };
 
+  std::string ZoneOf(size_t aHost) const;
+  HostsCounted MakeHostsCounted() const;
+  size_t HostNamed(const std::string& aName) const;
+  void ConnectRelays(size_t aHost);
+  RelayLinkId FindRelay(size_t aFrom, size_t aTo) const;
+  void LoseRelayLinksOf(size_t aHost);
+  void Perform(size_t aHost, const RelayStatement& aAction);
+  void Perform(size_t aHost, const EndRelay& aAction);
+  void Perform(size_t aHost, const AnswerRelay& aAction);
   FakeUpstream NewUpstream(size_t aIndex) const;
   std::unique_ptr<ProxyEngine> NewProcess(size_t aHost);
   void SendInitialState(size_t aHost);
@@ -282,6 +311,9 @@
   GroupRecord group{ "service", {}, 0 };
   std::vector<FakeUpstream> upstreams;
   std::map<LinkKey, FakeLink> links;
+  std::map<RelayLinkId, RelayLink> relayLinks;
+  RelayLinkId lastRelayLink = 0;
+  std::vector<std::pair<size_t, Time>> lingering; // upstream, until
   std::vector<std::shared_ptr<FakeRequest>> requests;
   std::map<std::string, std::shared_ptr<FakeRequest>> byId;
   // By host and caller: the request without an answer, and the settings.
