--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -19,6 +19,8 @@
 constexpr uint32_t kMaxTries = 6;
 constexpr Duration kCommitStall = Millis(300);
 constexpr Duration kCensusInterval = Millis(200);
+// A statement that waits for less time needs no further connection.
+constexpr Duration kBorrowDelay = Millis(30);
 // A relayed statement is given up this long before the caller's limit, so that
 // the reply gets back in time.
 constexpr Duration kRelayMargin = Millis(30);
@@ -404,7 +406,9 @@
     bool isIdle = this->FindLink(aService, i, aSession).has_value();
     bool isReachable = isIdle || this->MayOpen(aService, i);
     if (!isReachable || !this->HasCapacity(aService, i)) {
-      this->RequestCensus(aService, i);
+      if (this->now - pending.arrived >= detail::kBorrowDelay) {
+        this->RequestCensus(aService, i);
+      }
       continue;
     }
     double wait = this->EstimateWait(aService, i, aAfter);
