Let hosts that are no candidates renew their registration rarely

Cause: each host renewed its lease in the store each 600 ms, 197 calls a second at 118 hosts and 8,080 at 4,848, though only the loss of the promoter lease's holder has to show that soon.

Change: the first eight hosts in the order of the promoter lease keep leases of 2 s; the others have 12 s, renewed each 4 s.

Measured (reckoned by the test registration/renewals_of_large_fleets_are_rare): 40.8 renewals a second at 118 hosts, 86.3 at 300, 1,223 at 4,848. promoter-lease-test, records-test, process/zone-test and process/proxy-test pass.

--- a/test/promoter-lease-test.cc
+++ b/test/promoter-lease-test.cc
@@ -1,4 +1,5 @@
 #include "marigoldpitch/coordination/proxy/former-holder.h"
+#include "marigoldpitch/coordination/proxy/host-registration.h"
 #include "marigoldpitch/coordination/proxy/promoter-lease.h"
 
 #include <criterion/criterion.h>
@@ -210,3 +211,36 @@
   cr_assert_not(HaveFormerHoldersEnded(running, "front-3/a"));
   cr_assert(HaveFormerHoldersEnded(running, "front-2/a"));
 }
+
+namespace {
+
+/** How often the hosts renew their registrations, all together. */
+double
+RenewalsPerSecond(size_t aHosts)
+{
+  double renewals = 0;
+  for (size_t rank = 0; rank < aHosts; ++rank) {
+    renewals +=
+      1000.0 / static_cast<double>(RegistrationTermsOf(rank).renewInterval.ms);
+  }
+  return renewals;
+}
+
+} // namespace
+
+Test(registration, candidates_for_the_promoter_lease_keep_short_leases)
+{
+  cr_assert_eq(RegistrationTermsOf(0).lifetime.ms, 2000);
+  cr_assert_eq(RegistrationTermsOf(kPromoterCandidates - 1).lifetime.ms, 2000);
+  cr_assert_gt(RegistrationTermsOf(kPromoterCandidates).lifetime.ms, 2000);
+}
+
+Test(registration, renewals_of_large_fleets_are_rare)
+{
+  // With the same terms for all: 8.3, 50, 197, 500 and 8,080 a second.
+  cr_assert_leq(RenewalsPerSecond(5), 8.4);
+  cr_assert_leq(RenewalsPerSecond(30), 19);
+  cr_assert_leq(RenewalsPerSecond(118), 41);
+  cr_assert_leq(RenewalsPerSecond(300), 87);
+  cr_assert_leq(RenewalsPerSecond(4848), 1224);
+}
