--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -229,6 +229,8 @@
 Test(relay, a_session_keeps_its_settings_statements_and_commits)
 {
   ProxySimulation simulation(Options(Freshness::Session));
+  simulation.Upstream(1).lag = Millis(150);
+  simulation.Upstream(2).lag = Millis(150);
   simulation.RunFor(Millis(500));
   UseFor(simulation, Millis(200));
   size_t host = NeighbourOf(simulation, HostsThatServe(simulation)[0]);
@@ -326,6 +328,71 @@
   cr_assert_eq(simulation.Violations(), "");
 }
 
+// The commit reaches the primary, but its reply does not come back.
+Test(relay, a_commit_over_a_lost_link_is_unknown)
+{
+  ProxySimulation simulation(Options(Freshness::Newest));
+  simulation.RunFor(Millis(500));
+  UseFor(simulation, Millis(200));
+  size_t serving = HostsThatServe(simulation)[0];
+  size_t host = NeighbourOf(simulation, serving);
+  CallerId caller = simulation.OpenSession(host);
+  simulation.SubmitAndWait(host, caller, StatementOf(StatementKind::Begin));
+  cr_assert(
+    IsOk(simulation.SubmitAndWait(host, caller, WriteStatement("a", "once"))));
+  auto commit = simulation.SubmitStatement(
+    host, caller, StatementOf(StatementKind::Commit));
+  simulation.RunFor(Millis(8));
+  simulation.LoseRelayLink(host, serving);
+  simulation.RunFor(Seconds(1));
+  cr_assert(commit->reply && commit->reply->failure);
+  cr_assert_eq(commit->reply->failure->code, FailureCode::OutcomeUnknown);
+  cr_assert_eq(simulation.Violations(), "");
+}
+
+Test(relay, a_reply_to_an_earlier_statement_is_ignored)
+{
+  ProxySimulation simulation(Options(Freshness::Newest));
+  simulation.RunFor(Millis(500));
+  UseFor(simulation, Millis(200));
+  size_t serving = HostsThatServe(simulation)[0];
+  size_t host = NeighbourOf(simulation, serving);
+  CallerId caller = simulation.OpenSession(host);
+  auto read = simulation.SubmitStatement(host, caller, ReadStatement("a"));
+  RelayedReply early;
+  early.session = caller;
+  early.number = 7;
+  early.reply.signature = "of another statement";
+  simulation.Send(host,
+                  RelayedReplyArrived{ "h" + std::to_string(serving), early });
+  cr_assert_not(read->reply);
+  simulation.RunFor(Millis(500));
+  cr_assert(IsOk(read));
+}
+
+Test(relay, a_draining_host_declines_what_is_new)
+{
+  ProxySimulation simulation(Options(Freshness::Newest));
+  simulation.RunFor(Millis(500));
+  size_t serving = HostsThatServe(simulation)[0];
+  simulation.Send(serving, ProxyDrainRequested{ Seconds(6) });
+  RelayedStatementArrived event;
+  event.link = 1000;
+  event.statement.session = 1;
+  event.statement.number = 3;
+  event.statement.statement = ReadStatement("a");
+  event.statement.route.service = "service";
+  bool isDeclined = false;
+  for (const ProxyAction& action :
+       simulation.Host(serving).Handle(simulation.Now(), event)) {
+    const auto* answer = std::get_if<AnswerRelay>(&action);
+    isDeclined =
+      isDeclined || (answer != nullptr && answer->link == 1000 &&
+                     answer->reply.number == 3 && answer->reply.isDeclined);
+  }
+  cr_assert(isDeclined);
+}
+
 // The paused host runs what it got before, when it is resumed: a promise that
 // nothing ran would be false.
 Test(relay, a_paused_serving_host_makes_no_promise_false)
