--- a/test/codec-test.cc
+++ b/test/codec-test.cc
@@ -269,8 +269,7 @@
     const GroupMember& left = aLeft.members[i];
     const GroupMember& right = aRight.members[i];
     isSame = left.id == right.id && left.endpoint == right.endpoint &&
-             left.zone == right.zone &&
-             left.incarnation == right.incarnation;
+             left.zone == right.zone && left.incarnation == right.incarnation;
   }
   return isSame;
 }
