Decline relayed statements of another configuration

Cause, found by reading: a serving host ran what another host relayed by that host's configuration. If the two had different versions of a database's route, the serving host acted on a version that its own callers did not have yet, or no more.

Change: it declines a statement whose database its own configuration sends to another service or does not have; the statement goes on as if that host did not serve.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -197,6 +197,7 @@
   void On(const RelayedEndArrived& aEvent);
   void On(const RelayLinkLost& aEvent);
   CallerSession& RelayedSession(const RelayedStatementArrived& aEvent);
+  bool MayServeRelayed(const RelayedStatement& aRelayed) const;
   void Decline(const RelayedStatementArrived& aEvent);
   void AnswerOrigin(CallerSession& aSession, StatementReply aReply);
   void RemoveFinishedSessions();
--- a/src/coordination/proxy/proxy-relay-serving.cc
+++ b/src/coordination/proxy/proxy-relay-serving.cc
@@ -23,10 +23,7 @@
     if (isKnown) {
       this->On(SessionClosed{ found->second });
     }
-    bool mayServe = !this->IsDraining() &&
-                    this->config.services.count(relayed.route.service) != 0 &&
-                    this->relayedSessions.size() < detail::kMaxRelayedSessions;
-    if (!mayServe) {
+    if (!this->MayServeRelayed(relayed)) {
       this->Decline(aEvent);
       return;
     }
@@ -47,6 +44,20 @@
     { session.id, relayed.requestId, relayed.statement, relayed.spent });
 }
 
+/**
+ * Whether the statement is served here. Not if this host's configuration sends
+ * the database elsewhere: the sender's may be older, or newer, and this host
+ * must not act on a version that its own callers do not have.
+ */
+bool
+ProxyEngine::MayServeRelayed(const RelayedStatement& aRelayed) const
+{
+  const DatabaseRoute* own = this->RouteOf(aRelayed.route.database);
+  return !this->IsDraining() && own != nullptr &&
+         own->service == aRelayed.route.service &&
+         this->relayedSessions.size() < detail::kMaxRelayedSessions;
+}
+
 /** The session that serves the statement, with the sender's state of it. */
 CallerSession&
 ProxyEngine::RelayedSession(const RelayedStatementArrived& aEvent)
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -370,27 +370,56 @@
   cr_assert(IsOk(read));
 }
 
-Test(relay, a_draining_host_declines_what_is_new)
+namespace {
+
+/** Whether the serving host declines a relayed read of the database. */
+bool
+Declines(ProxySimulation& aSimulation,
+         size_t aServing,
+         const std::string& aDatabase)
 {
-  ProxySimulation simulation(Options(Freshness::Newest));
-  simulation.RunFor(Millis(500));
-  size_t serving = HostsThatServe(simulation)[0];
-  simulation.Send(serving, ProxyDrainRequested{ Seconds(6) });
   RelayedStatementArrived event;
   event.link = 1000;
   event.statement.session = 1;
   event.statement.number = 3;
   event.statement.statement = ReadStatement("a");
+  event.statement.route.database = aDatabase;
   event.statement.route.service = "service";
-  bool isDeclined = false;
+  event.statement.route.timeout = kTimeout;
+  event.statement.route.latencyObjective = kObjective;
   for (const ProxyAction& action :
-       simulation.Host(serving).Handle(simulation.Now(), event)) {
+       aSimulation.Host(aServing).Handle(aSimulation.Now(), event)) {
     const auto* answer = std::get_if<AnswerRelay>(&action);
-    isDeclined =
-      isDeclined || (answer != nullptr && answer->link == 1000 &&
-                     answer->reply.number == 3 && answer->reply.isDeclined);
+    if (answer != nullptr && answer->link == 1000 &&
+        answer->reply.number == 3) {
+      return answer->reply.isDeclined;
+    }
   }
-  cr_assert(isDeclined);
+  return false;
+}
+
+} // namespace
+
+Test(relay, a_draining_host_declines_what_is_new)
+{
+  ProxySimulation simulation(Options(Freshness::Newest));
+  simulation.RunFor(Millis(500));
+  size_t serving = HostsThatServe(simulation)[0];
+  cr_assert_not(Declines(simulation, serving, "db"));
+  simulation.Send(serving, ProxyDrainRequested{ Seconds(6) });
+  cr_assert(Declines(simulation, serving, "db"));
+}
+
+Test(relay, a_database_of_another_configuration_is_declined)
+{
+  ProxySimulation simulation(Options(Freshness::Newest));
+  simulation.RunFor(Millis(500));
+  size_t serving = HostsThatServe(simulation)[0];
+  cr_assert(Declines(simulation, serving, "added"));
+  simulation.SetConfig(2, { "db", "added" });
+  cr_assert_not(Declines(simulation, serving, "added"));
+  simulation.SetConfig(3, { "added" });
+  cr_assert(Declines(simulation, serving, "db"));
 }
 
 // The paused host runs what it got before, when it is resumed: a promise that
