--- a/test/unlisted-confirmers-test.cc
+++ b/test/unlisted-confirmers-test.cc
@@ -112,3 +112,37 @@
     CheckNoViolation(simulation, seed);
   }
 }
+
+// The primary leaves while u1 is gone, and goes on confirming through u2, which
+// is to replace it. u2 gets no more log entries once the promotion is ordered,
+// and a successor of u1 that is not listed yet confirms them.
+Test(unlisted_confirmers, leaving_primary_with_unlisted_successor_loses_nothing)
+{
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    ProxySimulation simulation(Options(seed));
+    simulation.SetPromoterLease(0, true);
+    simulation.RunFor(Millis(1500));
+    simulation.AnnounceDeparture(1);
+    WriteFor(simulation, Seconds(2));
+    simulation.Kill(1);
+    WriteFor(simulation, Seconds(8));
+    size_t successor = simulation.AddUpstream();
+    simulation.Upstream(successor).entry.endpoint =
+      simulation.Upstream(1).entry.endpoint;
+    simulation.Upstream(successor).isListed = false;
+    simulation.AnnounceDeparture(0);
+    for (int i = 0; i < 2500 && simulation.Promotions() == 0; ++i) {
+      const auto& promotion =
+        simulation.Host(0).Services().at("service").promotion;
+      if (promotion.Phase() == PromotionPhase::Confirming) {
+        simulation.Upstream(2).isReplicationBlocked = true;
+      }
+      WriteFor(simulation, Millis(1));
+    }
+    cr_assert_eq(simulation.Promotions(), 1, "seed %u", seed);
+    simulation.SetReplicationBlocked(2, false);
+    simulation.Upstream(successor).isListed = true;
+    WriteFor(simulation, Seconds(2));
+    CheckNoViolation(simulation, seed);
+  }
+}
