Log when the store comes back from an old copy, and what it shows that is outdated

E207 names the store's era before and now, as `Store-Era` in its answers tells it; E208 names a configuration that was read and is below the known revision. No decision changes.

--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -67,6 +67,8 @@
   StatementToLeaving,
   StatementRelayed,
   RelayHostChanged,
+  StoreRestored,
+  DocumentOutdated,
 };
 
 struct LogEventRow
@@ -77,7 +79,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 42> kLogEvents{ {
+constexpr std::array<LogEventRow, 44> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -129,6 +131,8 @@
   { LogEvent::StatementToLeaving, 606, Severity::Info, "statement-to-leaving" },
   { LogEvent::StatementRelayed, 607, Severity::Info, "statement-relayed" },
   { LogEvent::RelayHostChanged, 303, Severity::Info, "relay-host-changed" },
+  { LogEvent::StoreRestored, 207, Severity::Warning, "store-restored" },
+  { LogEvent::DocumentOutdated, 208, Severity::Warning, "document-outdated" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/transport/http-client.h
+++ b/include/marigoldpitch/transport/http-client.h
@@ -6,6 +6,7 @@
 #include "marigoldpitch/transport/loop.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -16,6 +17,7 @@
 struct HttpReply
 {
   int status = 0;
+  std::map<std::string, std::string> headers; // by name in lower case
   std::string body;
 };
 
--- a/src/transport/http-client.cc
+++ b/src/transport/http-client.cc
@@ -3,6 +3,8 @@
 #include "marigoldpitch/protocol/settings.h"
 #include "marigoldpitch/transport/socket-address.h"
 
+#include <algorithm>
+#include <cctype>
 #include <sys/socket.h>
 
 namespace marigoldpitch {
@@ -28,6 +30,17 @@
              sizeof(discard));
 }
 
+std::string
+LowerCase(const h2o_iovec_t& aText)
+{
+  std::string text(aText.base, aText.len);
+  std::transform(
+    text.begin(), text.end(), text.begin(), [](unsigned char aOne) {
+      return static_cast<char>(std::tolower(aOne));
+    });
+  return text;
+}
+
 } // namespace detail
 
 struct HttpClient::Call
@@ -160,8 +173,8 @@
                    int,
                    int aStatus,
                    h2o_iovec_t,
-                   h2o_header_t*,
-                   size_t,
+                   h2o_header_t* aHeaders,
+                   size_t aHeaderCount,
                    int)
 {
   auto* call = static_cast<Call*>(aClient->data);
@@ -173,6 +186,11 @@
     return nullptr;
   }
   call->reply.status = aStatus;
+  for (size_t i = 0; i < aHeaderCount; ++i) {
+    const h2o_header_t& header = aHeaders[i];
+    call->reply.headers[detail::LowerCase(*header.name)] =
+      std::string(header.value.base, header.value.len);
+  }
   if (isEndOfStream) {
     call->handle = nullptr;
     call->client->Finish(call, call->reply);
