--- a/include/marigoldpitch/transport/http-server.h
+++ b/include/marigoldpitch/transport/http-server.h
@@ -31,6 +31,8 @@
   int status = 200;
   std::string contentType;
   std::string body;
+  // Beside that of the content's type.
+  std::map<std::string, std::string> headers = {};
 };
 
 class HttpService
--- a/src/transport/http-server.cc
+++ b/src/transport/http-server.cc
@@ -167,6 +167,20 @@
                  nullptr,
                  type.base,
                  type.len);
+  for (const auto& [name, value] : aResponse.headers) {
+    h2o_iovec_t copiedName =
+      h2o_strdup(&request->pool, name.data(), name.size());
+    h2o_iovec_t copiedValue =
+      h2o_strdup(&request->pool, value.data(), value.size());
+    h2o_add_header_by_str(&request->pool,
+                          &request->res.headers,
+                          copiedName.base,
+                          copiedName.len,
+                          0,
+                          nullptr,
+                          copiedValue.base,
+                          copiedValue.len);
+  }
   h2o_send_inline(request, aResponse.body.data(), aResponse.body.size());
 }
 
--- a/test/standin/site-store.cc
+++ b/test/standin/site-store.cc
@@ -56,16 +56,27 @@
 void
 Store::Put(const std::string& aKey, const std::string& aValue)
 {
-  ++this->revision;
+  ++this->contents.revision;
   this->Write(aKey, { Base64(aValue), 0, 0 });
 }
 
+void
+Store::PutIfChanged(const std::string& aKey, const std::string& aValue)
+{
+  auto found = this->contents.items.find(aKey);
+  bool isSame = found != this->contents.items.end() &&
+                found->second.value == Base64(aValue);
+  if (!isSame) {
+    this->Put(aKey, aValue);
+  }
+}
+
 void
 Store::Write(const std::string& aKey, const Item& aItem)
 {
-  Item& item = this->items[aKey];
+  Item& item = this->contents.items[aKey];
   item = aItem;
-  item.revision = this->revision;
+  item.revision = this->contents.revision;
   std::vector<ExchangeId> ready;
   for (const auto& [exchange, watch] : this->watches) {
     if (aKey.rfind(watch.prefix, 0) == 0) {
@@ -79,6 +90,19 @@
   }
 }
 
+void
+Store::Restore()
+{
+  this->contents = this->copy;
+  for (auto& [id, end] : this->contents.leases) {
+    end = ReadMonotonicClock() + kLeaseDuration;
+  }
+  ++this->era;
+  for (const auto& [exchange, watch] : std::exchange(this->watches, {})) {
+    this->SendReply(exchange, 503, Json::object());
+  }
+}
+
 void
 Store::RefreshRegistry()
 {
@@ -86,7 +110,7 @@
     std::string key = "servers/" + upstream.id;
     this->upstreams.NoteLeft(upstream);
     if (!upstream.isRunning || upstream.isUnregistered) {
-      this->items.erase(key);
+      this->contents.items.erase(key);
       continue;
     }
     Json entry{ { "service", "svc" },
@@ -95,10 +119,10 @@
                 { "state", upstream.isLeaving ? "draining" : "ready" },
                 { "born", upstream.incarnation },
                 { "dbRole", upstream.isPrimary ? "primary" : "replica" } };
-    this->Put(key, entry.dump());
+    this->PutIfChanged(key, entry.dump());
   }
   // An invalid entry, which proxies must tolerate.
-  this->Put("servers/foreign", "no upstream at all");
+  this->PutIfChanged("servers/foreign", "no upstream at all");
   this->ExpireLeases();
   this->loop.After(Millis(300), [this] { this->RefreshRegistry(); });
 }
@@ -106,16 +130,18 @@
 void
 Store::ExpireLeases()
 {
-  for (auto it = this->leases.begin(); it != this->leases.end();) {
+  for (auto it = this->contents.leases.begin();
+       it != this->contents.leases.end();) {
     if (it->second > ReadMonotonicClock()) {
       ++it;
       continue;
     }
-    for (auto item = this->items.begin(); item != this->items.end();) {
-      item = item->second.lease == it->first ? this->items.erase(item)
+    for (auto item = this->contents.items.begin();
+         item != this->contents.items.end();) {
+      item = item->second.lease == it->first ? this->contents.items.erase(item)
                                              : std::next(item);
     }
-    it = this->leases.erase(it);
+    it = this->contents.leases.erase(it);
   }
 }
 
@@ -126,27 +152,30 @@
            { "value", aItem.value },
            { "rev", aItem.revision },
            { "lease", aItem.lease },
-           { "currentRev", this->revision } };
+           { "currentRev", this->contents.revision } };
 }
 
 Store::Json
 Store::EventsAfter(const Watch& aWatch) const
 {
   Json events = Json::array();
-  for (const auto& [key, item] : this->items) {
+  for (const auto& [key, item] : this->contents.items) {
     bool isNew =
       key.rfind(aWatch.prefix, 0) == 0 && item.revision > aWatch.after;
     if (isNew) {
       events.push_back(this->ItemToJson(key, item));
     }
   }
-  return { { "events", events }, { "currentRev", this->revision } };
+  return { { "events", events }, { "currentRev", this->contents.revision } };
 }
 
 void
 Store::SendReply(ExchangeId aExchange, int aStatus, const Json& aBody)
 {
-  HttpResponse response{ aStatus, "application/json", aBody.dump() };
+  HttpResponse response{ aStatus,
+                         "application/json",
+                         aBody.dump(),
+                         { { "store-era", std::to_string(this->era) } } };
   if (this->replyDelay == Millis(0)) {
     this->server->Respond(aExchange, response);
     return;
@@ -188,8 +217,9 @@
 {
   std::string prefix = QueryParameter(aRequest.query, "prefix");
   if (aRequest.path == "/v1/kv-key") {
-    auto found = this->items.find(QueryParameter(aRequest.query, "key"));
-    bool exists = found != this->items.end();
+    auto found =
+      this->contents.items.find(QueryParameter(aRequest.query, "key"));
+    bool exists = found != this->contents.items.end();
     this->SendReply(aExchange,
                     exists ? 200 : 404,
                     exists ? this->ItemToJson(found->first, found->second)
@@ -201,6 +231,10 @@
       this->Range(prefix, QueryParameter(aRequest.query, "after")));
   } else {
     Watch watch{ prefix, std::stoull(QueryParameter(aRequest.query, "after")) };
+    if (watch.after > this->contents.revision) {
+      this->SendReply(aExchange, 410, Json::object());
+      return;
+    }
     Json pastEvents = this->EventsAfter(watch);
     if (!pastEvents["events"].empty()) {
       this->SendReply(aExchange, 200, pastEvents);
@@ -221,7 +255,7 @@
 {
   Json list = Json::array();
   bool isTruncated = false;
-  for (const auto& [key, item] : this->items) {
+  for (const auto& [key, item] : this->contents.items) {
     if (key.rfind(aPrefix, 0) != 0 || key <= aAfter) {
       continue;
     }
@@ -233,16 +267,17 @@
   }
   return { { "items", list },
            { "truncated", isTruncated },
-           { "currentRev", this->revision } };
+           { "currentRev", this->contents.revision } };
 }
 
 void
 Store::CommitChanges(ExchangeId aExchange, const Json& aBody)
 {
   for (const auto& condition : aBody.at("precondition")) {
-    auto found = this->items.find(condition.at("key").get<std::string>());
+    auto found =
+      this->contents.items.find(condition.at("key").get<std::string>());
     uint64_t currentRevision =
-      found == this->items.end() ? 0 : found->second.revision;
+      found == this->contents.items.end() ? 0 : found->second.revision;
     if (currentRevision != condition.at("rev").get<uint64_t>()) {
       this->SendReply(aExchange, 412, { { "items", Json::array() } });
       return;
@@ -250,13 +285,13 @@
   }
   for (const auto& put : aBody.at("puts")) {
     auto lease = put.at("lease").get<uint64_t>();
-    if (lease != 0 && this->leases.count(lease) == 0) {
+    if (lease != 0 && this->contents.leases.count(lease) == 0) {
       this->SendReply(aExchange, 404, Json::object());
       return;
     }
   }
   bool isReplyDropped = this->droppedReplyPaths.count("/v1/kv-txn") != 0;
-  ++this->revision; // one revision for the whole transaction
+  ++this->contents.revision; // one revision for the whole transaction
   for (const auto& put : aBody.at("puts")) {
     this->Write(put.at("key").get<std::string>(),
                 { put.at("value").get<std::string>(),
@@ -264,10 +299,10 @@
                   put.at("lease").get<uint64_t>() });
   }
   for (const auto& key : aBody.at("deletes")) {
-    this->items.erase(key.get<std::string>());
+    this->contents.items.erase(key.get<std::string>());
   }
   if (!isReplyDropped) {
-    this->SendReply(aExchange, 200, { { "rev", this->revision } });
+    this->SendReply(aExchange, 200, { { "rev", this->contents.revision } });
   }
 }
 
@@ -278,14 +313,14 @@
   uint64_t id = 0;
   if (aPath.rfind(kKeepAlivePath, 0) == 0) {
     id = std::stoull(aPath.substr(sizeof(kKeepAlivePath) - 1));
-    if (this->leases.count(id) == 0) {
+    if (this->contents.leases.count(id) == 0) {
       this->SendReply(aExchange, 404, Json::object());
       return;
     }
   } else {
-    id = ++this->lastLease;
+    id = ++this->contents.lastLease;
   }
-  this->leases[id] = ReadMonotonicClock() + kLeaseDuration;
+  this->contents.leases[id] = ReadMonotonicClock() + kLeaseDuration;
   this->SendReply(
     aExchange, 200, { { "lease", id }, { "ttlMs", kLeaseDuration.ms } });
 }
@@ -303,8 +338,14 @@
   if (aBody.contains("lose")) {
     this->droppedReplyPaths = aBody["lose"].get<std::set<std::string>>();
   }
+  if (aBody.contains("copy")) {
+    this->TakeCopy();
+  }
+  if (aBody.contains("restore")) {
+    this->Restore();
+  }
   if (aBody.contains("lapse")) {
-    for (auto& [id, end] : this->leases) {
+    for (auto& [id, end] : this->contents.leases) {
       end = kInfinitePast;
     }
     this->ExpireLeases();
--- a/test/standin/site-store.h
+++ b/test/standin/site-store.h
@@ -27,6 +27,27 @@
   /** Sets the maximum number of items in a range reply; 0 for no limit. */
   void SetPageSize(size_t aPageSize) { this->pageSize = aPageSize; }
 
+  /** Keeps a copy of what the store holds now. */
+  void TakeCopy() { this->copy = this->contents; }
+
+  /**
+   * Comes back from the copy: what was written since is gone, and its revisions
+   * and lease ids are given out again. Waiting watches are cut off.
+   */
+  void Restore();
+
+  /** Whether the store has the key. */
+  bool Has(const std::string& aKey) const
+  {
+    return this->contents.items.count(aKey) != 0;
+  }
+
+  /** The lease of a key that the store has. */
+  uint64_t LeaseOf(const std::string& aKey) const
+  {
+    return this->contents.items.at(aKey).lease;
+  }
+
   /** Registers the running upstreams and ends expired leases, every 300 ms. */
   void RefreshRegistry();
 
@@ -63,6 +84,8 @@
   void ControlUpstreams(const Json& aBody);
   Json Log();
   Json Late();
+  /** A heartbeat that says nothing new is no change. */
+  void PutIfChanged(const std::string& aKey, const std::string& aValue);
   void Write(const std::string& aKey, const Item& aItem);
   void ExpireLeases();
   Json ItemToJson(const std::string& aKey, const Item& aItem) const;
@@ -71,11 +94,19 @@
   Loop& loop;
   Upstreams& upstreams;
   HttpServer* server = nullptr;
-  std::map<std::string, Item> items;
+  /** What a copy of the store holds. */
+  struct Contents
+  {
+    std::map<std::string, Item> items;
+    std::map<uint64_t, Time> leases; // expiry time by id
+    uint64_t revision = 10;
+    uint64_t lastLease = 0;
+  };
+
+  Contents contents;
+  Contents copy;
+  uint64_t era = 1; // rises each time the store comes back from a copy
   std::map<ExchangeId, Watch> watches;
-  std::map<uint64_t, Time> leases; // expiry time by id
-  uint64_t revision = 10;
-  uint64_t lastLease = 0;
   size_t pageSize = 0;
   bool isDown = false;
   Duration replyDelay = Millis(0);
