--- a/include/marigoldpitch/coordination/common/gossip.h
+++ b/include/marigoldpitch/coordination/common/gossip.h
@@ -3,6 +3,7 @@
 
 #include "marigoldpitch/state/config.h"
 #include "marigoldpitch/state/names.h"
+#include "marigoldpitch/state/store-position.h"
 #include "marigoldpitch/state/time.h"
 
 #include <array>
@@ -33,25 +34,52 @@
 constexpr size_t kDocumentKinds = kDocumentKindNames.Size();
 
 /**
- * A document with its revision in the store; the text is not interpreted here.
+ * Which of two documents of a kind is newer. The version that the document's
+ * writer gave it comes first: it stays when the store comes back from an old
+ * copy, so that what the copy shows does not replace what is newer.
+ */
+struct DocumentOrder
+{
+  uint64_t version = 0; // 0: documents of this kind have none of their own
+  StorePosition position;
+
+  bool operator<(const DocumentOrder& aOther) const
+  {
+    return std::tie(this->version, this->position) <
+           std::tie(aOther.version, aOther.position);
+  }
+  bool operator==(const DocumentOrder& aOther) const
+  {
+    return this->version == aOther.version && this->position == aOther.position;
+  }
+};
+
+/**
+ * A document with its position in the store; the text is not interpreted here.
  * For a kind in `GossipOptions::polled`, which the store keeps as many entries,
- * the daemon that reads them derives one revision from the store's.
+ * the daemon that reads them derives one position from the store's.
  */
 struct Document
 {
   DocumentKind kind = DocumentKind::Configuration;
-  uint64_t revision = 0;
+  StorePosition position;
   std::string text;
+  uint64_t version = 0; // of the document itself; 0: it has none
+
+  DocumentOrder Order() const { return { this->version, this->position }; }
 };
 
-/** The revisions that a daemon has; also the heartbeat between neighbours. */
+/** The documents that a daemon has; also the heartbeat between neighbours. */
 struct Digest
 {
-  std::array<uint64_t, kDocumentKinds> revisions{};
+  std::array<DocumentOrder, kDocumentKinds> documents{};
+
+  /** The latest era of the store in which one of the documents was read. */
+  uint64_t Era() const;
 
   /**
    * For each document, how long ago the store was last known to have no newer
-   * revision, whichever daemon asked it; unset if this is not known.
+   * one, whichever daemon asked it; unset if this is not known.
    */
   std::array<std::optional<Duration>, kDocumentKinds> ages{};
 };
@@ -94,13 +122,13 @@
 // Actions.
 
 /**
- * Asks the store to answer as soon as it has a revision above `after`. For a
+ * Asks the store to answer as soon as it has a document beyond `after`. For a
  * kind in `GossipOptions::polled`, reads the documents once instead.
  */
 struct WatchStore
 {
   DocumentKind kind = DocumentKind::Configuration;
-  uint64_t after = 0;
+  StorePosition after;
 };
 
 struct SendDocument
@@ -122,7 +150,7 @@
   std::string peer; // empty when it came from the store
 };
 
-/** The store had no newer revision of this daemon's document at `asOf`. */
+/** The store had no newer document than this daemon's at `asOf`. */
 struct ConfirmDocument
 {
   DocumentKind kind = DocumentKind::Configuration;
@@ -177,11 +205,11 @@
 
 /**
  * A few watchers per availability zone watch the store, and each daemon sends a
- * new document to its neighbours at once. A daemon only ever moves to a higher
- * revision. The watchers are derived from the host list by hashing, so choosing
- * them takes no writes and no leases in the store. Digests carry how long ago
- * the store was asked, so a daemon notices when its watchers are down or cut
- * off.
+ * new document to its neighbours at once. A daemon only ever moves to a newer
+ * document, by `DocumentOrder`. The watchers are derived from the host list by
+ * hashing, so choosing them takes no writes and no leases in the store. Digests
+ * carry how long ago the store was asked, so a daemon notices when its watchers
+ * are down or cut off.
  */
 class Gossip
 {
@@ -203,9 +231,9 @@
   }
 
   bool IsWatcher() const { return this->watches; }
-  uint64_t Revision(DocumentKind aKind) const
+  DocumentOrder Order(DocumentKind aKind) const
   {
-    return this->OwnDocument(aKind).revision;
+    return this->OwnDocument(aKind).Order();
   }
 
   /** The digest that this daemon sends to its neighbours. */
--- a/include/marigoldpitch/coordination/owner/term-reserver.h
+++ b/include/marigoldpitch/coordination/owner/term-reserver.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_COORDINATION_OWNER_TERM_RESERVER_H
 
 #include "marigoldpitch/state/position.h"
+#include "marigoldpitch/state/store-position.h"
 
 #include <cstdint>
 #include <optional>
@@ -22,8 +23,8 @@
 
 struct TermRecordRead
 {
-  bool reached = false;  // whether the store answered
-  uint64_t revision = 0; // 0: no value yet
+  bool reached = false;   // whether the store answered
+  StorePosition position; // unset: no value yet
   TermRecord record;
 };
 
@@ -34,12 +35,19 @@
   Lost, // no answer: the swap may have taken effect
 };
 
+/** The end of a swap. */
+struct TermRecordSwapped
+{
+  SwapOutcome outcome = SwapOutcome::Lost;
+  uint64_t era = 0; // of the store, by its answer
+};
+
 struct ReadTermRecord
 {};
 
 struct SwapTermRecord
 {
-  uint64_t revision = 0;
+  StorePosition position;
   TermRecord record;
 };
 
@@ -62,6 +70,11 @@
  * the record is that of its own swap, the swap took effect and the terms are
  * granted. It gives up when the store does not answer a read, or after a fixed
  * number of rounds.
+ *
+ * Terms of a later era of the store are above all terms of earlier ones, and a
+ * swap counts only in the era in which its record was read. So no term is
+ * granted twice when the store comes back from an old copy and has forgotten
+ * reservations.
  */
 class TermReserver
 {
@@ -74,7 +87,7 @@
   /** Starts a reservation of terms above `aAbove`. */
   ReserverAction Start(Term aAbove);
   ReserverAction On(const TermRecordRead& aRead);
-  ReserverAction On(SwapOutcome aOutcome);
+  ReserverAction On(const TermRecordSwapped& aSwapped);
   bool IsRunning() const { return this->running; }
 
 private:
@@ -85,6 +98,7 @@
   bool running = false;
   Term above = 0;
   std::optional<TermRecord> pendingSwap; // what the last swap writes
+  uint64_t pendingEra = 0;               // in which its record was read
   Term first = 0;
   uint32_t rounds = 0;
 };
--- a/include/marigoldpitch/coordination/proxy/group-membership.h
+++ b/include/marigoldpitch/coordination/proxy/group-membership.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_COORDINATION_PROXY_GROUP_MEMBERSHIP_H
 
 #include "marigoldpitch/state/connection-table.h"
+#include "marigoldpitch/state/proxy-config.h"
 #include "marigoldpitch/state/time.h"
 
 #include <cstdint>
@@ -19,6 +20,12 @@
  */
 constexpr Duration kAbsentMemberTimeout = Seconds(30);
 
+/**
+ * Within this time after the store has come back from an old copy, upstreams
+ * that run have registered again, and hosts have read it.
+ */
+constexpr Duration kRegistryRewriteTime = Millis(2500);
+
 /**
  * The members of one group: the upstreams in the store's group record, and
  * those that this process has seen in the registry. An upstream is listed while
@@ -30,6 +37,12 @@
  * a newer record leaves it out, or when another upstream registers at its
  * address. An upstream that was never recorded stays a member for
  * `kAbsentMemberTimeout` after it became unlisted.
+ *
+ * When the store comes back from an old copy, its record may be older than the
+ * one that this process knows. The known one stays in use, and the holder of
+ * the promoter lease writes it again. A process that knows no other one cannot
+ * tell whether the copy's record lacks members; it waits until they are listed
+ * again.
  */
 class GroupMembership
 {
@@ -95,14 +108,42 @@
     uint64_t incarnation = 0;
   };
 
-  /** Applies the store's record; ignores one that is not newer. */
-  void ApplyRecord(uint64_t aRevision,
+  /**
+   * Applies the store's record. Ignores one that is not at a newer position;
+   * of one that knows less than the applied one, it notes the position only.
+   */
+  void ApplyRecord(const StorePosition& aPosition,
+                   const RecordOrder& aOrder,
                    const std::vector<RecordedMember>& aMembers,
                    Time aNow);
 
-  /** Whether a record of the group has been read. */
-  bool IsKnown() const { return this->revision != 0; }
-  uint64_t Revision() const { return this->revision; }
+  /** The store has no record of the group in this era. */
+  void NoteMissingRecord(uint64_t aEra);
+
+  /**
+   * Whether a record of the group has been read that is sure to name all
+   * members which nothing else shows.
+   */
+  bool IsKnown(Time aNow) const
+  {
+    return this->hasRecord && aNow >= this->completeFrom;
+  }
+
+  /** Of the store's record; unset: there is none. */
+  const StorePosition& Position() const { return this->position; }
+
+  /** Whether the store's record has to be replaced by what is known. */
+  bool NeedsRewrite() const
+  {
+    return this->hasRecord &&
+           this->isStoredOutdated;
+  }
+
+  /** The order of a record that is written now. */
+  RecordOrder NextOrder() const
+  {
+    return { this->position.era, this->order.number + 1 };
+  }
 
   bool IsListed(UpstreamIndex aUpstream) const
   {
@@ -152,7 +193,11 @@
   };
 
   std::vector<MemberState> memberStates;
-  uint64_t revision = 0; // of the record; 0: there is none
+  StorePosition position;        // of the store's record
+  RecordOrder order;             // of the applied record
+  bool hasRecord = false;        // whether a record was applied
+  bool isStoredOutdated = false; // the store's record knows less than this
+  Time completeFrom = kInfinitePast;
 };
 
 } // namespace marigoldpitch
--- a/include/marigoldpitch/coordination/proxy/group-recorder.h
+++ b/include/marigoldpitch/coordination/proxy/group-recorder.h
@@ -12,7 +12,8 @@
  * Decides the next record of one group, on the host that may order promotions.
  * The first record lists all known members, once the primary among them is
  * proved (see `ServiceView`) and no new upstream has registered for a while.
- * Each later record adds or drops one member.
+ * Each later record adds or drops one member, or repeats what is known if the
+ * store has come back from an old copy.
  */
 class GroupRecorder
 {
--- a/include/marigoldpitch/coordination/proxy/promoter-lease.h
+++ b/include/marigoldpitch/coordination/proxy/promoter-lease.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_COORDINATION_PROXY_PROMOTER_LEASE_H
 
 #include "marigoldpitch/state/names.h"
+#include "marigoldpitch/state/store-position.h"
 #include "marigoldpitch/state/time.h"
 
 #include <cstdint>
@@ -35,19 +36,25 @@
 struct LeaseObserved
 {
   bool isTaken = false;
-  uint64_t lastHolderRevision = 0; // of the record of who held it last
+  StorePosition lastHolderPosition; // of the record of who held it last
   // How long to leave a free lease to the hosts that rank before this one.
   Duration takeDelay = Millis(0);
 };
 
-/** This host's write acquired the lease, at this revision. */
+/** This host's write acquired the lease, at this position. */
 struct LeaseTaken
 {
-  uint64_t revision = 0;
+  StorePosition position;
   // Whether no process that held the lease before can act any more.
   bool haveFormerHoldersEnded = false;
+  // Whether no process that held it in an earlier era of the store can.
+  bool haveEarlierErasEnded = false;
 };
 
+/** This host has learned of a new era of the store. */
+struct StoreEraBegan
+{};
+
 /**
  * A registered run of the former holder's host shows that the process which
  * held the lease before has ended.
@@ -62,7 +69,7 @@
 /** A read, sent at `asked`, of the key that this host created. */
 struct LeaseChecked
 {
-  uint64_t revision = 0; // 0 when the key is gone
+  StorePosition position; // unset when the key is gone
   Time asked;
 };
 
@@ -70,7 +77,8 @@
                                         LeaseTaken,
                                         FormerHolderEnded,
                                         LeaseNotTaken,
-                                        LeaseChecked>;
+                                        LeaseChecked,
+                                        StoreEraBegan>;
 
 enum class PromoterLeaseAction
 {
@@ -81,11 +89,15 @@
 
 /**
  * The lease is a key in the store that expires unless its holder renews it. The
- * fencing token is the revision at which the key was created. The platform may
- * delete the key without the holder's notice, so the holder may act only for a
- * limited time after it sent a read that returned its own key. A new holder
- * waits for the same time, counted from when it first knew that the key was
- * gone, unless the former holder's process is known to have ended.
+ * fencing token follows from the position at which the key was created. The
+ * platform may delete the key without the holder's notice, so the holder may
+ * act only for a limited time after it sent a read that returned its own key. A
+ * new holder waits for the same time, counted from when it first knew that the
+ * key was gone, unless the former holder's process is known to have ended.
+ *
+ * When the store comes back from an old copy, the lease is free, whatever the
+ * copy shows: its holder stops at once, and the next one waits until no holder
+ * of the earlier era can act any more, wherever that one is.
  *
  * The clock also advances while the host is paused.
  */
@@ -106,7 +118,8 @@
 
   /** Until when a promotion may be ordered unless a later check succeeds. */
   Time MayPromoteUntil() const;
-  uint64_t Token() const { return this->token; }
+  const StorePosition& Token() const { return this->token; }
+  bool IsTaken() const { return !this->token.IsUnset(); }
   PromoterLeaseState State() const { return this->state; }
 
 private:
@@ -115,16 +128,19 @@
   void On(const FormerHolderEnded& aEvent, Time aNow);
   void On(const LeaseNotTaken& aEvent, Time aNow);
   void On(const LeaseChecked& aEvent, Time aNow);
+  void On(const StoreEraBegan& aEvent, Time aNow);
   void Lose();
 
   PromoterLeaseState state = PromoterLeaseState::Waiting;
-  uint64_t token = 0;
+  StorePosition token; // unset: this host does not hold the lease
   Time mayPromoteFrom = kInfiniteFuture;
+  // From then on no holder of an earlier era of the store can act.
+  Time earlierErasEnd = kInfinitePast;
   Time provedAsked = kInfinitePast;
   Time lastCheck = kInfinitePast;
   Time nextTake = kInfinitePast;
   bool isFree = false;
-  uint64_t lastHolderRevision = 0;
+  StorePosition lastHolderPosition;
   // Since when the key has been gone with no other holder in between.
   Time freeSince = kInfiniteFuture;
   Time takenAfter = kInfiniteFuture; // `freeSince` when the write was sent
--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -294,6 +294,7 @@
 
   ProxyOptions options;
   ProxyConfig config;
+  uint64_t groupsEra = 0; // of the store, as of the last read of the groups
   bool hasRegistry = false;
   size_t hosts = 0; // 0: not counted yet
   std::vector<HostPlace> places;
--- a/include/marigoldpitch/coordination/proxy/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-io.h
@@ -101,6 +101,7 @@
 struct GroupsRead
 {
   std::vector<GroupRecord> groups;
+  uint64_t era = 0; // of the store, in which they were read
 };
 
 /**
@@ -253,7 +254,7 @@
 /**
  * Asks the store to record the group's members. The store accepts it only if
  * this host holds the promoter lease and the record is still at
- * `record.revision`, where 0 means that there is none. There is no reply: the
+ * `record.position`, which is unset if there is none. There is no reply: the
  * next `GroupsRead` shows the result, and the engine then decides again.
  */
 struct RecordGroup
--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -128,6 +128,12 @@
   /** Applies the store's group record; returns the number of new upstreams. */
   size_t ApplyRecord(const GroupRecord& aRecord, Time aNow);
 
+  /** The store's record of the group is missing from a read in this era. */
+  void NoteMissingRecord(uint64_t aEra)
+  {
+    this->members.NoteMissingRecord(aEra);
+  }
+
   /** Whether a commit is acknowledged only once a replica has confirmed it. */
   void SetRequiresReplicaConfirmation(bool aIsRequired)
   {
--- a/include/marigoldpitch/protocol/proxy-documents.h
+++ b/include/marigoldpitch/protocol/proxy-documents.h
@@ -30,23 +30,23 @@
 Result<ProxyHosts>
 ParseProxyHosts(const std::string& aText);
 
-/** A group's record as in the store; the store keeps the revision itself. */
+/** A group's record as in the store; the store keeps the position itself. */
 std::string
 FormatGroupRecord(const GroupRecord& aRecord);
 
 /**
  * Fails with `BadMessage` unless the text is a complete record with at least
- * one member and no member twice. Leaves the revision at 0.
+ * one member and no member twice. Leaves the position unset.
  */
 Result<GroupRecord>
 ParseGroupRecord(const std::string& aText);
 
-/** All records of one read of the store, with their revisions. */
+/** All records of one read of the store, with their positions in its era. */
 std::string
 FormatGroups(const std::vector<GroupRecord>& aGroups);
 
 Result<std::vector<GroupRecord>>
-ParseGroups(const std::string& aText);
+ParseGroups(const std::string& aText, uint64_t aEra);
 
 } // namespace marigoldpitch
 
--- a/include/marigoldpitch/protocol/store-messages.h
+++ b/include/marigoldpitch/protocol/store-messages.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_PROTOCOL_STORE_MESSAGES_H
 
 #include "marigoldpitch/state/error.h"
+#include "marigoldpitch/state/store-position.h"
 #include "marigoldpitch/state/time.h"
 
 #include <cstdint>
@@ -12,7 +13,7 @@
 
 struct StoreValue
 {
-  uint64_t revision = 0; // 0: the key has no value
+  StorePosition position; // unset: the key has no value
   std::string text;
 };
 
@@ -45,7 +46,10 @@
 std::string
 EncodeStoreWatch(const std::string& aKey, uint64_t aAfter, Duration aWait);
 
-/** A swap that fails is answered with HTTP 409 and the present value. */
+/**
+ * A swap that fails is answered with HTTP 409 and the present value. A store
+ * that may come back from an old copy adds its `era` to each value.
+ */
 Result<StoreValue>
 DecodeStoreValue(const std::string& aBody);
 
--- a/include/marigoldpitch/state/proxy-config.h
+++ b/include/marigoldpitch/state/proxy-config.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_STATE_PROXY_CONFIG_H
 
 #include "marigoldpitch/state/config.h"
+#include "marigoldpitch/state/store-position.h"
 #include "marigoldpitch/state/upstream-status.h"
 
 #include <map>
@@ -85,6 +86,7 @@
 {
   std::vector<ProxyHost> hosts;
   bool isPromoterLeaseHeld = false; // a proxy holds the promoter's lease
+  uint64_t promoterKeyRevision = 0; // of the lease's key; 0: it does not exist
   std::string lastHolder;           // as `FormatLastHolder` writes it, or empty
   uint64_t lastHolderRevision = 0;  // of that key; 0: it has no value
 };
@@ -100,12 +102,31 @@
   uint64_t incarnation = 0;
 };
 
+/**
+ * The order of a group's records, which their writers keep in the records
+ * themselves. Unlike the store's positions, it tells which of two records of
+ * different eras knows more.
+ */
+struct RecordOrder
+{
+  uint64_t era = 0;    // of the store when the record was written
+  uint64_t number = 0; // one above the replaced record's; 0: not known
+
+  bool IsUnset() const { return this->number == 0; }
+  bool operator<(const RecordOrder& aOther) const
+  {
+    return std::tie(this->era, this->number) <
+           std::tie(aOther.era, aOther.number);
+  }
+};
+
 /** The members of a service's group, as recorded in the store. */
 struct GroupRecord
 {
   std::string service;
   std::vector<GroupMember> members;
-  uint64_t revision = 0;
+  StorePosition position; // of the record's key; not part of its text
+  RecordOrder order = {};
 };
 
 } // namespace marigoldpitch
--- a/include/marigoldpitch/transport/gossip-links.h
+++ b/include/marigoldpitch/transport/gossip-links.h
@@ -41,7 +41,7 @@
   virtual void ApplyDocument(const Document& aDocument,
                              const std::string& aPeer) = 0;
 
-  /** The store had no newer revision of this daemon's document at `aAsOf`. */
+  /** The store had no newer document than this daemon's at `aAsOf`. */
   virtual void OnConfirmed(DocumentKind aKind, Time aAsOf) = 0;
   virtual bool IsDraining() const = 0;
 };
@@ -80,9 +80,9 @@
   void OnPeerDown(const std::string& aPeer);
 
   bool IsWatcher() const { return this->gossip.IsWatcher(); }
-  uint64_t Revision(DocumentKind aKind) const
+  DocumentOrder Order(DocumentKind aKind) const
   {
-    return this->gossip.Revision(aKind);
+    return this->gossip.Order(aKind);
   }
 
 private:
@@ -109,7 +109,7 @@
 
   struct EncodedDocument
   {
-    uint64_t revision = 0;
+    DocumentOrder order;
     std::string frame;
   };
   // A document is encoded once and sent to all peers.
--- a/src/coordination/common/gossip.cc
+++ b/src/coordination/common/gossip.cc
@@ -36,8 +36,32 @@
   return aNames;
 }
 
+/**
+ * Whether a peer that has one document takes the other. A peer of a build that
+ * names no eras compares revisions alone.
+ */
+bool
+WouldTake(const DocumentOrder& aTheirs, const DocumentOrder& aOurs)
+{
+  bool comparesRevisions = aTheirs.position.era == 0 && aTheirs.version == 0;
+  if (comparesRevisions) {
+    return aTheirs.position.revision < aOurs.position.revision;
+  }
+  return aTheirs < aOurs;
+}
+
 } // namespace detail
 
+uint64_t
+Digest::Era() const
+{
+  uint64_t era = 0;
+  for (const DocumentOrder& document : this->documents) {
+    era = std::max(era, document.position.era);
+  }
+  return era;
+}
+
 GossipActions
 Gossip::Handle(Time aNow, const GossipEvent& aEvent)
 {
@@ -102,7 +126,7 @@
 {
   Digest digest;
   for (size_t i = 0; i < kDocumentKinds; ++i) {
-    digest.revisions[i] = this->documents[i].revision;
+    digest.documents[i] = this->documents[i].Order();
     Time confirmed = this->store[i].confirmed;
     if (confirmed != kInfinitePast) {
       digest.ages[i] = aNow - confirmed;
@@ -116,21 +140,24 @@
 {
   size_t index = detail::IndexOf(aEvent.document.kind);
   if (!aEvent.peer.empty()) {
-    uint64_t& known = this->neighbourDigests[aEvent.peer].revisions[index];
-    known = std::max(known, aEvent.document.revision);
+    DocumentOrder& known = this->neighbourDigests[aEvent.peer].documents[index];
+    known = std::max(known, aEvent.document.Order());
   }
   const Document& own = this->documents[index];
-  // If two watchers poll the same text, the first one's revision stays.
+  // If two watchers poll the same text in one era of the store, the first one's
+  // position stays.
   bool isSame = aEvent.peer.empty() && this->IsPolled(aEvent.document.kind) &&
-                own.revision != 0 && aEvent.document.text == own.text;
-  if (aEvent.document.revision <= own.revision || isSame) {
+                !own.position.IsUnset() &&
+                own.position.era == aEvent.document.position.era &&
+                aEvent.document.text == own.text;
+  if (!(own.Order() < aEvent.document.Order()) || isSame) {
     return;
   }
   this->documents[index] = aEvent.document;
   this->actions.emplace_back(ActivateDocument{ aEvent.document, aEvent.peer });
   for (auto& [peer, digest] : this->neighbourDigests) {
-    if (digest.revisions[index] < aEvent.document.revision) {
-      digest.revisions[index] = aEvent.document.revision;
+    if (detail::WouldTake(digest.documents[index], aEvent.document.Order())) {
+      digest.documents[index] = aEvent.document.Order();
       this->actions.emplace_back(SendDocument{ peer, aEvent.document });
     }
   }
@@ -143,20 +170,20 @@
   this->neighbourDigests[aEvent.peer] = aEvent.digest;
   bool isBehind = false;
   for (size_t i = 0; i < kDocumentKinds; ++i) {
-    uint64_t theirs = aEvent.digest.revisions[i];
-    uint64_t ours = this->documents[i].revision;
-    if (theirs < ours) {
-      this->neighbourDigests[aEvent.peer].revisions[i] = ours;
+    const DocumentOrder& theirs = aEvent.digest.documents[i];
+    DocumentOrder ours = this->documents[i].Order();
+    if (detail::WouldTake(theirs, ours)) {
+      this->neighbourDigests[aEvent.peer].documents[i] = ours;
       this->actions.emplace_back(
         SendDocument{ aEvent.peer, this->documents[i] });
     }
-    isBehind = isBehind || theirs > ours;
+    isBehind = isBehind || ours < theirs;
     if (theirs == ours && aEvent.digest.ages[i]) {
       this->Confirm(static_cast<DocumentKind>(i),
                     this->FrameTime() - *aEvent.digest.ages[i]);
     }
   }
-  // The peer answers a digest with lower revisions by sending its documents.
+  // The peer answers a digest of older documents by sending its own.
   if (isBehind || isNew) {
     this->actions.emplace_back(
       SendDigest{ aEvent.peer, this->OwnDigest(this->now) });
@@ -257,7 +284,7 @@
   state.waiting = true;
   state.asked = this->now;
   this->actions.emplace_back(
-    WatchStore{ aKind, this->OwnDocument(aKind).revision });
+    WatchStore{ aKind, this->OwnDocument(aKind).position });
 }
 
 } // namespace marigoldpitch
--- a/src/coordination/owner/term-reserver.cc
+++ b/src/coordination/owner/term-reserver.cc
@@ -35,18 +35,20 @@
   }
   // A swap whose answer was lost and that is not in the record may still take
   // effect later. That is harmless, because its terms are never used.
-  this->first = std::max(this->above, aRead.record.last) + 1;
+  Term belowEra = 0;
+  this->first = std::max({ this->above, aRead.record.last, belowEra }) + 1;
   TermRecord next;
   next.last = this->first + detail::kTermsPerReservation - 1;
   next.reservationId = this->owner + "#" + std::to_string(++this->attempts);
   this->pendingSwap = next;
-  return SwapTermRecord{ aRead.revision, next };
+  this->pendingEra = aRead.position.era;
+  return SwapTermRecord{ aRead.position, next };
 }
 
 ReserverAction
-TermReserver::On(SwapOutcome aOutcome)
+TermReserver::On(const TermRecordSwapped& aSwapped)
 {
-  if (aOutcome == SwapOutcome::Done) {
+  if (aSwapped.outcome == SwapOutcome::Done) {
     return this->Granted();
   }
   return ReadTermRecord{};
--- a/src/coordination/proxy/group-membership.cc
+++ b/src/coordination/proxy/group-membership.cc
@@ -73,16 +73,26 @@
 }
 
 void
-GroupMembership::ApplyRecord(uint64_t aRevision,
+GroupMembership::ApplyRecord(const StorePosition& aPosition,
+                             const RecordOrder& aOrder,
                              const std::vector<RecordedMember>& aMembers,
                              Time aNow)
 {
-  if (aRevision <= this->revision) {
+  if (aPosition <= this->position) {
     return;
   }
-  this->revision = aRevision;
+  this->position = aPosition;
+  bool isOfAnotherEra = this->hasRecord && this->order.era < aOrder.era;
+  bool isFromCopy = !aOrder.IsUnset() && aOrder.era < aPosition.era;
+  if (!this->hasRecord && isFromCopy) {
+    this->completeFrom = aNow;
+  }
+  this->order = aOrder;
+  this->hasRecord = true;
   for (MemberState& state : this->memberStates) {
-    state.wasRecorded = state.wasRecorded || state.isRecorded;
+    // The writer of another era may not have known this member.
+    bool isDropped = state.isRecorded;
+    state.wasRecorded = state.wasRecorded || isDropped;
     state.isRecorded = false;
   }
   for (const RecordedMember& member : aMembers) {
@@ -95,6 +105,14 @@
   }
 }
 
+void
+GroupMembership::NoteMissingRecord(uint64_t aEra)
+{
+  if (this->position.era < aEra) {
+    this->position = { aEra, 0 };
+  }
+}
+
 bool
 GroupMembership::MayConfirm(UpstreamIndex aUpstream, Time aNow) const
 {
--- a/src/coordination/proxy/group-recorder.cc
+++ b/src/coordination/proxy/group-recorder.cc
@@ -30,7 +30,8 @@
          std::optional<UpstreamIndex> aDropped)
 {
   GroupRecord record;
-  record.revision = aView.Members().Revision();
+  record.position = aView.Members().Position();
+  record.order = aView.Members().NextOrder();
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
     bool isIn = aView.Members().IsRecorded(i) || aAdded == i;
     if (isIn && aDropped != i) {
@@ -49,13 +50,13 @@
     return std::nullopt;
   }
   std::optional<GroupRecord> record;
-  if (!aView.Members().IsKnown()) {
+  if (!aView.Members().IsKnown(aNow)) {
     record = this->InitialRecord(aView, aNow);
   } else if (auto added = FindUnrecorded(aView)) {
     record = detail::RecordOf(aView, added, std::nullopt);
   } else if (auto dropped = FindRemovable(aView, aNow)) {
     record = detail::RecordOf(aView, std::nullopt, dropped);
-  } else if (HasNewIncarnation(aView)) {
+  } else if (HasNewIncarnation(aView) || aView.Members().NeedsRewrite()) {
     record = detail::RecordOf(aView, std::nullopt, std::nullopt);
   }
   if (record) {
@@ -83,6 +84,8 @@
     return std::nullopt;
   }
   GroupRecord record;
+  record.position = aView.Members().Position();
+  record.order = aView.Members().NextOrder();
   for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
     if (aView.Members().MayConfirm(i, aNow)) {
       record.members.push_back(detail::MemberOf(aView, i));
--- a/src/coordination/proxy/promoter-lease.cc
+++ b/src/coordination/proxy/promoter-lease.cc
@@ -27,8 +27,8 @@
 void
 PromoterLease::On(const LeaseObserved& aEvent, Time aNow)
 {
-  bool hasChangedHands = this->lastHolderRevision != aEvent.lastHolderRevision;
-  this->lastHolderRevision = aEvent.lastHolderRevision;
+  bool hasChangedHands = this->lastHolderPosition != aEvent.lastHolderPosition;
+  this->lastHolderPosition = aEvent.lastHolderPosition;
   if (aEvent.isTaken) {
     this->freeSince = kInfiniteFuture;
   } else if (hasChangedHands || this->freeSince == kInfiniteFuture) {
@@ -44,11 +44,15 @@
 PromoterLease::On(const LeaseTaken& aEvent, Time aNow)
 {
   this->state = PromoterLeaseState::Settling;
-  this->token = aEvent.revision;
+  this->token = aEvent.position;
+  if (aEvent.haveEarlierErasEnded) {
+    this->earlierErasEnd = std::min(this->earlierErasEnd, aNow);
+  }
   // The write required that nobody held the lease since `takenAfter`.
   Time end = aEvent.haveFormerHoldersEnded
                ? aNow
                : std::min(this->takenAfter, aNow) + detail::kProofValidity;
+  end = std::max(end, this->earlierErasEnd);
   this->mayPromoteFrom = std::max(aNow, end + detail::kMaxCallTime);
   this->provedAsked = kInfinitePast;
   this->lastCheck = kInfinitePast;
@@ -57,8 +61,9 @@
 void
 PromoterLease::On(const FormerHolderEnded&, Time aNow)
 {
+  Time end = std::max(aNow, this->earlierErasEnd);
   this->mayPromoteFrom =
-    std::min(this->mayPromoteFrom, aNow + detail::kMaxCallTime);
+    std::min(this->mayPromoteFrom, end + detail::kMaxCallTime);
 }
 
 void
@@ -74,21 +79,29 @@
 void
 PromoterLease::On(const LeaseChecked& aEvent, Time)
 {
-  if (this->token == 0) {
+  if (!this->IsTaken()) {
     return;
   }
-  if (aEvent.revision != this->token) {
+  if (aEvent.position != this->token) {
     this->Lose();
     return;
   }
   this->provedAsked = aEvent.asked;
 }
 
+/** What a holder of the earlier era proved last, it proved before `aNow`. */
+void
+PromoterLease::On(const StoreEraBegan&, Time aNow)
+{
+  this->Lose();
+  this->earlierErasEnd = aNow + detail::kProofValidity;
+}
+
 void
 PromoterLease::Lose()
 {
   this->state = PromoterLeaseState::Waiting;
-  this->token = 0;
+  this->token = {};
   this->isFree = false;
   this->freeSince = kInfiniteFuture;
 }
@@ -100,7 +113,7 @@
       aNow >= this->mayPromoteFrom) {
     this->state = PromoterLeaseState::Holding;
   }
-  if (this->token != 0) {
+  if (this->IsTaken()) {
     if (aNow - this->lastCheck < detail::kCheckInterval) {
       return PromoterLeaseAction::None;
     }
@@ -120,7 +133,7 @@
 bool
 PromoterLease::MayPromote(Time aNow) const
 {
-  return this->token != 0 && aNow >= this->mayPromoteFrom &&
+  return this->IsTaken() && aNow >= this->mayPromoteFrom &&
          aNow < this->MayPromoteUntil();
 }
 
--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -108,7 +108,7 @@
   if (!this->IsRunning()) {
     auto need = this->FindReason(aView, aNow);
     bool mayStart = aMayPromote && aNow >= this->nextAttempt && need &&
-                    aView.Members().IsKnown() && aView.CurrentTerm() != 0 &&
+                    aView.Members().IsKnown(aNow) && aView.CurrentTerm() != 0 &&
                     BestReplica(aView, aNow);
     if (!mayStart) {
       return actions;
--- a/src/coordination/proxy/proxy-losses.cc
+++ b/src/coordination/proxy/proxy-losses.cc
@@ -244,12 +244,13 @@
     return;
   }
   const ServiceView& view = service.view;
-  this->AddDecision(LogEvent::ReadUnproved,
-                    pending.requestId,
-                    { { "service", service.name },
-                      { "record", std::to_string(view.Members().Revision()) },
-                      { "primary", view.Primary() ? "known" : "unknown" },
-                      { "members", this->DescribeMembers(service) } });
+  this->AddDecision(
+    LogEvent::ReadUnproved,
+    pending.requestId,
+    { { "service", service.name },
+      { "record", FormatStorePosition(view.Members().Position()) },
+      { "primary", view.Primary() ? "known" : "unknown" },
+      { "members", this->DescribeMembers(service) } });
 }
 
 } // namespace marigoldpitch
--- a/src/coordination/proxy/proxy-watch.cc
+++ b/src/coordination/proxy/proxy-watch.cc
@@ -60,11 +60,13 @@
     size_t added = service.view.ApplyRecord(record, this->now);
     service.connections.AddUpstreams(added);
   }
+  this->groupsEra = aEvent.era;
 }
 
 void
 ProxyEngine::UpdateGroupRecord(ProxyService& aService)
 {
+  aService.view.NoteMissingRecord(this->groupsEra);
   auto record = aService.recorder.Update(aService.view, this->now);
   if (record) {
     record->service = aService.name;
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -110,7 +110,7 @@
     }
     recorded.push_back({ *index, member.incarnation });
   }
-  this->members.ApplyRecord(aRecord.revision, recorded, aNow);
+  this->members.ApplyRecord(aRecord.position, aRecord.order, recorded, aNow);
   for (const auto& member : recorded) {
     this->RequestReportIfUnverified(member.upstream);
   }
@@ -201,7 +201,7 @@
 void
 ServiceView::SampleAllButOne(Time aNow)
 {
-  if (!this->requiresReplicaConfirmation || !this->members.IsKnown()) {
+  if (!this->requiresReplicaConfirmation || !this->members.IsKnown(aNow)) {
     return;
   }
   std::vector<const ProxyUpstream*> asked;
@@ -412,7 +412,7 @@
 void
 ServiceView::NoteHolds(Time aNow)
 {
-  bool areAllHeld = this->primary.has_value() && this->members.IsKnown();
+  bool areAllHeld = this->primary.has_value() && this->members.IsKnown(aNow);
   for (UpstreamIndex i = 0; i < this->upstreams.size(); ++i) {
     const ProxyUpstream& upstream = this->upstreams[i];
     bool isHeld = upstream.report && upstream.report->role == Role::Replica &&
--- a/src/ctl.cc
+++ b/src/ctl.cc
@@ -145,7 +145,7 @@
     if (!current) {
       return this->Fail(ExitCode::Failed, current.error().ToString());
     }
-    uint64_t baseRevision = current.value().revision;
+    uint64_t baseRevision = current.value().position.revision;
     std::string expected = this->line.Get("expect");
     if (!expected.empty() && expected != std::to_string(baseRevision)) {
       return this->Conflict(expected, baseRevision);
@@ -157,12 +157,13 @@
     if (!swapped && swapped.error().code == ErrorCode::Conflict) {
       auto stored = DecodeStoreValue(swapped.error().message);
       return this->Conflict(std::to_string(baseRevision),
-                            stored ? stored.value().revision : 0);
+                            stored ? stored.value().position.revision : 0);
     }
     if (!swapped) {
       // The swap may have taken effect: read the value to find out.
       swapped = this->Get(this->ConfigKey());
-      bool isApplied = swapped && swapped.value().revision > baseRevision &&
+      bool isApplied = swapped &&
+                       swapped.value().position.revision > baseRevision &&
                        swapped.value().text == text.value();
       if (!isApplied) {
         return this->Fail(ExitCode::Failed,
@@ -170,7 +171,7 @@
                           "hold this configuration; check it with 'show'");
       }
     }
-    return this->WaitForAllDaemons(swapped.value().revision);
+    return this->WaitForAllDaemons(swapped.value().position.revision);
   }
 
   ExitCode Conflict(const std::string& aBaseRevision, uint64_t aStoredRevision)
@@ -186,7 +187,8 @@
   Result<std::vector<Daemon>> Daemons()
   {
     BOOST_OUTCOME_TRY(auto value, this->Get(kHostsKey));
-    BOOST_OUTCOME_TRY(auto hosts, ParseHostList(value.text, value.revision));
+    BOOST_OUTCOME_TRY(auto hosts,
+                      ParseHostList(value.text, value.position.revision));
     std::vector<Daemon> daemons;
     for (const HostEntry& host : hosts.hosts) {
       daemons.push_back({ host.name + "/owner", host.ownerOperators });
@@ -252,9 +254,10 @@
       fmt::print("{}\n", current.value().text);
       return ExitCode::Ok;
     }
-    fmt::print("revision {}\n", current.value().revision);
-    auto config = ParseConfiguration(
-      current.value().text, current.value().revision, this->ConfigKey());
+    fmt::print("revision {}\n", current.value().position.revision);
+    auto config = ParseConfiguration(current.value().text,
+                                     current.value().position.revision,
+                                     this->ConfigKey());
     if (!config) {
       return this->Fail(ExitCode::BadInput, config.error().ToString());
     }
@@ -299,7 +302,8 @@
       fmt::print("{}\n", patch.dump(2));
       return ExitCode::Ok;
     }
-    fmt::print("compared with revision {}\n", current.value().revision);
+    fmt::print("compared with revision {}\n",
+               current.value().position.revision);
     for (const auto& change : patch) {
       fmt::print("{:<8} {} {}\n",
                  change.value("op", ""),
--- a/src/protocol/proxy-documents.cc
+++ b/src/protocol/proxy-documents.cc
@@ -110,7 +110,12 @@
                         { "zone", member.zone },
                         { "incarnation", member.incarnation } });
   }
-  return { { "service", aRecord.service }, { "members", members } };
+  json value{ { "service", aRecord.service }, { "members", members } };
+  if (!aRecord.order.IsUnset()) {
+    value["era"] = aRecord.order.era;
+    value["number"] = aRecord.order.number;
+  }
+  return value;
 }
 
 Result<GroupRecord>
@@ -118,6 +123,8 @@
 {
   GroupRecord record;
   record.service = aValue.at("service").get<std::string>();
+  record.order = { aValue.value("era", uint64_t{ 0 }),
+                   aValue.value("number", uint64_t{ 0 }) };
   std::set<std::string> ids;
   for (const auto& value :
        aValue.at("members").get_ref<const json::array_t&>()) {
@@ -189,6 +196,7 @@
   return detail::ToText(
     { { "hosts", list },
       { "duty_taken", aHosts.isPromoterLeaseHeld },
+      { "duty_revision", aHosts.promoterKeyRevision },
       { "last_holder", aHosts.lastHolder },
       { "last_holder_revision", aHosts.lastHolderRevision } });
 }
@@ -203,6 +211,8 @@
       hosts.hosts.push_back(host);
     }
     hosts.isPromoterLeaseHeld = aValue.at("duty_taken").get<bool>();
+    hosts.promoterKeyRevision =
+      aValue.value("duty_revision", hosts.promoterKeyRevision);
     hosts.lastHolder = aValue.at("last_holder").get<std::string>();
     hosts.lastHolderRevision =
       aValue.at("last_holder_revision").get<uint64_t>();
@@ -230,21 +240,21 @@
   detail::json list = detail::json::array();
   for (const GroupRecord& record : aGroups) {
     list.push_back(detail::GroupRecordToJson(record));
-    list.back()["revision"] = record.revision;
+    list.back()["revision"] = record.position.revision;
   }
   return detail::ToText({ { "groups", list } });
 }
 
 Result<std::vector<GroupRecord>>
-ParseGroups(const std::string& aText)
+ParseGroups(const std::string& aText, uint64_t aEra)
 {
   using List = std::vector<GroupRecord>;
-  auto decode = [](const detail::json& aValue) -> Result<List> {
+  auto decode = [&](const detail::json& aValue) -> Result<List> {
     List list;
     for (const auto& value :
          aValue.at("groups").get_ref<const detail::json::array_t&>()) {
       BOOST_OUTCOME_TRY(auto record, detail::GroupRecordFromJson(value));
-      record.revision = value.at("revision").get<uint64_t>();
+      record.position = { aEra, value.at("revision").get<uint64_t>() };
       list.push_back(record);
     }
     return list;
--- a/src/protocol/store-messages.cc
+++ b/src/protocol/store-messages.cc
@@ -34,14 +34,16 @@
   json value = json::parse(aBody, nullptr, false);
   bool isValid = value.is_object() && value.contains("revision") &&
                  value["revision"].is_number_unsigned() &&
-                 value.contains("value") && value["value"].is_string();
+                 value.contains("value") && value["value"].is_string() &&
+                 (!value.contains("era") || value["era"].is_number_unsigned());
   if (!isValid) {
     return Error{ ErrorCode::BadMessage,
                   "store",
                   "not a valid reply of the store" };
   }
   StoreValue found;
-  found.revision = value["revision"].get<uint64_t>();
+  found.position = { value.value("era", uint64_t{ 0 }),
+                     value["revision"].get<uint64_t>() };
   found.text = value["value"].get<std::string>();
   return found;
 }
--- a/src/protocol/wire.cc
+++ b/src/protocol/wire.cc
@@ -186,19 +186,24 @@
 EncodedBody
 EncodeBody(Builder& aBuilder, const DigestFrame& aFrame)
 {
-  const auto& revisions = aFrame.digest.revisions;
+  const auto& [config, hosts, upstreams, groups] = aFrame.digest.documents;
   const auto& ages = aFrame.digest.ages;
   return { wire::Body_DigestFrame,
            wire::CreateDigestFrame(aBuilder,
-                                   revisions[0],
-                                   revisions[1],
+                                   config.position.revision,
+                                   hosts.position.revision,
                                    aFrame.draining,
-                                   revisions[2],
+                                   upstreams.position.revision,
                                    EncodeDuration(ages[0]),
                                    EncodeDuration(ages[1]),
                                    EncodeDuration(ages[2]),
-                                   revisions[3],
-                                   EncodeDuration(ages[3]))
+                                   groups.position.revision,
+                                   EncodeDuration(ages[3]),
+                                   config.version,
+                                   config.position.era,
+                                   hosts.position.era,
+                                   upstreams.position.era,
+                                   groups.position.era)
              .Union() };
 }
 
@@ -210,8 +215,13 @@
   auto packed = aBuilder.CreateVector(Compress(document.text));
   auto size = static_cast<uint32_t>(document.text.size());
   return { wire::Body_DocumentFrame,
-           wire::CreateDocumentFrame(
-             aBuilder, kind, document.revision, packed, size)
+           wire::CreateDocumentFrame(aBuilder,
+                                     kind,
+                                     document.position.revision,
+                                     packed,
+                                     size,
+                                     document.version,
+                                     document.position.era)
              .Union() };
 }
 
@@ -405,6 +415,15 @@
   return Frame(std::move(frame));
 }
 
+Result<uint64_t>
+DecodeEra(uint64_t aEra)
+{
+  if (aEra > kMaxEra) {
+    return Error{ ErrorCode::BadFrame, "era", "out of range" };
+  }
+  return aEra;
+}
+
 Result<Frame>
 DecodeBody(const wire::DocumentFrame& aFrame)
 {
@@ -412,25 +431,34 @@
   BOOST_OUTCOME_TRY(
     auto kind, DecodeName(kDocumentKindNames, "document.kind", aFrame.kind()));
   frame.document.kind = kind;
-  frame.document.revision = aFrame.revision();
+  BOOST_OUTCOME_TRY(auto era, DecodeEra(aFrame.era()));
+  frame.document.position = { era, aFrame.revision() };
+  frame.document.version = aFrame.version();
   BOOST_OUTCOME_TRY(auto text, Decompress(aFrame.packed(), aFrame.bytes()));
   frame.document.text = text;
   return Frame(std::move(frame));
 }
 
-Frame
+Result<Frame>
 DecodeBody(const wire::DigestFrame& aFrame)
 {
   DigestFrame frame;
-  frame.digest.revisions = {
-    aFrame.configuration(), aFrame.hosts(), aFrame.upstreams(), aFrame.groups()
-  };
+  BOOST_OUTCOME_TRY(auto configEra, DecodeEra(aFrame.configuration_era()));
+  BOOST_OUTCOME_TRY(auto hostsEra, DecodeEra(aFrame.hosts_era()));
+  BOOST_OUTCOME_TRY(auto upstreamsEra, DecodeEra(aFrame.upstreams_era()));
+  BOOST_OUTCOME_TRY(auto groupsEra, DecodeEra(aFrame.groups_era()));
+  frame.digest.documents = { {
+    { aFrame.configuration_version(), { configEra, aFrame.configuration() } },
+    { 0, { hostsEra, aFrame.hosts() } },
+    { 0, { upstreamsEra, aFrame.upstreams() } },
+    { 0, { groupsEra, aFrame.groups() } },
+  } };
   frame.digest.ages = { DecodeDuration(aFrame.configuration_age_ms()),
                         DecodeDuration(aFrame.hosts_age_ms()),
                         DecodeDuration(aFrame.upstreams_age_ms()),
                         DecodeDuration(aFrame.groups_age_ms()) };
   frame.draining = aFrame.draining();
-  return frame;
+  return Frame(std::move(frame));
 }
 
 /** Whether callers may send statements of this kind. */
--- a/src/report.cc
+++ b/src/report.cc
@@ -58,10 +58,12 @@
     std::string key = ConfigurationKey(this->line.Get("group-set", "default"));
     BOOST_OUTCOME_TRY(auto document, this->Get(key));
     BOOST_OUTCOME_TRY(
-      auto config, ParseConfiguration(document.text, document.revision, key));
+      auto config,
+      ParseConfiguration(document.text, document.position.revision, key));
     this->objectives = config.objectives;
     BOOST_OUTCOME_TRY(auto list, this->Get(kHostsKey));
-    BOOST_OUTCOME_TRY(auto parsed, ParseHostList(list.text, list.revision));
+    BOOST_OUTCOME_TRY(auto parsed,
+                      ParseHostList(list.text, list.position.revision));
     this->hosts = std::move(parsed);
     return this->ReadHistory();
   }
--- a/src/transport/daemon-core.cc
+++ b/src/transport/daemon-core.cc
@@ -107,7 +107,8 @@
     this->OnStoreValue(kind, aValue);
   };
   if (this->gossip.IsWatcher()) {
-    this->store->Watch(key, aAction.after, detail::kWatchWait, callback);
+    this->store->Watch(
+      key, aAction.after.revision, detail::kWatchWait, callback);
   } else {
     this->store->Get(key, callback);
   }
@@ -124,7 +125,7 @@
   }
   if (isReached) {
     this->gossip.OnStoreDocument(
-      { aKind, aValue.value().revision, aValue.value().text });
+      { aKind, aValue.value().position, aValue.value().text });
   }
   this->gossip.HandleEvent(WatchStoreEnded{ aKind, isReached });
 }
@@ -133,14 +134,14 @@
 DaemonCore::IsValid(const Document& aDocument)
 {
   if (aDocument.kind == DocumentKind::Hosts) {
-    auto list = ParseHostList(aDocument.text, aDocument.revision);
+    auto list = ParseHostList(aDocument.text, aDocument.position.revision);
     if (!list) {
       Log(LogEvent::ConfigurationRefused, list.error().ToString());
     }
     return list.has_value();
   }
-  auto parsed =
-    ParseConfiguration(aDocument.text, aDocument.revision, "configuration");
+  auto parsed = ParseConfiguration(
+    aDocument.text, aDocument.position.revision, "configuration");
   if (!parsed) {
     Log(LogEvent::ConfigurationRefused, parsed.error().ToString());
   }
@@ -150,18 +151,20 @@
 void
 DaemonCore::ApplyDocument(const Document& aDocument, const std::string&)
 {
-  std::string revision = "revision " + std::to_string(aDocument.revision);
+  std::string revision =
+    "revision " + std::to_string(aDocument.position.revision);
   if (aDocument.kind == DocumentKind::Hosts) {
-    this->hosts = ParseHostList(aDocument.text, aDocument.revision).value();
+    this->hosts =
+      ParseHostList(aDocument.text, aDocument.position.revision).value();
     this->gossip.SetHosts(this->hosts);
     Log(LogEvent::HostListInForce, revision);
     this->OnHosts(this->hosts);
     return;
   }
   this->configurationText = aDocument.text;
-  this->config =
-    ParseConfiguration(aDocument.text, aDocument.revision, "configuration")
-      .value();
+  this->config = ParseConfiguration(
+                   aDocument.text, aDocument.position.revision, "configuration")
+                   .value();
   Log(LogEvent::ConfigurationInForce, revision);
   this->OnConfiguration(this->config);
 }
--- a/src/transport/gossip-links.cc
+++ b/src/transport/gossip-links.cc
@@ -93,7 +93,7 @@
 void
 GossipLinks::OnStoreDocument(const Document& aDocument)
 {
-  bool isNew = aDocument.revision > this->Revision(aDocument.kind);
+  bool isNew = this->Order(aDocument.kind) < aDocument.Order();
   if (isNew && this->client.IsValid(aDocument)) {
     this->HandleEvent(DocumentSeen{ aDocument, {} });
   }
@@ -123,8 +123,8 @@
 {
   const Document& document = aAction.document;
   EncodedDocument& encodedDocument = this->encodedDocuments[document.kind];
-  if (encodedDocument.revision != document.revision) {
-    encodedDocument = { document.revision,
+  if (!(encodedDocument.order == document.Order())) {
+    encodedDocument = { document.Order(),
                         EncodeFrame(DocumentFrame{ document }) };
   }
   this->network->SendTo(aAction.peer, encodedDocument.frame);
@@ -166,8 +166,8 @@
   if (const auto* frame = std::get_if<DocumentFrame>(&aFrame)) {
     const Document& received = frame->document;
     // A document that is not new is not applied, so it need not be valid: it
-    // only shows which revision the peer has.
-    bool isNew = received.revision > this->Revision(received.kind);
+    // only shows what the peer has.
+    bool isNew = this->Order(received.kind) < received.Order();
     if (!isNew || this->client.IsValid(received)) {
       this->HandleEvent(DocumentSeen{ received, aPeer });
     }
--- a/src/transport/owner-daemon.cc
+++ b/src/transport/owner-daemon.cc
@@ -148,9 +148,12 @@
       SwapOutcome outcome = aValue       ? SwapOutcome::Done
                             : isConflict ? SwapOutcome::Conflict
                                          : SwapOutcome::Lost;
-      this->HandleReserverAction(this->reserver.On(outcome));
+      uint64_t era = aValue ? aValue.value().position.era : 0;
+      this->HandleReserverAction(
+        this->reserver.On(TermRecordSwapped{ outcome, era }));
     };
-    store.Swap(key, swap->revision, FormatTermRecord(swap->record), callback);
+    store.Swap(
+      key, swap->position.revision, FormatTermRecord(swap->record), callback);
   } else if (const auto* grant = std::get_if<GrantTerms>(&aAction)) {
     this->OnGroupEvent(TermsGranted{ grant->first, grant->last });
   }
@@ -161,8 +164,10 @@
 {
   TermRecordRead read;
   read.reached = aValue.has_value();
-  if (read.reached && aValue.value().revision != 0) {
-    read.revision = aValue.value().revision;
+  if (read.reached) {
+    read.position = aValue.value().position;
+  }
+  if (!read.position.IsUnset()) {
     auto record = ParseTermRecord(aValue.value().text);
     // An unreadable record counts as unreachable: overwriting it could reserve
     // terms that are in use already.
--- a/test/codec-test.cc
+++ b/test/codec-test.cc
@@ -79,7 +79,7 @@
     RC_ASSERT(HasValueOrErrorPlace(ParseProxyHosts(bytes)));
     RC_ASSERT(HasValueOrErrorPlace(ParseProxyHost(bytes)));
     RC_ASSERT(HasValueOrErrorPlace(ParseGroupRecord(bytes)));
-    RC_ASSERT(HasValueOrErrorPlace(ParseGroups(bytes)));
+    RC_ASSERT(HasValueOrErrorPlace(ParseGroups(bytes, 1)));
     RC_ASSERT(HasValueOrErrorPlace(ParseTermRecord(bytes)));
     RC_ASSERT(HasValueOrErrorPlace(DecodeStoreValue(bytes)));
     RC_ASSERT(HasValueOrErrorPlace(DecodeRecord(bytes)));
@@ -229,16 +229,19 @@
     RC_ASSERT(decoded.lastHolderRevision == hosts.lastHolderRevision);
 
     DigestFrame digest;
-    digest.digest.revisions = {
-      1, *rc::gen::arbitrary<uint64_t>(), 3, *rc::gen::arbitrary<uint64_t>()
-    };
+    auto era = [] { return *rc::gen::inRange<uint64_t>(0, kMaxEra + 1); };
+    auto revision = [] { return *rc::gen::arbitrary<uint64_t>(); };
+    digest.digest.documents = { { { revision(), { era(), revision() } },
+                                  { 0, { era(), revision() } },
+                                  { 0, { era(), 3 } },
+                                  { 0, { era(), revision() } } } };
     digest.digest.ages = { std::nullopt,
                            Millis(*rc::gen::inRange<int64_t>(0, 1 << 30)),
                            Millis(0),
                            Millis(*rc::gen::inRange<int64_t>(0, 1 << 30)) };
     auto frame = DecodeFrame(EncodeFrame(digest)).value();
     const Digest& taken = std::get<DigestFrame>(frame).digest;
-    RC_ASSERT(taken.revisions == digest.digest.revisions);
+    RC_ASSERT(taken.documents == digest.digest.documents);
     RC_ASSERT(taken.ages == digest.digest.ages);
   }));
 }
@@ -257,14 +260,18 @@
     auto incarnation = *rc::gen::arbitrary<uint64_t>();
     record.members.push_back({ id, endpoint, "zone " + id, incarnation });
   }
-  record.revision = *rc::gen::arbitrary<uint64_t>();
+  record.position = { 3, *rc::gen::arbitrary<uint64_t>() };
+  record.order = { *rc::gen::arbitrary<uint64_t>(),
+                   *rc::gen::inRange<uint64_t>(1, UINT64_MAX) };
   return record;
 }
 
 bool
 IsSameGroup(const GroupRecord& aLeft, const GroupRecord& aRight)
 {
-  bool isSame = aLeft.members.size() == aRight.members.size();
+  bool isSame = aLeft.members.size() == aRight.members.size() &&
+                aLeft.order.era == aRight.order.era &&
+                aLeft.order.number == aRight.order.number;
   for (size_t i = 0; isSame && i < aLeft.members.size(); ++i) {
     const GroupMember& left = aLeft.members[i];
     const GroupMember& right = aRight.members[i];
@@ -284,22 +291,23 @@
       groups.push_back(RandomGroup());
     }
     std::string text = FormatGroups(groups);
-    auto decoded = ParseGroups(text).value();
+    auto decoded = ParseGroups(text, 3).value();
     RC_ASSERT(FormatGroups(decoded) == text);
     RC_ASSERT(decoded.size() == groups.size());
     for (size_t i = 0; i < groups.size(); ++i) {
       RC_ASSERT(IsSameGroup(decoded[i], groups[i]));
-      RC_ASSERT(decoded[i].revision == groups[i].revision);
+      RC_ASSERT(decoded[i].position == groups[i].position);
       auto one = ParseGroupRecord(FormatGroupRecord(groups[i])).value();
       RC_ASSERT(IsSameGroup(one, groups[i]));
-      RC_ASSERT(one.revision == 0u);
+      RC_ASSERT(one.position.IsUnset());
     }
 
-    Document document{ DocumentKind::Groups, 7, text };
+    Document document{ DocumentKind::Groups, { 2, 7 }, text, 5 };
     auto frame = DecodeFrame(EncodeFrame(DocumentFrame{ document })).value();
     const Document& taken = std::get<DocumentFrame>(frame).document;
     RC_ASSERT(taken.kind == DocumentKind::Groups);
     RC_ASSERT(taken.text == text);
+    RC_ASSERT(taken.Order() == document.Order());
   }));
 }
 
@@ -322,11 +330,11 @@
                                       "[" + member + "," + member + "]" }) {
     std::string text = R"({"service":"s","members":)" + members + "}";
     cr_assert_not(ParseGroupRecord(text), "%s", text.c_str());
-    cr_assert_not(ParseGroups(R"({"groups":[)" + text + "]}"));
+    cr_assert_not(ParseGroups(R"({"groups":[)" + text + "]}", 1));
   }
   cr_assert(ParseGroupRecord(R"({"service":"s","members":[)" + member + "]}"));
   for (const char* text : { "null", "[]", R"({"groups":null})", "{}" }) {
-    cr_assert_not(ParseGroups(text), "%s", text);
+    cr_assert_not(ParseGroups(text, 1), "%s", text);
   }
 }
 
--- a/test/fakes/gossip-simulation.h
+++ b/test/fakes/gossip-simulation.h
@@ -193,16 +193,18 @@
     if (const auto* activate = std::get_if<ActivateDocument>(&aAction)) {
       if (activate->document.kind == DocumentKind::Groups) {
         aDaemon.reverted =
-          aDaemon.reverted || activate->document.revision < aDaemon.groups;
-        aDaemon.groups = activate->document.revision;
+          aDaemon.reverted ||
+          activate->document.position.revision < aDaemon.groups;
+        aDaemon.groups = activate->document.position.revision;
       }
       if (activate->document.kind == DocumentKind::Upstreams) {
         aDaemon.upstreams = activate->document.text;
       }
       if (activate->document.kind == DocumentKind::Configuration) {
-        aDaemon.reverted = aDaemon.reverted || activate->document.revision <
-                                                 aDaemon.highestRevision;
-        aDaemon.activeRevision = activate->document.revision;
+        aDaemon.reverted =
+          aDaemon.reverted ||
+          activate->document.position.revision < aDaemon.highestRevision;
+        aDaemon.activeRevision = activate->document.position.revision;
         aDaemon.highestRevision =
           std::max(aDaemon.highestRevision, aDaemon.activeRevision);
       }
@@ -229,7 +231,9 @@
     if (aWatch.kind == DocumentKind::Upstreams) {
       // Upstreams rewrite their entries all the time, mostly unchanged, so each
       // read has a new revision.
-      Document read{ aWatch.kind, ++this->registryRevision, this->registry };
+      Document read{ aWatch.kind,
+                     { 0, ++this->registryRevision },
+                     this->registry };
       this->clock.After(Millis(5), [=] {
         this->Step(aName, DocumentSeen{ read, {} });
         this->Step(aName, WatchStoreEnded{ aWatch.kind, true });
@@ -239,9 +243,9 @@
     this->groupsRequested =
       this->groupsRequested || aWatch.kind == DocumentKind::Groups;
     if (aWatch.kind == DocumentKind::Hosts && this->groups != 0) {
-      Document read{ DocumentKind::Groups, this->groups, "groups" };
+      Document read{ DocumentKind::Groups, { 0, this->groups }, "groups" };
       if (aName == this->staleReader) {
-        read.revision = this->previousGroups; // by a lagging replica
+        read.position.revision = this->previousGroups; // by a lagging replica
       }
       this->clock.After(Millis(5), [=] {
         this->Step(aName, DocumentSeen{ read, {} });
@@ -260,16 +264,16 @@
         this->Step(aName, WatchStoreEnded{ aWatch.kind, false });
         return;
       }
-      Document document{ aWatch.kind, this->revision, "text" };
+      Document document{ aWatch.kind, { 0, this->revision }, "text" };
       this->clock.After(Millis(5), [=] {
-        if (document.revision > aWatch.after) {
+        if (document.position > aWatch.after) {
           this->Step(aName, DocumentSeen{ document, {} });
         }
         this->Step(aName, WatchStoreEnded{ aWatch.kind, true });
       });
     };
     bool isWatcher = this->daemons[aName].gossip->IsWatcher();
-    if (this->revision > aWatch.after || !isWatcher) {
+    if (this->revision > aWatch.after.revision || !isWatcher) {
       answer();
       return;
     }
--- a/test/fakes/proxy-simulation-store.cc
+++ b/test/fakes/proxy-simulation-store.cc
@@ -102,7 +102,8 @@
     return;
   }
   GroupsRead event;
-  if (this->group.revision != 0) {
+  event.era = this->storeEra;
+  if (!this->group.position.IsUnset()) {
     event.groups.push_back(this->group);
   }
   this->Send(aHost, event);
@@ -116,15 +117,24 @@
   }
 }
 
+void
+ProxySimulation::RestoreStore(const GroupRecord& aRecord)
+{
+  ++this->storeEra;
+  this->group = aRecord;
+  this->group.position.era = this->storeEra;
+  this->SendGroupsToAll();
+}
+
 /** Compare-and-set: a write with an outdated revision has no effect. */
 void
 ProxySimulation::Record(const GroupRecord& aRecord)
 {
-  if (this->isGroupStoreDown || aRecord.revision != this->group.revision) {
+  if (this->isGroupStoreDown || aRecord.position != this->group.position) {
     return;
   }
   this->group = aRecord;
-  ++this->group.revision;
+  ++this->group.position.revision;
   for (size_t i = 0; i < this->hosts.size(); ++i) {
     this->After(i, kRecordDelay, [this, i] { this->SendGroups(i); });
   }
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -48,7 +48,9 @@
     this->group.members.push_back(
       { entry.id, entry.endpoint, entry.zone, entry.incarnation });
   }
-  this->group.revision = 1; // written before the run
+  this->storeEra = aOptions.storeEra;
+  this->group.position = { this->storeEra, aOptions.hasGroupRecord ? 1U : 0U };
+  this->group.order = { this->storeEra, this->storeEra == 0 ? 0U : 1U };
   for (size_t i = 0; i < aOptions.hosts; ++i) {
     this->hosts.push_back(this->NewProcess(i));
   }
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -97,6 +97,10 @@
   // Time after which a replaced primary that reaches its successor steps down;
   // unset: only when it is told to.
   std::optional<Duration> stepsDownAfter;
+  // The store's era; 0: it names none, and the group's record has no order.
+  uint64_t storeEra = 0;
+  // Whether the group has a record at the start.
+  bool hasGroupRecord = true;
   // Processes that start during the run are not sent the group record at once.
   bool withholdsGroups = false;
   // How often each host reads the registry; unset: when the test sends it.
@@ -157,10 +161,13 @@
   /** Sends every host the stored record of the group. */
   void SendGroupsToAll();
 
+  /** The store comes back from a copy that has this record of the group. */
+  void RestoreStore(const GroupRecord& aRecord);
+
   /** Whether the store ignores reads and writes of group records. */
   bool isGroupStoreDown = false;
 
-  /** The stored record of the group; its revision is 0 if there is none. */
+  /** The stored record of the group; its position is unset if there is none. */
   const GroupRecord& Group() const { return this->group; }
 
   /** Sends one host a registry that lists only `aUpstreams`. */
@@ -308,7 +315,8 @@
   size_t lastProcess = 0;
   ConfigArrived config;
   std::map<size_t, RegistryRead> registries; // by host: the last one sent
-  GroupRecord group{ "service", {}, 0 };
+  uint64_t storeEra = 0;
+  GroupRecord group{ "service", {}, {} };
   std::vector<FakeUpstream> upstreams;
   std::map<LinkKey, FakeLink> links;
   std::map<RelayLinkId, RelayLink> relayLinks;
--- a/test/fakes/store-fixture.h
+++ b/test/fakes/store-fixture.h
@@ -162,6 +162,8 @@
     } else if (const auto* read = std::get_if<GroupsRead>(&aEvent)) {
       ++this->reads;
       this->groups = read->groups;
+    } else if (const auto* date = std::get_if<RegistryConfirmed>(&aEvent)) {
+      this->registryConfirmed = date->asOf;
     } else if (const auto* config = std::get_if<ConfigArrived>(&aEvent)) {
       uint64_t arrived = config->config.version;
       this->hasReverted = this->hasReverted || arrived < this->version;
@@ -171,7 +173,7 @@
 
   uint64_t Revision() const
   {
-    return this->groups.empty() ? 0 : this->groups.front().revision;
+    return this->groups.empty() ? 0 : this->groups.front().position.revision;
   }
 
   /** Returns the lines logged since the last call. */
@@ -203,7 +205,8 @@
   std::string logged; // all lines that `Logged` has returned
   bool mayPromote = false;
   Time mayPromoteUntil = kInfinitePast;
-  uint64_t version = 0;     // of the configuration in force
+  uint64_t version = 0; // of the configuration in force
+  Time registryConfirmed = kInfinitePast;
   bool hasReverted = false; // whether a version was followed by a lower one
   size_t counts = 0;
   size_t hosts = 0; // by the last `HostsCounted`
--- a/test/gossip-dates-test.cc
+++ b/test/gossip-dates-test.cc
@@ -51,7 +51,7 @@
 {
   DigestSeen seen{ kPeer, {} };
   size_t index = static_cast<size_t>(DocumentKind::Upstreams);
-  seen.digest.revisions[index] = 7;
+  seen.digest.documents[index].position = { 1, 7 };
   seen.digest.ages[index] = aAge;
   return seen;
 }
@@ -64,8 +64,9 @@
   Time asked{ 5000 };
   gossip.Handle(asked, GossipTick{});
   Time answered = asked + Millis(900);
-  gossip.Handle(answered,
-                DocumentSeen{ { DocumentKind::Upstreams, 7, "text" }, {} });
+  gossip.Handle(
+    answered,
+    DocumentSeen{ { DocumentKind::Upstreams, { 1, 7 }, "text" }, {} });
   auto confirmed = ConfirmedIn(
     gossip.Handle(answered, WatchStoreEnded{ DocumentKind::Upstreams, true }));
   cr_assert(confirmed);
@@ -75,8 +76,9 @@
 Test(gossip_dates, digest_is_dated_by_the_age_that_it_names)
 {
   Gossip gossip = MakeGossip();
-  gossip.Handle(Time{ 0 },
-                DocumentSeen{ { DocumentKind::Upstreams, 7, "text" }, kPeer });
+  gossip.Handle(
+    Time{ 0 },
+    DocumentSeen{ { DocumentKind::Upstreams, { 1, 7 }, "text" }, kPeer });
   Tick(gossip, Time{ 0 }, Time{ 1000 });
   auto confirmed =
     ConfirmedIn(gossip.Handle(Time{ 1100 }, DigestOfAge(Millis(300))));
@@ -90,7 +92,8 @@
   for (bool ticksFirst : { false, true }) {
     Gossip gossip = MakeGossip();
     gossip.Handle(
-      Time{ 0 }, DocumentSeen{ { DocumentKind::Upstreams, 7, "text" }, kPeer });
+      Time{ 0 },
+      DocumentSeen{ { DocumentKind::Upstreams, { 1, 7 }, "text" }, kPeer });
     Tick(gossip, Time{ 0 }, Time{ 1000 });
     if (ticksFirst) {
       gossip.Handle(resumed, GossipTick{});
--- a/test/group-record-test.cc
+++ b/test/group-record-test.cc
@@ -22,7 +22,7 @@
 GroupRecord
 Record(uint64_t aRevision, const std::vector<size_t>& aNumbers)
 {
-  GroupRecord record{ "service", {}, aRevision };
+  GroupRecord record{ "service", {}, { 0, aRevision } };
   for (size_t number : aNumbers) {
     RegisteredUpstream registration = Registration(number);
     record.members.push_back(
@@ -168,8 +168,8 @@
                           now);
   auto next = NextRecord(recorder, view, now);
   cr_assert_eq(MemberIds(next), "u0 u1");
-  cr_assert_eq(next->revision, 5);
-  next->revision = 6;
+  cr_assert_eq(next->position.revision, 5);
+  next->position.revision = 6;
   view.ApplyRecord(*next, now);
   cr_assert_eq(MemberIds(NextRecord(recorder, view, now)), "u0 u1 u2");
 }
@@ -184,7 +184,7 @@
     { Registration(0), Registration(1), Registration(2, "u9") }, now);
   auto next = NextRecord(recorder, view, now);
   cr_assert_eq(MemberIds(next), "u0 u1 u2 u9");
-  next->revision = 6;
+  next->position.revision = 6;
   view.ApplyRecord(*next, now);
   cr_assert_not(view.Members().MayConfirm(2, now));
   cr_assert_eq(MemberIds(NextRecord(recorder, view, now)), "u0 u1 u9");
@@ -284,7 +284,7 @@
   view.Failed(1, now);
   auto next = NextRecord(recorder, view, now);
   cr_assert_eq(MemberIds(next), "u0 u2");
-  next->revision = 6;
+  next->position.revision = 6;
   view.ApplyRecord(*next, now);
   cr_assert_not(NextRecord(recorder, view, now));
 }
@@ -311,5 +311,5 @@
   view.ApplyRecord(Record(9, { 0, 1, 2 }), kStart);
   view.ApplyRecord(Record(8, { 1 }), kStart);
   cr_assert(view.Members().IsRecorded(0));
-  cr_assert_eq(view.Members().Revision(), 9);
+  cr_assert_eq(view.Members().Position().revision, 9);
 }
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -211,11 +211,11 @@
   bool holds = rc::check("any bytes", [](const std::string& aText) {
     IgnoreResult(DecodeUpstream("i-1", aText));
     IgnoreResult(DecodeConfig(aText));
-    IgnoreResult(DecodeRange(aText));
-    IgnoreResult(DecodeEvents(aText));
-    IgnoreResult(DecodeItem(aText));
-    IgnoreResult(DecodeLease(aText));
-    IgnoreResult(DecodeRevision(aText));
+    IgnoreResult(DecodeRange(1, aText));
+    IgnoreResult(DecodeEvents(1, aText));
+    IgnoreResult(DecodeItem(1, aText));
+    IgnoreResult(DecodeLease(1, aText));
+    IgnoreResult(DecodePosition(1, aText));
   });
   cr_assert(holds);
 }
@@ -224,7 +224,7 @@
 {
   bool holds = rc::check("values", [](const std::string& aValue) {
     StoreChange change;
-    change.conditions.push_back({ "k", 7 });
+    change.conditions.push_back({ "k", { 1, 7 } });
     change.puts.push_back({ "k", aValue, 9 });
     change.deletes.emplace_back("gone");
     auto text = nlohmann::json::parse(EncodeChange(change));
@@ -233,7 +233,7 @@
     nlohmann::json item{ { "key", "k" },
                          { "rev", 8 },
                          { "value", text["puts"][0]["value"] } };
-    auto decoded = DecodeItem(item.dump());
+    auto decoded = DecodeItem(1, item.dump());
     RC_ASSERT(static_cast<bool>(decoded));
     RC_ASSERT(decoded.value().value == aValue);
   });
@@ -243,11 +243,12 @@
 Test(documents, removed_keys_are_not_reported_as_written)
 {
   auto events =
-    DecodeEvents(R"({"events":[{"key":"a","value":"eA==","rev":3},)"
+    DecodeEvents(1,
+                 R"({"events":[{"key":"a","value":"eA==","rev":3},)"
                  R"({"key":"b","rev":4,"removed":true}],"currentRev":4})");
   cr_assert_eq(events.value().written.size(), 1);
   cr_assert_eq(events.value().written[0].value, "x");
-  cr_assert_eq(events.value().storeRevision, 4);
+  cr_assert_eq(events.value().storePosition.revision, 4);
 }
 
 Test(settings, every_finding_is_listed)
--- a/test/promoter-lease-test.cc
+++ b/test/promoter-lease-test.cc
@@ -1,6 +1,6 @@
-#include "marigoldpitch/coordination/proxy/former-holder.h"
 #include "marigoldpitch/coordination/proxy/host-registration.h"
 #include "marigoldpitch/coordination/proxy/promoter-lease.h"
+#include "marigoldpitch/coordination/proxy/promoter-records.h"
 
 #include <criterion/criterion.h>
 
@@ -13,21 +13,21 @@
 constexpr Duration kStep = Millis(100);
 // An order of a former holder may be in flight for this long.
 constexpr Duration kMaxCallTime = Millis(500);
-constexpr uint64_t kFormerToken = 7;
-constexpr uint64_t kNewToken = 9;
+constexpr StorePosition kFormerToken{ 1, 7 };
+constexpr StorePosition kNewToken{ 1, 9 };
 
-/** Answers the lease's checks with `aRevision`, for one step. */
+/** Answers the lease's checks with `aPosition`, for one step. */
 void
-Step(PromoterLease& aLease, uint64_t aRevision, Time aNow)
+Step(PromoterLease& aLease, const StorePosition& aPosition, Time aNow)
 {
   if (aLease.Next(aNow) == PromoterLeaseAction::Check) {
-    aLease.Handle(LeaseChecked{ aRevision, aNow }, aNow);
+    aLease.Handle(LeaseChecked{ aPosition, aNow }, aNow);
   }
 }
 
 /** A lease that its host has taken at `aNow`, with nobody to wait for. */
 PromoterLease
-TakenLease(uint64_t aToken, Time aNow)
+TakenLease(const StorePosition& aToken, Time aNow)
 {
   PromoterLease lease;
   lease.Handle(LeaseObserved{ false }, aNow);
@@ -55,8 +55,8 @@
   PromoterLease lease;
   lease.Handle(LeaseObserved{ true }, removed - Seconds(1));
   for (Time now = removed + aHandover.missed;; now = now + kStep) {
-    if (lease.Token() == 0) {
-      lease.Handle(LeaseObserved{ false, 1, aHandover.delay }, now);
+    if (!lease.IsTaken()) {
+      lease.Handle(LeaseObserved{ false, { 1, 1 }, aHandover.delay }, now);
       if (lease.Next(now) == PromoterLeaseAction::Take) {
         lease.Handle(LeaseTaken{ kNewToken, false }, now);
       }
@@ -115,10 +115,10 @@
 {
   PromoterLease lease;
   Time now{ 1000 };
-  lease.Handle(LeaseObserved{ false, 1, Seconds(5) }, now);
+  lease.Handle(LeaseObserved{ false, { 1, 1 }, Seconds(5) }, now);
   now = now + Seconds(5);
   // Another host has taken and lost the lease since the last read.
-  lease.Handle(LeaseObserved{ false, 2 }, now);
+  lease.Handle(LeaseObserved{ false, { 1, 2 } }, now);
   cr_assert(lease.Next(now) == PromoterLeaseAction::Take);
   lease.Handle(LeaseTaken{ kNewToken, false }, now);
   Step(lease, kNewToken, now);
@@ -147,9 +147,9 @@
   Time now{ 1000 };
   lease.Handle(LeaseObserved{ false }, now);
   lease.Next(now);
-  lease.Handle(LeaseTaken{ 7, true }, now);
+  lease.Handle(LeaseTaken{ kFormerToken, true }, now);
   now = now + Millis(600);
-  lease.Handle(LeaseChecked{ 7, now }, now);
+  lease.Handle(LeaseChecked{ kFormerToken, now }, now);
   cr_assert(lease.MayPromote(now));
 }
 
@@ -159,14 +159,14 @@
   Time now{ 1000 };
   lease.Handle(LeaseObserved{ false }, now);
   lease.Next(now);
-  lease.Handle(LeaseTaken{ 7, true }, now);
+  lease.Handle(LeaseTaken{ kFormerToken, true }, now);
   now = now + Seconds(1);
-  lease.Handle(LeaseChecked{ 7, now }, now);
+  lease.Handle(LeaseChecked{ kFormerToken, now }, now);
   cr_assert(lease.MayPromote(now));
   // The clock includes the pause, in which the key was not checked.
   cr_assert_not(lease.MayPromote(now + Seconds(7)));
   // A check that was sent before the pause proves nothing after it.
-  lease.Handle(LeaseChecked{ 7, now }, now + Seconds(7));
+  lease.Handle(LeaseChecked{ kFormerToken, now }, now + Seconds(7));
   cr_assert_not(lease.MayPromote(now + Seconds(7)));
 }
 
@@ -176,12 +176,12 @@
   Time now{ 1000 };
   lease.Handle(LeaseObserved{ false }, now);
   lease.Next(now);
-  lease.Handle(LeaseTaken{ 7, true }, now);
+  lease.Handle(LeaseTaken{ kFormerToken, true }, now);
   now = now + Seconds(1);
-  lease.Handle(LeaseChecked{ 7, now }, now);
-  lease.Handle(LeaseChecked{ 0, now }, now);
+  lease.Handle(LeaseChecked{ kFormerToken, now }, now);
+  lease.Handle(LeaseChecked{ {}, now }, now);
   cr_assert_not(lease.MayPromote(now));
-  cr_assert_eq(lease.Token(), 0);
+  cr_assert_not(lease.IsTaken());
 }
 
 namespace {
@@ -193,7 +193,7 @@
   ProxyHosts hosts;
   hosts.hosts = { { "front-1", "z", "front-1/b", {} },
                   { "front-2", "z", "front-2/a", {} } };
-  hosts.lastHolder = FormatLastHolder(aFormerHolders, aRun);
+  hosts.lastHolder = FormatLastHolder({ 1, aFormerHolders, aRun });
   return hosts;
 }
 
@@ -212,6 +212,77 @@
   cr_assert(HaveFormerHoldersEnded(running, "front-2/a"));
 }
 
+Test(restored, record_of_an_earlier_era_settles_nothing)
+{
+  std::string settled = FormatLastHolder({ 1, FormerHolders::Ended, "f/a" });
+  cr_assert(HaveEarlierErasEnded(settled, 1));
+  cr_assert_not(HaveEarlierErasEnded(settled, 2));
+  cr_assert_not(HaveEarlierErasEnded("f/a", 1), "of a build without eras");
+  cr_assert_not(HaveEarlierErasEnded("", 1));
+  std::string waiting = FormatLastHolder({ 2, FormerHolders::MayAct, "f/a" });
+  cr_assert_not(HaveEarlierErasEnded(waiting, 2));
+}
+
+Test(restored, key_of_an_earlier_era_is_free)
+{
+  std::string key = FormatPromoterKey({ 1, "front-1/a" });
+  cr_assert(IsPromoterKeyHeld(key, 1));
+  cr_assert_not(IsPromoterKeyHeld(key, 2));
+  cr_assert(IsPromoterKeyHeld("front-1/a", 2), "of a build without eras");
+}
+
+Test(restored, fencing_tokens_rise_and_are_exact)
+{
+  std::vector<StorePosition> positions{
+    { 0, 1 }, { 0, kMaxFencingRevision },      { 1, 1 }, { 1, 7 },
+    { 2, 3 }, { kMaxEra, kMaxFencingRevision }
+  };
+  uint64_t last = 0;
+  for (const StorePosition& position : positions) {
+    auto token = FencingTokenOf(position);
+    cr_assert(token && *token > last);
+    auto asDouble = static_cast<double>(*token);
+    cr_assert_eq(static_cast<uint64_t>(asDouble), *token);
+    last = *token;
+  }
+  cr_assert_not(FencingTokenOf({}));
+  cr_assert_not(FencingTokenOf({ kMaxEra + 1, 1 }));
+  cr_assert_not(FencingTokenOf({ 1, kMaxFencingRevision + 1 }));
+}
+
+namespace {
+
+/** What a build without eras makes of the last holder's record. */
+bool
+WouldOldBuildWait(const std::string& aRecord)
+{
+  return !aRecord.empty() &&
+         (aRecord.rfind("unsettled ", 0) == 0 ||
+          aRecord.substr(0, aRecord.find('/')) != "front-1");
+}
+
+} // namespace
+
+Test(upgrade, builds_without_eras_wait_for_holders_of_this_one)
+{
+  for (FormerHolders former : { FormerHolders::Ended, FormerHolders::MayAct }) {
+    for (const char* run : { "front-1/a", "" }) {
+      cr_assert(WouldOldBuildWait(FormatLastHolder({ 1, former, run })));
+    }
+  }
+}
+
+Test(upgrade, records_of_builds_without_eras_are_read)
+{
+  LastHolder settled = ParseLastHolder("front-1/a");
+  cr_assert_eq(settled.run, "front-1/a");
+  cr_assert(settled.formerHolders == FormerHolders::Ended);
+  LastHolder waiting = ParseLastHolder("unsettled front-1/a");
+  cr_assert_eq(waiting.run, "front-1/a");
+  cr_assert(waiting.formerHolders == FormerHolders::MayAct);
+  cr_assert(ParseLastHolder("").run.empty());
+}
+
 namespace {
 
 /** How often the hosts renew their registrations, all together. */
--- a/test/records-test.cc
+++ b/test/records-test.cc
@@ -12,14 +12,16 @@
 namespace {
 
 GroupRecord
-RecordOf(const std::vector<std::string>& aIds, uint64_t aRevision)
+RecordOf(const std::vector<std::string>& aIds,
+         uint64_t aRevision,
+         uint64_t aEra = 1)
 {
   GroupRecord record;
   record.service = "svc";
   for (const std::string& id : aIds) {
     record.members.push_back({ id, { "10.0.0.1", 5432 }, "zone" });
   }
-  record.revision = aRevision;
+  record.position = { aEra, aRevision };
   return record;
 }
 
@@ -45,7 +47,7 @@
 {
   StoreRange range;
   range.items = aItems;
-  range.storeRevision = aRevision;
+  range.storePosition.revision = aRevision;
   return range;
 }
 
@@ -90,14 +92,14 @@
   };
   auto read = fixture.Read("k/");
   cr_assert_eq(read->value().items.size(), 3);
-  cr_assert_eq(read->value().storeRevision, 13);
-  cr_assert_eq(read->value().items[0].revision, 11);
-  cr_assert_eq(read->value().items[2].revision, 15);
+  cr_assert_eq(read->value().storePosition.revision, 13);
+  cr_assert_eq(read->value().items[0].position.revision, 11);
+  cr_assert_eq(read->value().items[2].position.revision, 15);
   // The pages are no state of the store at any one revision. If they were used,
   // the change of the first key would never be read.
-  cr_assert_not(GroupsRevision(read->value(), "k/").has_value());
+  cr_assert_not(GroupsPosition(read->value(), "k/").has_value());
   fixture.store.beforePage = {};
-  cr_assert_eq(*GroupsRevision(fixture.Read("k/")->value(), "k/"), 15);
+  cr_assert_eq(GroupsPosition(fixture.Read("k/")->value(), "k/")->revision, 15);
 }
 
 Test(pages, incomplete_read_is_an_error)
@@ -131,16 +133,17 @@
 Test(groups, only_valid_group_records_are_decoded)
 {
   std::string text = FormatGroupRecord(RecordOf({ "a", "b" }, 0));
-  StoreRange range = RangeOf({ { "p/groups/svc", text, 20, 0 },
-                               { "p/groups/other", text, 25, 0 },
-                               { "p/groups/empty", R"({"members":[]})", 26, 0 },
-                               { "p/groups/none", "", 27, 0 },
-                               { "p/hosts/h", text, 30, 0 } },
-                             40);
-  cr_assert_eq(*GroupsRevision(range, "p/groups/"), 27);
+  StoreRange range =
+    RangeOf({ { "p/groups/svc", text, { 0, 20 }, {} },
+              { "p/groups/other", text, { 0, 25 }, {} },
+              { "p/groups/empty", R"({"members":[]})", { 0, 26 }, {} },
+              { "p/groups/none", "", { 0, 27 }, {} },
+              { "p/hosts/h", text, { 0, 30 }, {} } },
+            40);
+  cr_assert_eq(GroupsPosition(range, "p/groups/")->revision, 27);
   DecodedGroups read = DecodeGroups(range, "p/groups/");
   cr_assert_eq(read.groups.size(), 1);
-  cr_assert_eq(read.groups[0].revision, 20);
+  cr_assert_eq(read.groups[0].position.revision, 20);
   cr_assert_eq(read.groups[0].members.size(), 2);
   for (const char* key : { "other", "empty", "none" }) {
     std::string place = std::string("p/groups/") + key + ":";
@@ -148,7 +151,7 @@
   }
   // A range without records has a revision as well, lower than that of any
   // record, so that its emptiness is passed on.
-  cr_assert_eq(*GroupsRevision(RangeOf({}, 40), "p/groups/"), 1);
+  cr_assert_eq(GroupsPosition(RangeOf({}, 40), "p/groups/")->revision, 1);
 }
 
 Test(groups, paged_read_is_used_only_if_consistent)
@@ -172,20 +175,21 @@
       return last;
     };
     StoreRange range;
-    range.storeRevision = UINT64_MAX;
+    range.storePosition.revision = UINT64_MAX;
     for (size_t record = 0; record < 3; ++record) {
       auto seenAt = *rc::gen::inRange<uint64_t>(4, writes.back().first + 1);
       range.items.push_back({ "g/" + std::to_string(record),
                               "",
-                              revisionAt(record, seenAt),
-                              seenAt });
-      range.storeRevision = std::min(range.storeRevision, seenAt);
+                              { 0, revisionAt(record, seenAt) },
+                              { 0, seenAt } });
+      range.storePosition =
+        std::min(range.storePosition, StorePosition{ 0, seenAt });
     }
-    auto revision = GroupsRevision(range, "g/");
+    auto revision = GroupsPosition(range, "g/");
     if (revision) {
       for (size_t record = 0; record < 3; ++record) {
-        RC_ASSERT(range.items[record].revision ==
-                  revisionAt(record, *revision));
+        RC_ASSERT(range.items[record].position.revision ==
+                  revisionAt(record, revision->revision));
       }
     }
   });
@@ -207,7 +211,7 @@
     fixture.RunUntil([&] { return other.reads == 1 && holder.hosts == 2; }));
 
   cr_assert_eq(Record(fixture, holder, RecordOf({ "a", "b" }, 0)), "written");
-  uint64_t first = fixture.Item(kGroupKey).revision;
+  uint64_t first = fixture.Item(kGroupKey).position.revision;
   cr_assert(fixture.RunUntil(
     [&] { return holder.Revision() == first && other.Revision() == first; }));
   cr_assert_eq(other.groups[0].members.size(), 2);
@@ -225,11 +229,11 @@
                 "written");
   // The other host does not hold the promoter lease.
   cr_assert_eq(Record(fixture, other, RecordOf({ "a" }, first)), "not ours");
-  cr_assert_eq(fixture.Item(kGroupKey).revision, first);
+  cr_assert_eq(fixture.Item(kGroupKey).position.revision, first);
 
   cr_assert_eq(Record(fixture, holder, RecordOf({ "a", "b", "c" }, first)),
                "written");
-  uint64_t second = fixture.Item(kGroupKey).revision;
+  uint64_t second = fixture.Item(kGroupKey).position.revision;
   cr_assert_gt(second, first);
   cr_assert(fixture.RunUntil([&] { return other.Revision() == second; }));
 
@@ -239,7 +243,7 @@
   std::string outcome = Record(fixture, holder, RecordOf({ "a" }, second));
   cr_assert_neq(outcome, "written");
   cr_assert_neq(outcome, "not ours", "the store refused it");
-  cr_assert_eq(fixture.Item(kGroupKey).revision, second);
+  cr_assert_eq(fixture.Item(kGroupKey).position.revision, second);
   std::string logged =
     holder.logged + holder.Logged() + other.logged + other.Logged();
   cr_assert_eq(logged.find("E205"),
--- a/test/terms-test.cc
+++ b/test/terms-test.cc
@@ -17,17 +17,17 @@
 /** The store's side of a reservation; the test loses requests and answers. */
 struct TermStore
 {
-  uint64_t revision = 0;
+  StorePosition position;
   TermRecord record;
 
-  TermRecordRead Read() const { return { true, this->revision, this->record }; }
+  TermRecordRead Read() const { return { true, this->position, this->record }; }
 
   bool Swap(const SwapTermRecord& aSwap)
   {
-    if (aSwap.revision != this->revision) {
+    if (aSwap.position.revision != this->position.revision) {
       return false;
     }
-    ++this->revision;
+    ++this->position.revision;
     this->record = aSwap.record;
     return true;
   }
@@ -66,7 +66,8 @@
           SwapOutcome outcome = choice <= 2 ? SwapOutcome::Lost
                                 : isDone    ? SwapOutcome::Done
                                             : SwapOutcome::Conflict;
-          action = reserver.On(outcome);
+          action =
+            reserver.On(TermRecordSwapped{ outcome, store.position.era });
         } else if (const auto* grant = std::get_if<GrantTerms>(&current)) {
           for (Term term = grant->first; term <= grant->last; ++term) {
             RC_ASSERT(granted.insert(term).second);
