--- a/test/promoter-lease-test.cc
+++ b/test/promoter-lease-test.cc
@@ -212,6 +212,60 @@
   cr_assert(HaveFormerHoldersEnded(running, "front-2/a"));
 }
 
+// A copy may name a holder that ended long ago as the last one, while the real
+// one still acts by its last check.
+Test(restored, new_holder_waits_until_the_one_of_the_earlier_era_has_stopped)
+{
+  for (Duration learnedAfter : { Millis(0), Millis(250), Millis(2000) }) {
+    Time restored{ 60000 };
+    PromoterLease former = TakenLease(kFormerToken, restored - Seconds(5));
+    for (Time now = restored - Seconds(5); now < restored; now = now + kStep) {
+      Step(former, kFormerToken, now);
+    }
+    PromoterLease next;
+    Time learned = restored + learnedAfter;
+    next.Handle(StoreEraBegan{}, learned);
+    next.Handle(LeaseObserved{ false, { 2, 3 } }, learned);
+    cr_assert(next.Next(learned) == PromoterLeaseAction::Take);
+    StorePosition token{ 2, 4 }; // a lower revision than the former one's
+    next.Handle(LeaseTaken{ token, true, false }, learned);
+    next.Handle(FormerHolderEnded{}, learned);
+    for (Time now = learned; now < learned + Seconds(4); now = now + kStep) {
+      Step(next, token, now);
+      bool mayOrderArrive = former.MayPromote(now - kMaxCallTime);
+      cr_assert_not(next.MayPromote(now) && mayOrderArrive);
+    }
+    cr_assert(next.MayPromote(learned + Millis(3900)));
+  }
+}
+
+Test(restored, holder_stops_at_once_also_if_the_copy_has_its_key)
+{
+  Time now{ 1000 };
+  PromoterLease lease = TakenLease(kFormerToken, now);
+  now = now + Millis(600);
+  Step(lease, kFormerToken, now);
+  cr_assert(lease.MayPromote(now));
+  lease.Handle(StoreEraBegan{}, now);
+  cr_assert_not(lease.MayPromote(now));
+  // The answer to a check that was sent before.
+  lease.Handle(LeaseChecked{ kFormerToken, now }, now);
+  cr_assert_not(lease.MayPromote(now));
+}
+
+Test(restored, settled_record_of_the_present_era_needs_no_wait)
+{
+  Time now{ 1000 };
+  PromoterLease lease;
+  lease.Handle(StoreEraBegan{}, now);
+  lease.Handle(LeaseObserved{ false, { 2, 3 } }, now);
+  lease.Next(now);
+  lease.Handle(LeaseTaken{ kNewToken, true, true }, now);
+  now = now + kMaxCallTime + kStep;
+  Step(lease, kNewToken, now);
+  cr_assert(lease.MayPromote(now));
+}
+
 Test(restored, record_of_an_earlier_era_settles_nothing)
 {
   std::string settled = FormatLastHolder({ 1, FormerHolders::Ended, "f/a" });
--- a/test/restored-store-test.cc
+++ b/test/restored-store-test.cc
@@ -13,6 +13,8 @@
 constexpr Duration kApplyTime = Seconds(3);
 // A promoter must act again within this time after the store's return.
 constexpr Duration kPromoterReturnTime = Seconds(6);
+// The holder of the earlier era may act for this long after its last check.
+constexpr Duration kCheckValidity = Millis(2500);
 // A registration must be written again within this time.
 constexpr Duration kRegistrationTime = Seconds(2);
 
@@ -196,6 +198,7 @@
                                   kPromoterReturnTime));
   Time acts = ReadBootClock();
   cr_assert_leq((acts - restored).ms, kPromoterReturnTime.ms);
+  cr_assert_geq((acts - restored).ms, kCheckValidity.ms);
   bool isOther = site.Promoter() != former;
   cr_assert(!isOther || acts >= formerUntil, "two hosts may act at once");
 }
