Take no registry of a copy for a confirmation

An upstream that announced its departure shortly before the store was lost is shown as serving by the copy until it writes again. A host that reads this dates the departure to its last confirmation, too late, and could send statements after the drain time.

--- a/test/restored-store-test.cc
+++ b/test/restored-store-test.cc
@@ -177,6 +177,24 @@
   }
 }
 
+// Guards against late statements to an upstream whose announcement that it
+// leaves was lost, and that the copy shows as serving.
+Test(restored, registry_of_a_copy_confirms_nothing_until_it_is_written_again)
+{
+  Site site(29620);
+  site.RunFor(Seconds(2));
+  Time restored = ReadBootClock();
+  site.fixture.store.Restore();
+  site.RunFor(Seconds(2));
+  for (const auto& host : site.hosts) {
+    cr_assert(host->registryConfirmed <= restored);
+  }
+  site.RunFor(Seconds(3));
+  for (const auto& host : site.hosts) {
+    cr_assert(host->registryConfirmed > restored + Seconds(2));
+  }
+}
+
 namespace {
 
 /** Restores a copy taken with or without the promoter's key. */
