Keep what hosts know of a group over a restore of the store

When the store came back from an old copy, its record of a group took the place of the one that running hosts knew: a member that had been added since and is not listed just then was forgotten, by hosts that had known it (a commit that it confirmed may be lost), and a host that started then counted quorums over the members of the copy (stale reads). Shown on the fake clock only.

Records carry an order of their own, written by the holder of the promoter lease. A record of the copy that knows less changes nothing, and the holder writes the known members again. What a record of another era leaves out stays a member for 30 s unless it is listed. A process that knows only a record of an earlier era waits 2.5 s, until running members are listed again, before it counts by it; reads by a proved primary's samples go on.

--- a/include/marigoldpitch/coordination/proxy/group-membership.h
+++ b/include/marigoldpitch/coordination/proxy/group-membership.h
@@ -136,7 +136,7 @@
   bool NeedsRewrite() const
   {
     return this->hasRecord &&
-           this->isStoredOutdated;
+           (this->isStoredOutdated || this->order.era < this->position.era);
   }
 
   /** The order of a record that is written now. */
--- a/src/coordination/proxy/group-membership.cc
+++ b/src/coordination/proxy/group-membership.cc
@@ -82,16 +82,20 @@
     return;
   }
   this->position = aPosition;
+  this->isStoredOutdated = !aOrder.IsUnset() && aOrder < this->order;
+  if (this->isStoredOutdated) {
+    return;
+  }
   bool isOfAnotherEra = this->hasRecord && this->order.era < aOrder.era;
   bool isFromCopy = !aOrder.IsUnset() && aOrder.era < aPosition.era;
   if (!this->hasRecord && isFromCopy) {
-    this->completeFrom = aNow;
+    this->completeFrom = aNow + kRegistryRewriteTime;
   }
   this->order = aOrder;
   this->hasRecord = true;
   for (MemberState& state : this->memberStates) {
     // The writer of another era may not have known this member.
-    bool isDropped = state.isRecorded;
+    bool isDropped = state.isRecorded && !isOfAnotherEra;
     state.wasRecorded = state.wasRecorded || isDropped;
     state.isRecorded = false;
   }
