Reserve terms above those of earlier eras of the store

A store that comes back from an old copy has forgotten reservations, and an owner that reserved then was granted terms that another one had already (read in the code, shown by a property).

Terms of an era lie above its number shifted by 32 bits, and a swap counts only in the era in which its record was read.

Failed before: terms-test are_never_granted_twice_over_a_restore.

--- a/src/coordination/owner/term-reserver.cc
+++ b/src/coordination/owner/term-reserver.cc
@@ -7,6 +7,8 @@
 namespace detail {
 constexpr Term kTermsPerReservation = 8;
 constexpr uint32_t kMaxRounds = 5;
+// The terms of an era are above its number, shifted by this.
+constexpr int kEraTermBits = 32;
 } // namespace detail
 
 ReserverAction
@@ -25,6 +27,7 @@
   bool mustGiveUp = !aRead.reached || ++this->rounds > detail::kMaxRounds;
   bool tookEffect =
     aRead.reached && this->pendingSwap &&
+    aRead.position.era == this->pendingEra &&
     aRead.record.reservationId == this->pendingSwap->reservationId;
   if (tookEffect) {
     return this->Granted();
@@ -35,7 +38,7 @@
   }
   // A swap whose answer was lost and that is not in the record may still take
   // effect later. That is harmless, because its terms are never used.
-  Term belowEra = 0;
+  Term belowEra = aRead.position.era << detail::kEraTermBits;
   this->first = std::max({ this->above, aRead.record.last, belowEra }) + 1;
   TermRecord next;
   next.last = this->first + detail::kTermsPerReservation - 1;
@@ -48,7 +51,8 @@
 ReserverAction
 TermReserver::On(const TermRecordSwapped& aSwapped)
 {
-  if (aSwapped.outcome == SwapOutcome::Done) {
+  if (aSwapped.outcome == SwapOutcome::Done &&
+      aSwapped.era == this->pendingEra) {
     return this->Granted();
   }
   return ReadTermRecord{};
