Count members that a record of another era leaves out

A member that a host knew only from the record, and that a holder who knew the copy alone leaves out of the next one, no longer counted at once: it had never been listed, so the 30 s of unlisted members did not apply.

--- a/include/marigoldpitch/coordination/proxy/group-membership.h
+++ b/include/marigoldpitch/coordination/proxy/group-membership.h
@@ -170,7 +170,8 @@
   /**
    * Whether the upstream is a member: it may contain or confirm commits that
    * others lack. True if it is listed or recorded, or was listed less than
-   * `kAbsentMemberTimeout` ago and never recorded; false once another upstream
+   * `kAbsentMemberTimeout` ago and never recorded, or was left out that long
+   * ago by a record of another era of the store; false once another upstream
    * has registered at its address.
    */
   bool MayConfirm(UpstreamIndex aUpstream, Time aNow) const;
@@ -184,6 +185,8 @@
     bool wasRecorded = false; // in an earlier record
     bool isReplaced = false;
     Time unlistedSince = kInfiniteFuture;
+    // A record of another era of the store left it out; it counts until then.
+    Time carriedUntil = kInfinitePast;
     uint64_t incarnation = 0;      // as listed; 0: not listed yet
     uint64_t firstIncarnation = 0; // the first that this process saw listed
     uint64_t recordedIncarnation = 0;
--- a/src/coordination/proxy/group-membership.cc
+++ b/src/coordination/proxy/group-membership.cc
@@ -94,9 +94,11 @@
   this->order = aOrder;
   this->hasRecord = true;
   for (MemberState& state : this->memberStates) {
-    // The writer of another era may not have known this member.
-    bool isDropped = state.isRecorded && !isOfAnotherEra;
-    state.wasRecorded = state.wasRecorded || isDropped;
+    if (state.isRecorded && isOfAnotherEra) {
+      // The writer of the record may not have known this member.
+      state.carriedUntil = aNow + kAbsentMemberTimeout;
+    }
+    state.wasRecorded = state.wasRecorded || state.isRecorded;
     state.isRecorded = false;
   }
   for (const RecordedMember& member : aMembers) {
@@ -124,7 +126,7 @@
   if (state.isReplaced) {
     return false;
   }
-  if (state.isListed || state.isRecorded) {
+  if (state.isListed || state.isRecorded || aNow < state.carriedUntil) {
     return true;
   }
   return state.wasListed && !state.wasRecorded &&
--- a/test/group-record-test.cc
+++ b/test/group-record-test.cc
@@ -313,3 +313,21 @@
   cr_assert(view.Members().IsRecorded(0));
   cr_assert_eq(view.Members().Position().revision, 9);
 }
+
+Test(record, member_that_a_record_of_another_era_leaves_out_still_counts)
+{
+  for (uint64_t era : { 1, 2 }) {
+    ServiceView view = View();
+    view.ApplyRegistrations({ Registration(0), Registration(1) }, kStart);
+    GroupRecord first = Record(5, { 0, 1, 2 });
+    first.position.era = 1;
+    first.order = { 1, 1 };
+    view.ApplyRecord(first, kStart);
+    GroupRecord next = Record(4, { 0, 1 });
+    next.position.era = 2;
+    next.order = { era, 2 };
+    view.ApplyRecord(next, kStart);
+    // Its writer knew it in one era, and may not have known it in the other.
+    cr_assert_eq(view.Members().MayConfirm(2, kStart), era == 2);
+  }
+}
