Wait for the end of earlier eras before taking the promoter lease

Nobody takes the lease before holders of earlier eras can no longer act, so the wait is over, whoever is lost meanwhile. The hosts' order holds after it.

Failed before: promoter-lease-test host_lost_while_it_waits_holds_up_nobody. The stand-in store raises its revision also when keys are removed, as the platform does; without that no host would see that a lease's keys are gone.

--- a/include/marigoldpitch/coordination/proxy/promoter-lease.h
+++ b/include/marigoldpitch/coordination/proxy/promoter-lease.h
@@ -39,6 +39,9 @@
   StorePosition lastHolderPosition; // of the record of who held it last
   // How long to leave a free lease to the hosts that rank before this one.
   Duration takeDelay = Millis(0);
+  // Whether no process that held the lease in an earlier era of the store can
+  // act any more.
+  bool haveEarlierErasEnded = false;
 };
 
 /** This host's write acquired the lease, at this position. */
@@ -47,8 +50,6 @@
   StorePosition position;
   // Whether no process that held the lease before can act any more.
   bool haveFormerHoldersEnded = false;
-  // Whether no process that held it in an earlier era of the store can.
-  bool haveEarlierErasEnded = false;
 };
 
 /** This host has learned of a new era of the store. */
@@ -96,8 +97,9 @@
  * key was gone, unless the former holder's process is known to have ended.
  *
  * When the store comes back from an old copy, the lease is free, whatever the
- * copy shows: its holder stops at once, and the next one waits until no holder
- * of the earlier era can act any more, wherever that one is.
+ * copy shows: its holder stops at once, and nobody takes it until no holder of
+ * the earlier era can act any more, wherever that one is. So a host that is
+ * lost while it waits holds up nobody.
  *
  * The clock also advances while the host is paused.
  */
--- a/src/coordination/proxy/promoter-lease.cc
+++ b/src/coordination/proxy/promoter-lease.cc
@@ -34,8 +34,12 @@
   } else if (hasChangedHands || this->freeSince == kInfiniteFuture) {
     this->freeSince = aNow;
   }
+  if (aEvent.haveEarlierErasEnded) {
+    this->earlierErasEnd = std::min(this->earlierErasEnd, aNow);
+  }
   if (!aEvent.isTaken && !this->isFree) {
-    this->nextTake = std::max(this->nextTake, aNow + aEvent.takeDelay);
+    Time mayTakeFrom = std::max(aNow, this->earlierErasEnd);
+    this->nextTake = std::max(this->nextTake, mayTakeFrom + aEvent.takeDelay);
   }
   this->isFree = !aEvent.isTaken;
 }
@@ -45,14 +49,10 @@
 {
   this->state = PromoterLeaseState::Settling;
   this->token = aEvent.position;
-  if (aEvent.haveEarlierErasEnded) {
-    this->earlierErasEnd = std::min(this->earlierErasEnd, aNow);
-  }
   // The write required that nobody held the lease since `takenAfter`.
   Time end = aEvent.haveFormerHoldersEnded
                ? aNow
                : std::min(this->takenAfter, aNow) + detail::kProofValidity;
-  end = std::max(end, this->earlierErasEnd);
   this->mayPromoteFrom = std::max(aNow, end + detail::kMaxCallTime);
   this->provedAsked = kInfinitePast;
   this->lastCheck = kInfinitePast;
@@ -61,9 +61,8 @@
 void
 PromoterLease::On(const FormerHolderEnded&, Time aNow)
 {
-  Time end = std::max(aNow, this->earlierErasEnd);
   this->mayPromoteFrom =
-    std::min(this->mayPromoteFrom, end + detail::kMaxCallTime);
+    std::min(this->mayPromoteFrom, aNow + detail::kMaxCallTime);
 }
 
 void
@@ -121,7 +120,7 @@
     return PromoterLeaseAction::Check;
   }
   bool mayTake = this->state == PromoterLeaseState::Waiting && this->isFree &&
-                 aNow >= this->nextTake;
+                 aNow >= this->nextTake && aNow >= this->earlierErasEnd;
   if (!mayTake) {
     return PromoterLeaseAction::None;
   }
--- a/test/promoter-lease-test.cc
+++ b/test/promoter-lease-test.cc
@@ -225,13 +225,17 @@
     PromoterLease next;
     Time learned = restored + learnedAfter;
     next.Handle(StoreEraBegan{}, learned);
-    next.Handle(LeaseObserved{ false, { 2, 3 } }, learned);
-    cr_assert(next.Next(learned) == PromoterLeaseAction::Take);
     StorePosition token{ 2, 4 }; // a lower revision than the former one's
-    next.Handle(LeaseTaken{ token, true, false }, learned);
-    next.Handle(FormerHolderEnded{}, learned);
     for (Time now = learned; now < learned + Seconds(4); now = now + kStep) {
-      Step(next, token, now);
+      if (next.IsTaken()) {
+        Step(next, token, now);
+      } else {
+        next.Handle(LeaseObserved{ false, { 2, 3 } }, now);
+        if (next.Next(now) == PromoterLeaseAction::Take) {
+          next.Handle(LeaseTaken{ token, true }, now);
+          next.Handle(FormerHolderEnded{}, now);
+        }
+      }
       bool mayOrderArrive = former.MayPromote(now - kMaxCallTime);
       cr_assert_not(next.MayPromote(now) && mayOrderArrive);
     }
@@ -239,6 +243,17 @@
   }
 }
 
+Test(restored, host_lost_while_it_waits_holds_up_nobody)
+{
+  Time learned{ 1000 };
+  PromoterLease lease;
+  lease.Handle(StoreEraBegan{}, learned);
+  for (Time now = learned; now < learned + Millis(2500); now = now + kStep) {
+    lease.Handle(LeaseObserved{ false, { 2, 3 } }, now);
+    cr_assert(lease.Next(now) == PromoterLeaseAction::None);
+  }
+}
+
 Test(restored, holder_stops_at_once_also_if_the_copy_has_its_key)
 {
   Time now{ 1000 };
@@ -258,9 +273,9 @@
   Time now{ 1000 };
   PromoterLease lease;
   lease.Handle(StoreEraBegan{}, now);
-  lease.Handle(LeaseObserved{ false, { 2, 3 } }, now);
-  lease.Next(now);
-  lease.Handle(LeaseTaken{ kNewToken, true, true }, now);
+  lease.Handle(LeaseObserved{ false, { 2, 3 }, Millis(0), true }, now);
+  cr_assert(lease.Next(now) == PromoterLeaseAction::Take);
+  lease.Handle(LeaseTaken{ kNewToken, true }, now);
   now = now + kMaxCallTime + kStep;
   Step(lease, kNewToken, now);
   cr_assert(lease.MayPromote(now));
--- a/test/standin/site-store.cc
+++ b/test/standin/site-store.cc
@@ -110,7 +110,7 @@
     std::string key = "servers/" + upstream.id;
     this->upstreams.NoteLeft(upstream);
     if (!upstream.isRunning || upstream.isUnregistered) {
-      this->contents.items.erase(key);
+      this->contents.revision += this->contents.items.erase(key);
       continue;
     }
     Json entry{ { "service", "svc" },
@@ -138,8 +138,9 @@
     }
     for (auto item = this->contents.items.begin();
          item != this->contents.items.end();) {
-      item = item->second.lease == it->first ? this->contents.items.erase(item)
-                                             : std::next(item);
+      bool isOfLease = item->second.lease == it->first;
+      item = isOfLease ? this->contents.items.erase(item) : std::next(item);
+      this->contents.revision += isOfLease ? 1 : 0;
     }
     it = this->contents.leases.erase(it);
   }
