Log registrations and count restores of the store

An on-call engineer sees what a host wrote again after a restore (E209), and a metric tells how often the store came back from an old copy.

--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -69,6 +69,7 @@
   RelayHostChanged,
   StoreRestored,
   DocumentOutdated,
+  HostRegistered,
 };
 
 struct LogEventRow
@@ -79,7 +80,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 44> kLogEvents{ {
+constexpr std::array<LogEventRow, 45> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -133,6 +134,7 @@
   { LogEvent::RelayHostChanged, 303, Severity::Info, "relay-host-changed" },
   { LogEvent::StoreRestored, 207, Severity::Warning, "store-restored" },
   { LogEvent::DocumentOutdated, 208, Severity::Warning, "document-outdated" },
+  { LogEvent::HostRegistered, 209, Severity::Info, "host-registered" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/state/metrics.h
+++ b/include/marigoldpitch/state/metrics.h
@@ -28,9 +28,10 @@
   ReadsUnproved,       // refused: no log point to prove a replica fresh enough
   StatementsToLeaving, // sent to an upstream known to be leaving or unlisted
   StatementsRelayed,   // sent to the host that serves the service
+  StoreRestores,       // the store came back from an old copy
 };
 
-constexpr NameTable<Counter, 12> kCounterNames{ {
+constexpr NameTable<Counter, 13> kCounterNames{ {
   { Counter::ReplicaReads, "replica_reads_total" },
   { Counter::PrimaryReads, "primary_reads_total" },
   { Counter::FallbackReads, "fallback_reads_total" },
@@ -43,6 +44,7 @@
   { Counter::ReadsUnproved, "reads_unproved_total" },
   { Counter::StatementsToLeaving, "statements_to_leaving_total" },
   { Counter::StatementsRelayed, "statements_relayed_total" },
+  { Counter::StoreRestores, "store_restores_total" },
 } };
 
 enum class Measure
--- a/test/fakes/store-fixture.h
+++ b/test/fakes/store-fixture.h
@@ -145,6 +145,7 @@
                                            this->log,
                                            this->settings,
                                            *this->keeper,
+                                           this->metrics,
                                            sink)
                        .value();
     this->follower->Start();
@@ -200,6 +201,7 @@
   std::unique_ptr<PlatformStore> client;
   ProxySettings settings;
   JsonLog log;
+  Metrics metrics;
   std::unique_ptr<PromoterLeaseKeeper> keeper;
   std::unique_ptr<StoreFollower> follower;
   std::string logged; // all lines that `Logged` has returned
--- a/test/restored-store-test.cc
+++ b/test/restored-store-test.cc
@@ -113,6 +113,11 @@
   site.Configure(8);
   cr_assert(site.RunUntilVersion(8, kApplyTime));
   cr_assert_not(site.HasReverted());
+  for (const auto& host : site.hosts) {
+    std::string logged = host->Logged();
+    cr_assert(logged.find("E207") != std::string::npos, "%s", logged.c_str());
+    cr_assert_eq(host->metrics.Get(Counter::StoreRestores), 1);
+  }
 }
 
 Test(restored, configuration_never_goes_back_to_that_of_the_copy)
