Let the soak's store come back from old copies

Seeds 6, 14, 22, ... restore a copy 0.5 to 3.5 s old each 5 s beside the other faults; the operator writes the configuration again. The draws of all other seeds stay as they are.

--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -36,7 +36,13 @@
 constexpr Duration kDepartureInterval = Seconds(13);
 // The drain time of 7 s, and some time in which late statements can arrive.
 constexpr Duration kDepartureTime = Seconds(11);
-constexpr size_t kDrawnFaults = kFaultKindNames.Size() - 1;
+// Seeds 6, 14, 22, ... also inject `StoreRestored` at a fixed interval.
+constexpr uint32_t kRestoreSeedInterval = 8;
+constexpr uint32_t kRestoreRemainder = 6;
+constexpr Duration kRestoreInterval = Seconds(5);
+constexpr int64_t kMinCopyAgeMs = 500;
+constexpr int64_t kMaxCopyAgeMs = 3500;
+constexpr size_t kDrawnFaults = kFaultKindNames.Size() - 2;
 constexpr FaultKind kMaintenanceEvents[] = { FaultKind::ProxyTerm,
                                              FaultKind::ProxyReload,
                                              FaultKind::ConfigChange };
@@ -51,6 +57,7 @@
   , schedulesHostRestarts(aSeed % kMaintenanceSeedInterval ==
                           kHostRestartsRemainder)
   , onlyDepartures(aSeed % kDepartureSeedInterval == kDepartureRemainder)
+  , schedulesRestores(aSeed % kRestoreSeedInterval == kRestoreRemainder)
   , hostDisturbedUntil(aTarget.Hosts(), kInfinitePast)
 {
 }
@@ -60,6 +67,9 @@
 {
   this->started = ReadBootClock();
   this->end = this->started + aDuration;
+  if (this->schedulesRestores) {
+    this->InjectRestore();
+  }
   this->InjectNext();
 }
 
@@ -348,6 +358,31 @@
   });
 }
 
+/** Restores the store now and then, beside the faults that are drawn. */
+void
+Faults::InjectRestore()
+{
+  constexpr Duration kStoreOutage = Millis(300);
+  if (ReadBootClock() + kRestoreInterval >= this->end) {
+    return;
+  }
+  std::uniform_int_distribution<int64_t> copyAgeMs(kMinCopyAgeMs,
+                                                   kMaxCopyAgeMs);
+  Duration copyAge = Millis(copyAgeMs(this->random));
+  this->Log(FaultKind::StoreRestored, 0, copyAge);
+  ++this->counts[FaultKind::StoreRestored];
+  this->target.Control(R"({"copy":true})");
+  this->loop.After(copyAge, [this, kStoreOutage] {
+    this->MarkDisturbed(kStoreOutage);
+    this->target.Control(R"({"down":true})");
+    this->loop.After(kStoreOutage, [this] {
+      this->target.Control(R"({"restore":true,"down":false})");
+      this->target.ChangeConfig();
+    });
+  });
+  this->loop.After(kRestoreInterval, [this] { this->InjectRestore(); });
+}
+
 void
 Faults::InjectStoreOrConfig(FaultKind aKind, Duration aDuration)
 {
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -46,9 +46,12 @@
   // The primary announces its departure and ends after its drain time, beside
   // faults of hosts and of the store. Never drawn: see `onlyDepartures`.
   PrimaryLeaves,
+  // The store comes back from a copy some seconds old, and the operator writes
+  // the configuration again. Never drawn: see `schedulesRestores`.
+  StoreRestored,
 };
 
-constexpr NameTable<FaultKind, 24> kFaultKindNames{ {
+constexpr NameTable<FaultKind, 25> kFaultKindNames{ {
   { FaultKind::ProxyKill, "proxy-kill" },
   { FaultKind::ProxyTerm, "proxy-term" },
   { FaultKind::ProxyPause, "proxy-pause" },
@@ -73,6 +76,7 @@
   { FaultKind::StoreCut, "store-cut" },
   { FaultKind::ConfigChange, "config-change" },
   { FaultKind::PrimaryLeaves, "primary-leaves" },
+  { FaultKind::StoreRestored, "store-restored" },
 } };
 
 /** The operations on the site that faults are made of. */
@@ -115,6 +119,7 @@
   void InjectUpstream(FaultKind aKind, Duration aDuration);
   void InjectHostRestarts(Duration aDuration);
   void InjectDeparture();
+  void InjectRestore();
   void KillHosts(size_t aFirst, size_t aCount);
   void PauseHosts(size_t aFirst, size_t aCount);
   void InjectStoreOrConfig(FaultKind aKind, Duration aDuration);
@@ -130,6 +135,7 @@
   bool onlyMaintenance;
   bool schedulesHostRestarts;
   bool onlyDepartures;
+  bool schedulesRestores;
   Time started = kInfinitePast;
   Time end = kInfinitePast;
   // The end of the faults that affect all hosts, then of the exclusive fault.
