--- a/src/protocol/wire.cc
+++ b/src/protocol/wire.cc
@@ -458,7 +458,7 @@
                         DecodeDuration(aFrame.upstreams_age_ms()),
                         DecodeDuration(aFrame.groups_age_ms()) };
   frame.draining = aFrame.draining();
-  return Frame(std::move(frame));
+  return Frame(frame);
 }
 
 /** Whether callers may send statements of this kind. */
