--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -229,6 +229,28 @@
   }
 }
 
+void
+ProxyEngine::On(const GroupsRead& aEvent)
+{
+  for (const GroupRecord& record : aEvent.groups) {
+    ProxyService& service = this->ServiceOf(record.service);
+    size_t added = service.view.ApplyRecord(record, this->now);
+    service.connections.AddUpstreams(added);
+  }
+  this->groupsEra = aEvent.era;
+}
+
+void
+ProxyEngine::UpdateGroupRecord(ProxyService& aService)
+{
+  aService.view.NoteMissingRecord(this->groupsEra);
+  auto record = aService.recorder.Update(aService.view, this->now);
+  if (record) {
+    record->service = aService.name;
+    this->Emit(RecordGroup{ *record });
+  }
+}
+
 void
 ProxyEngine::On(const HostsCounted& aEvent)
 {
--- a/src/coordination/proxy/proxy-watch.cc
+++ b/src/coordination/proxy/proxy-watch.cc
@@ -52,28 +52,6 @@
   }
 }
 
-void
-ProxyEngine::On(const GroupsRead& aEvent)
-{
-  for (const GroupRecord& record : aEvent.groups) {
-    ProxyService& service = this->ServiceOf(record.service);
-    size_t added = service.view.ApplyRecord(record, this->now);
-    service.connections.AddUpstreams(added);
-  }
-  this->groupsEra = aEvent.era;
-}
-
-void
-ProxyEngine::UpdateGroupRecord(ProxyService& aService)
-{
-  aService.view.NoteMissingRecord(this->groupsEra);
-  auto record = aService.recorder.Update(aService.view, this->now);
-  if (record) {
-    record->service = aService.name;
-    this->Emit(RecordGroup{ *record });
-  }
-}
-
 /**
  * Periodic work for one service: requests reports, runs the promotion, updates
  * the group record, cleans up after interrupted promotions and closes unneeded
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -118,43 +118,6 @@
   this->Send(aHost, this->MakeHostsCounted());
 }
 
-/** Sends a new process the current configuration, registry and groups. */
-void
-ProxySimulation::SendInitialState(size_t aHost)
-{
-  this->Send(aHost, this->config);
-  this->registries.erase(aHost);
-  if (this->withoutRegistry.count(aHost) == 0) {
-    this->SendRegistry(aHost, this->MakeRegistryRead());
-  }
-  if (!this->options.withholdsGroups) {
-    this->SendGroups(aHost);
-  }
-}
-
-void
-ProxySimulation::SetConfig(uint64_t aVersion,
-                           const std::vector<std::string>& aDatabases)
-{
-  ConfigArrived event;
-  event.config.version = aVersion;
-  event.config.services[kService] = { this->options.connections, true };
-  for (const std::string& database : aDatabases) {
-    DatabaseRoute route;
-    route.database = database;
-    route.service = kService;
-    route.freshness = this->options.freshness;
-    route.maxAge = this->options.maxAge;
-    route.timeout = Millis(1000);
-    route.latencyObjective = Millis(300);
-    event.config.routes[database] = route;
-  }
-  this->config = event;
-  for (size_t i = 0; i < this->hosts.size(); ++i) {
-    this->Send(i, event);
-  }
-}
-
 void
 ProxySimulation::Tick()
 {
