--- a/review/standin/site.cc
+++ b/review/standin/site.cc
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <fcntl.h>
 #include <fstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -180,6 +181,7 @@
     return false;
   }
   if (process == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL); // also if the script is stopped
     int out = open(log.c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0644);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
