Keep commits when a held replica restarts during a promotion

Cause: a promotion took a hold for lasting. `Promotion` noted each replica as held at the one report that showed it, and never asked again. A replica that restarts is not held any more. The same before the order: a replica that restarted while others were still to be held counted as held, with the end that its log had then.

Change: before the order all held replicas report once more, to requests that were sent after the last hold, and the log ends of these reports count. From the order to the effect they are asked each 50 ms. If one reports that it is not held, or its connection is lost, the candidate is resumed, so that it receives whatever the old primary acknowledges meanwhile; a replica that is back is held again. An order cannot be taken back, so the candidate's log is the only place where such commits can be kept. E412 says when and why a candidate is resumed.

--- a/include/marigoldpitch/coordination/proxy/promotion.h
+++ b/include/marigoldpitch/coordination/proxy/promotion.h
@@ -18,18 +18,26 @@
  */
 constexpr Duration kOrderExpiry = Millis(1200);
 
+/**
+ * How often the held replicas and the candidate are asked for a report until a
+ * promotion has taken effect.
+ */
+constexpr Duration kHoldCheckInterval = Millis(50);
+
 enum class PromotionPhase
 {
   Idle,
   Holding,    // replicas are told to accept no more log from the old primary
+  Verifying,  // each held replica is asked whether it is still held
   CatchingUp, // the candidate must receive all that the held replicas have
   Ordering,   // the platform is asked to promote the candidate
   Confirming, // waits until the candidate reports that it is the primary
 };
 
-constexpr NameTable<PromotionPhase, 5> kPromotionPhaseNames{ {
+constexpr NameTable<PromotionPhase, 6> kPromotionPhaseNames{ {
   { PromotionPhase::Idle, "idle" },
   { PromotionPhase::Holding, "holding" },
+  { PromotionPhase::Verifying, "verifying" },
   { PromotionPhase::CatchingUp, "catching-up" },
   { PromotionPhase::Ordering, "ordering" },
   { PromotionPhase::Confirming, "confirming" },
@@ -91,9 +99,40 @@
   UpstreamIndex upstream = 0;
 };
 
-using PromotionAction = std::variant<UpstreamCommand, OrderPromotion>;
+/** How the promoter learned that a replica may not be held any more. */
+enum class HoldLoss
+{
+  Reported,    // the replica reports that it is not held
+  Unreachable, // it cannot be reached, so it may restart
+};
+
+constexpr NameTable<HoldLoss, 2> kHoldLossNames{ {
+  { HoldLoss::Reported, "reported" },
+  { HoldLoss::Unreachable, "unreachable" },
+} };
+
+/**
+ * The candidate is resumed after the order, because another upstream that was
+ * held may confirm commits again.
+ */
+struct CandidateReleased
+{
+  UpstreamIndex candidate = 0;
+  UpstreamIndex upstream = 0; // whose hold is lost or in doubt
+  HoldLoss loss = HoldLoss::Reported;
+};
+
+using PromotionAction =
+  std::variant<UpstreamCommand, OrderPromotion, CandidateReleased>;
 using PromotionActions = std::vector<PromotionAction>;
 
+/** A replica that is held for a promotion, as it last reported. */
+struct HeldReplica
+{
+  LogPoint logEnd;
+  Time asked = kInfinitePast; // when the report was requested
+};
+
 /**
  * Runs one promotion at a time for one service. Takes the time, the service's
  * view and a report or an answer, and returns the actions to perform.
@@ -107,6 +146,14 @@
  * and is the only replica that is not held. The old primary keeps acknowledging
  * commits that the candidate confirms, so the candidate's log contains each of
  * them.
+ *
+ * A replica that restarts is not held any more. So before the order all held
+ * replicas must report once more that they are held. From then on they are
+ * asked again and again until the promotion has taken effect, since an order
+ * cannot be taken back. When a hold is lost, or a held replica cannot be
+ * reached and so may restart, the candidate is resumed: it then receives
+ * whatever the old primary acknowledges until the promotion takes effect. A
+ * replica that has lost its hold is held again.
  */
 class Promotion
 {
@@ -119,8 +166,11 @@
   /** When the last order of this host can no longer take effect. */
   Time LastOrderExpiresAt() const;
 
-  /** The end of each held replica's log. */
-  const std::map<UpstreamIndex, LogPoint>& Held() const { return this->held; }
+  /** The held replicas. */
+  const std::map<UpstreamIndex, HeldReplica>& Held() const
+  {
+    return this->held;
+  }
 
   /**
    * Starts or continues a promotion; called periodically. A running attempt is
@@ -149,7 +199,31 @@
   void RequestHolds(const ServiceView& aView,
                     PromotionActions& aActions,
                     Time aNow);
+  void RequestHeldReports(const ServiceView& aView,
+                          PromotionActions& aActions,
+                          Time aNow);
+  void NoteHold(const ServiceView& aView,
+                UpstreamIndex aUpstream,
+                const UpstreamReport& aReport,
+                PromotionActions& aActions,
+                Time aNow);
+  bool AreHoldsVerified(const ServiceView& aView) const;
+  std::optional<UpstreamIndex> FindDoubtfulHold(const ServiceView& aView) const;
+  void ReleaseCandidate(UpstreamIndex aUpstream,
+                        HoldLoss aLoss,
+                        PromotionActions& aActions);
+  void ResumeCandidate(PromotionActions& aActions, Time aNow);
+  void Enter(PromotionPhase aPhase, Time aNow);
   void Advance(const ServiceView& aView, PromotionActions& aActions, Time aNow);
+  void AdvanceVerifying(const ServiceView& aView,
+                        PromotionActions& aActions,
+                        Time aNow);
+  void AdvanceCatchingUp(const ServiceView& aView,
+                         PromotionActions& aActions,
+                         Time aNow);
+  void AdvanceOrdered(const ServiceView& aView,
+                      PromotionActions& aActions,
+                      Time aNow);
   void Abort(PromotionOutcome aOutcome, PromotionActions& aActions, Time aNow);
   void Finish(const ServiceView& aView, PromotionActions& aActions, Time aNow);
   bool MustBeHeld(const ServiceView& aView,
@@ -175,7 +249,9 @@
   // by the reports of the held replicas.
   std::optional<UpstreamIndex> candidate;
   bool holdsCandidate = true; // whether the candidate is held as well
-  std::map<UpstreamIndex, LogPoint> held;
+  // Whether the candidate was held for this attempt and has to be resumed.
+  bool mustResumeCandidate = false;
+  std::map<UpstreamIndex, HeldReplica> held;
   std::map<UpstreamIndex, Time> lastAskedAt; // time of the last command to each
   std::set<UpstreamIndex> unheldAtStart;     // not held when the attempt began
   Time phaseSince = kInfinitePast;
--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -281,6 +281,8 @@
   bool MayCleanUp(ProxyService& aService, const StaleState& aStaleState) const;
   void CleanUpStaleStates(ProxyService& aService);
   void LogPromotion(const ProxyService& aService, PromotionPhase aBefore);
+  void LogReleasedCandidate(const ProxyService& aService,
+                            const CandidateReleased& aReleased);
   std::string DescribeMembers(const ProxyService& aService) const;
   void LogPrimary(ProxyService& aService,
                   std::optional<UpstreamIndex> aBefore,
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -70,6 +70,7 @@
   StoreRestored,
   DocumentOutdated,
   HostRegistered,
+  CandidateReleased,
 };
 
 struct LogEventRow
@@ -80,7 +81,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 45> kLogEvents{ {
+constexpr std::array<LogEventRow, 46> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -135,6 +136,7 @@
   { LogEvent::StoreRestored, 207, Severity::Warning, "store-restored" },
   { LogEvent::DocumentOutdated, 208, Severity::Warning, "document-outdated" },
   { LogEvent::HostRegistered, 209, Severity::Info, "host-registered" },
+  { LogEvent::CandidateReleased, 412, Severity::Warning, "candidate-released" },
 } };
 
 constexpr const LogEventRow&
--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -8,7 +8,6 @@
 
 constexpr Duration kCommitStallTimeout = Millis(900);
 constexpr Duration kUnknownPrimaryTimeout = Millis(2000);
-constexpr Duration kHoldRetryInterval = Millis(150);
 constexpr Duration kCatchUpTimeout = Millis(400);
 constexpr Duration kOrderRetryInterval = Millis(700);
 
@@ -144,6 +143,7 @@
   bool isPlanned = aReason == PromotionReason::PrimaryLeaving ||
                    aReason == PromotionReason::PrimaryUnlisted;
   this->holdsCandidate = !isPlanned;
+  this->mustResumeCandidate = false;
   this->candidate.reset();
   if (!this->holdsCandidate) {
     this->candidate = BestReplica(aView, aNow);
@@ -157,8 +157,7 @@
       this->unheldAtStart.insert(i);
     }
   }
-  this->phase = PromotionPhase::Holding;
-  this->phaseSince = aNow;
+  this->Enter(PromotionPhase::Holding, aNow);
   this->startedAt = aNow;
 }
 
@@ -181,46 +180,6 @@
   return best;
 }
 
-/**
- * Whether the upstream could confirm commits of the old primary, and so has to
- * be held: any member (see `GroupMembership::MayConfirm`) but that primary and
- * a candidate that is not held.
- */
-bool
-Promotion::MustBeHeld(const ServiceView& aView,
-                      UpstreamIndex aUpstream,
-                      Time aNow) const
-{
-  bool isUnheldCandidate =
-    !this->holdsCandidate && this->candidate == aUpstream;
-  return aView.Members().MayConfirm(aUpstream, aNow) &&
-         this->oldPrimary != aUpstream && !isUnheldCandidate;
-}
-
-/**
- * Whether every upstream that `MustBeHeld` is held. Upstreams for which
- * `IsUnlistedAndFailingLong` is true are left out, because `ContainsAllCommits`
- * accounts for them. While the old primary is not known, one upstream that is
- * listed but `IsFailingLong` is taken for it and left out as well.
- */
-bool
-Promotion::AreAllHeld(const ServiceView& aView, Time aNow) const
-{
-  bool isOldPrimaryFound = this->oldPrimary.has_value();
-  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
-    bool isStillToHold =
-      this->MustBeHeld(aView, i, aNow) && this->held.count(i) == 0;
-    if (!isStillToHold || aView.IsUnlistedAndFailingLong(i, aNow)) {
-      continue;
-    }
-    if (isOldPrimaryFound || !aView.IsFailingLong(i, aNow)) {
-      return false;
-    }
-    isOldPrimaryFound = true;
-  }
-  return true;
-}
-
 /**
  * Whether a log that ends at `aPoint` contains every acknowledged commit. It
  * must reach the highest commit that this proxy saw acknowledged, and at most
@@ -252,128 +211,123 @@
   return unaccounted <= 1;
 }
 
-LogPoint
-Promotion::LongestHeldLogEnd() const
-{
-  LogPoint highest;
-  for (const auto& [upstream, point] : this->held) {
-    highest = highest.IsBehind(point) ? point : highest;
-  }
-  return highest;
-}
-
-/**
- * Chooses the held replica with the longest log as the candidate. Among equals,
- * one that is neither leaving nor unlisted is preferred.
- */
-void
-Promotion::ChooseLongestLog(const ServiceView& aView)
-{
-  LogPoint highest = this->LongestHeldLogEnd();
-  this->candidate.reset();
-  for (const auto& [upstream, point] : this->held) {
-    if (point.IsBehind(highest)) {
-      continue;
-    }
-    bool isBetter =
-      !this->candidate || this->IsLessPreferred(aView, *this->candidate);
-    this->candidate = isBetter ? upstream : *this->candidate;
-  }
-}
-
-/**
- * Whether an equal replica is preferred to the upstream: it is leaving, or it
- * is unlisted and so may be unknown to some hosts.
- */
-bool
-Promotion::IsLessPreferred(const ServiceView& aView, UpstreamIndex aUpstream)
-{
-  return aView.At(aUpstream).registration.leaving ||
-         !aView.Members().IsListed(aUpstream);
-}
-
 void
-Promotion::RequestHolds(const ServiceView& aView,
-                        PromotionActions& aActions,
-                        Time aNow)
+Promotion::Enter(PromotionPhase aPhase, Time aNow)
 {
-  for (UpstreamIndex i = 0; i < aView.Size(); ++i) {
-    bool isDue = this->lastAskedAt.count(i) == 0 ||
-                 aNow - this->lastAskedAt[i] >= detail::kHoldRetryInterval;
-    bool isStillToHold =
-      this->MustBeHeld(aView, i, aNow) && this->held.count(i) == 0;
-    if (isStillToHold && isDue) {
-      this->lastAskedAt[i] = aNow;
-      aActions.push_back(UpstreamCommand{ i, StatementKind::Hold, this->term });
-    }
-  }
+  this->phase = aPhase;
+  this->phaseSince = aNow;
 }
 
 /**
  * Performs the current phase and enters the next one when its condition is met:
  *
- * - `Holding` ends when `AreAllHeld`. A candidate that is held as well is then
- *   chosen, provided that `ContainsAllCommits` is true for the longest log of a
- *   held replica. With a candidate that is not held, `CatchingUp` follows.
+ * - `Holding` ends when `AreAllHeld`.
+ * - `Verifying` ends when `AreHoldsVerified`. A candidate that is held as well
+ *   is then chosen, provided that `ContainsAllCommits` is true for the longest
+ *   log of a held replica. With a candidate that is not held, `CatchingUp`
+ *   follows.
  * - `CatchingUp` ends when the candidate's log is not behind the log of any
  *   held replica and `ContainsAllCommits` is true for it.
  * - `Ordering` repeats the order until the platform answers it.
  * - `Confirming` ends when the candidate reports that it is the primary.
+ *
+ * `Verifying` and `CatchingUp` go back to `Holding` when not `AreAllHeld`.
  */
 void
 Promotion::Advance(const ServiceView& aView,
                    PromotionActions& aActions,
                    Time aNow)
 {
-  if (this->phase == PromotionPhase::Holding) {
-    if (!this->AreAllHeld(aView, aNow)) {
-      this->RequestHolds(aView, aActions, aNow);
-      return;
-    }
-    if (this->holdsCandidate) {
-      if (!this->ContainsAllCommits(aView, this->LongestHeldLogEnd(), aNow)) {
-        // Abort, so that the replicas are resumed. A member that has the
-        // missing commits may come back as the primary, and then needs replicas
-        // that confirm its commits.
-        if (aNow - this->phaseSince >= detail::kMissingCommitsTimeout) {
-          this->Abort(PromotionOutcome::CommitsMissing, aActions, aNow);
-          this->nextAttempt = aNow + detail::kMissingCommitsPause;
-        }
-        return;
-      }
-      this->ChooseLongestLog(aView);
-      if (!this->candidate) {
-        this->Abort(PromotionOutcome::NoCandidate, aActions, aNow);
-        return;
-      }
-      this->phase = PromotionPhase::Ordering;
-    } else {
-      this->phase = PromotionPhase::CatchingUp;
+  bool isOrdered = this->phase == PromotionPhase::Ordering ||
+                   this->phase == PromotionPhase::Confirming;
+  if (!isOrdered && !this->AreAllHeld(aView, aNow)) {
+    if (this->phase != PromotionPhase::Holding) {
+      this->Enter(PromotionPhase::Holding, aNow);
     }
-    this->phaseSince = aNow;
+    this->RequestHolds(aView, aActions, aNow);
+    return;
+  }
+  if (this->phase == PromotionPhase::Holding) {
+    this->Enter(PromotionPhase::Verifying, aNow);
+  }
+  if (this->phase == PromotionPhase::Verifying) {
+    this->AdvanceVerifying(aView, aActions, aNow);
   }
   if (this->phase == PromotionPhase::CatchingUp) {
-    const ProxyUpstream& chosen = aView.At(*this->candidate);
-    bool containsAll =
-      chosen.report && chosen.reportAsked >= this->phaseSince &&
-      !chosen.report->logEnd.IsBehind(this->LongestHeldLogEnd()) &&
-      this->ContainsAllCommits(aView, chosen.report->logEnd, aNow);
-    if (containsAll) {
-      this->phase = PromotionPhase::Ordering;
-    } else if (aNow - this->phaseSince >= detail::kCatchUpTimeout) {
-      // The candidate does not catch up: hold it too and choose the replica
-      // with the longest log.
-      this->holdsCandidate = true;
-      this->phase = PromotionPhase::Holding;
-      this->phaseSince = aNow;
-      return;
-    } else {
-      aActions.push_back(UpstreamCommand{ *this->candidate });
-      return;
+    this->AdvanceCatchingUp(aView, aActions, aNow);
+  }
+  if (this->phase == PromotionPhase::Ordering ||
+      this->phase == PromotionPhase::Confirming) {
+    this->AdvanceOrdered(aView, aActions, aNow);
+  }
+}
+
+void
+Promotion::AdvanceVerifying(const ServiceView& aView,
+                            PromotionActions& aActions,
+                            Time aNow)
+{
+  this->RequestHeldReports(aView, aActions, aNow);
+  if (!this->AreHoldsVerified(aView)) {
+    return;
+  }
+  if (!this->holdsCandidate) {
+    this->Enter(PromotionPhase::CatchingUp, aNow);
+    return;
+  }
+  if (!this->ContainsAllCommits(aView, this->LongestHeldLogEnd(), aNow)) {
+    // Abort, so that the replicas are resumed. A member that has the missing
+    // commits may come back as the primary, and then needs replicas that
+    // confirm its commits.
+    if (aNow - this->phaseSince >= detail::kMissingCommitsTimeout) {
+      this->Abort(PromotionOutcome::CommitsMissing, aActions, aNow);
+      this->nextAttempt = aNow + detail::kMissingCommitsPause;
     }
+    return;
+  }
+  this->ChooseLongestLog(aView);
+  if (!this->candidate) {
+    this->Abort(PromotionOutcome::NoCandidate, aActions, aNow);
+    return;
+  }
+  this->Enter(PromotionPhase::Ordering, aNow);
+}
+
+void
+Promotion::AdvanceCatchingUp(const ServiceView& aView,
+                             PromotionActions& aActions,
+                             Time aNow)
+{
+  const ProxyUpstream& chosen = aView.At(*this->candidate);
+  bool containsAll =
+    chosen.report && chosen.reportAsked >= this->phaseSince &&
+    !chosen.report->logEnd.IsBehind(this->LongestHeldLogEnd()) &&
+    this->ContainsAllCommits(aView, chosen.report->logEnd, aNow);
+  if (containsAll) {
+    this->Enter(PromotionPhase::Ordering, aNow);
+  } else if (aNow - this->phaseSince >= detail::kCatchUpTimeout) {
+    // The candidate does not catch up: hold it too and choose the replica with
+    // the longest log.
+    this->holdsCandidate = true;
+    this->Enter(PromotionPhase::Holding, aNow);
+  } else {
+    aActions.push_back(UpstreamCommand{ *this->candidate });
+  }
+}
+
+/** Orders the promotion and waits for its effect. */
+void
+Promotion::AdvanceOrdered(const ServiceView& aView,
+                          PromotionActions& aActions,
+                          Time aNow)
+{
+  if (auto doubtful = this->FindDoubtfulHold(aView)) {
+    this->ReleaseCandidate(*doubtful, HoldLoss::Unreachable, aActions);
   }
+  this->ResumeCandidate(aActions, aNow);
   // Upstreams that registered meanwhile must not confirm commits either.
   this->RequestHolds(aView, aActions, aNow);
+  this->RequestHeldReports(aView, aActions, aNow);
   if (this->phase == PromotionPhase::Ordering && aNow >= this->nextOrder) {
     this->nextOrder = aNow + detail::kOrderRetryInterval;
     this->lastOrder = aNow;
@@ -389,9 +343,8 @@
   if (isPromoted) {
     this->Finish(aView, aActions, aNow);
   } else if (aNow - this->phaseSince >= detail::kConfirmTimeout) {
-    this->phase = PromotionPhase::Ordering;
-    this->phaseSince = aNow;
-  } else if (aNow - this->lastAskedAt[*this->candidate] >= Millis(50)) {
+    this->Enter(PromotionPhase::Ordering, aNow);
+  } else if (aNow - this->lastAskedAt[*this->candidate] >= kHoldCheckInterval) {
     this->lastAskedAt[*this->candidate] = aNow;
     aActions.push_back(UpstreamCommand{ *this->candidate });
   }
@@ -407,10 +360,7 @@
   if (!this->IsRunning()) {
     return actions;
   }
-  bool isHeld = aReport.role == Role::Replica && aReport.held >= this->term;
-  if (isHeld && this->MustBeHeld(aView, aUpstream, aNow)) {
-    this->held[aUpstream] = aReport.logEnd;
-  }
+  this->NoteHold(aView, aUpstream, aReport, actions, aNow);
   this->Advance(aView, actions, aNow);
   return actions;
 }
@@ -422,8 +372,7 @@
     return;
   }
   if (aIsAccepted) {
-    this->phase = PromotionPhase::Confirming;
-    this->phaseSince = aNow;
+    this->Enter(PromotionPhase::Confirming, aNow);
     return;
   }
   // The candidate is not running. Start over: hold all replicas again, and
@@ -431,8 +380,8 @@
   this->held.clear();
   this->lastAskedAt.clear();
   this->holdsCandidate = true;
-  this->phase = PromotionPhase::Holding;
-  this->phaseSince = aNow;
+  this->mustResumeCandidate = false;
+  this->Enter(PromotionPhase::Holding, aNow);
 }
 
 void
@@ -445,7 +394,7 @@
   // resumed. Replicas that were held before this attempt stay held: another
   // promoter may have held them for a promotion that took effect.
   bool mayResume = this->lastOrder < this->startedAt;
-  for (const auto& [upstream, point] : this->held) {
+  for (const auto& [upstream, replica] : this->held) {
     if (mayResume && this->unheldAtStart.count(upstream) != 0) {
       aActions.push_back(UpstreamCommand{ upstream, StatementKind::Resume });
     }
--- a/src/coordination/proxy/proxy-watch.cc
+++ b/src/coordination/proxy/proxy-watch.cc
@@ -318,7 +318,7 @@
     auto found = held.find(i);
     text += (text.empty() ? "" : " ") + upstream.registration.id + "=";
     if (found != held.end()) {
-      text += "held@" + FormatLogPoint(found->second);
+      text += "held@" + FormatLogPoint(found->second.logEnd);
     } else if (upstream.report) {
       text += "last@" + FormatLogPoint(upstream.report->logEnd) + "/" +
               std::to_string((this->now - upstream.reportAsked).ms) + "ms";
@@ -463,6 +463,22 @@
   }
 }
 
+/** Logs that the candidate is resumed after the order, and why. */
+void
+ProxyEngine::LogReleasedCandidate(const ProxyService& aService,
+                                  const CandidateReleased& aReleased)
+{
+  const ServiceView& view = aService.view;
+  this->AddDecision(
+    LogEvent::CandidateReleased,
+    "",
+    { { "service", aService.name },
+      { "upstream", view.At(aReleased.candidate).registration.id },
+      { "for", view.At(aReleased.upstream).registration.id },
+      { "hold", kHoldLossNames.TextOf(aReleased.loss) },
+      { "members", this->DescribeMembers(aService) } });
+}
+
 void
 ProxyEngine::Perform(ProxyService& aService, const PromotionActions& aActions)
 {
@@ -471,6 +487,10 @@
       this->QueueCommand(aService, *command);
       continue;
     }
+    if (const auto* released = std::get_if<CandidateReleased>(&action)) {
+      this->LogReleasedCandidate(aService, *released);
+      continue;
+    }
     UpstreamIndex chosen = std::get<OrderPromotion>(action).upstream;
     const ProxyUpstream& upstream = aService.view.At(chosen);
     this->AddDecision(
--- /dev/null
+++ b/test/lost-holds-test.cc
@@ -0,0 +1,164 @@
+#include "fakes/group-faults.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+// Replicas that restart after they were held for a promotion: a restarted
+// replica is not held any more and confirms commits of the old primary.
+//
+// Host 0 holds the promoter lease and is partitioned from the primary u0, which
+// the other hosts still reach. u1 is to replace it, and u2 restarts.
+
+using namespace marigoldpitch;
+using namespace marigoldpitch::fakes;
+
+namespace {
+
+constexpr uint32_t kSeeds = 30;
+constexpr Duration kWriteInterval = Millis(20);
+// The first and the last time between the order and the end of the replica's
+// process; a promotion takes effect 300 ms after its order.
+constexpr int64_t kFirstEndMs = 5;
+constexpr int64_t kEndStepMs = 8;
+constexpr Duration kRestartTime = Millis(40);
+constexpr Duration kPromotionLimit = Seconds(5);
+
+ProxySimulationOptions
+Options(uint32_t aSeed)
+{
+  ProxySimulationOptions options;
+  options.hosts = 3;
+  options.seed = aSeed;
+  options.jitter = Millis(4);
+  options.connections = 120;
+  options.stepsDownAfter = kStepsDownAfter;
+  return options;
+}
+
+/** A simulation in which the promoter cannot reach the primary any more. */
+class PartitionedPromoter
+{
+public:
+  explicit PartitionedPromoter(uint32_t aSeed)
+    : simulation(Options(aSeed))
+  {
+    this->simulation.SetPromoterLease(0, true);
+    this->simulation.RunFor(Millis(1500));
+    this->WriteFor(Millis(200));
+    this->simulation.Upstream(0).unreachableFrom.insert(0);
+  }
+
+  const Promotion& RunningPromotion()
+  {
+    return this->simulation.Host(0).Services().at("service").promotion;
+  }
+
+  /** Sends writes to `writers` in turn, and reads to `readers`. */
+  void WriteFor(Duration aSpan)
+  {
+    Time end = this->simulation.Now() + aSpan;
+    while (this->simulation.Now() < end) {
+      size_t turn = this->simulation.Requests().size();
+      this->SubmitWrite(this->writers[turn % this->writers.size()]);
+      for (size_t reader : this->readers) {
+        this->simulation.SubmitStatement(
+          reader, this->simulation.OpenSession(reader), ReadStatement("a"));
+      }
+      this->simulation.RunFor(
+        std::min(kWriteInterval, end - this->simulation.Now()));
+    }
+  }
+
+  void SubmitWrite(size_t aHost)
+  {
+    std::string value =
+      "w" + std::to_string(this->simulation.Requests().size());
+    this->simulation.SubmitStatement(
+      aHost, this->simulation.OpenSession(aHost), WriteStatement("a", value));
+  }
+
+  /** Runs until the promotion is in the phase. */
+  void AwaitPhase(PromotionPhase aPhase)
+  {
+    Time limit = this->simulation.Now() + kPromotionLimit;
+    while (this->RunningPromotion().Phase() != aPhase &&
+           this->simulation.Now() < limit) {
+      this->WriteFor(Millis(1));
+    }
+    cr_assert_eq(this->RunningPromotion().Phase(), aPhase);
+  }
+
+  /** Runs until the upstream is held or `kPromotionLimit` is over. */
+  void AwaitHold(size_t aUpstream)
+  {
+    Time limit = this->simulation.Now() + kPromotionLimit;
+    while (this->RunningPromotion().Held().count(aUpstream) == 0 &&
+           this->simulation.Now() < limit) {
+      this->WriteFor(Millis(1));
+    }
+  }
+
+  void RestartReplica(size_t aUpstream)
+  {
+    this->simulation.Kill(aUpstream);
+    this->WriteFor(kRestartTime);
+    this->simulation.Restart(aUpstream);
+  }
+
+  void AwaitPromotion()
+  {
+    Time limit = this->simulation.Now() + kPromotionLimit;
+    while (this->simulation.Promotions() == 0 &&
+           this->simulation.Now() < limit) {
+      this->WriteFor(Millis(1));
+    }
+    cr_assert_eq(this->simulation.Promotions(), 1);
+  }
+
+  void CheckNoViolation(uint32_t aSeed) const
+  {
+    std::string violations = this->simulation.Violations();
+    std::string first = violations.substr(0, violations.find('\n'));
+    cr_assert(first.empty(), "seed %u: %s", aSeed, first.c_str());
+  }
+
+  ProxySimulation simulation;
+  std::vector<size_t> writers{ 1, 2 };
+  std::vector<size_t> readers{ 0, 1, 2 };
+};
+
+} // namespace
+
+// Guards against losing the commits that a held replica confirms once it has
+// restarted, between the order of a promotion and its effect.
+Test(lost_holds, replica_restarted_after_the_order_loses_no_commit)
+{
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    PartitionedPromoter run(seed);
+    run.AwaitPhase(PromotionPhase::Confirming);
+    run.WriteFor(Duration{ kFirstEndMs + kEndStepMs * seed });
+    run.RestartReplica(2);
+    run.AwaitPromotion();
+    run.CheckNoViolation(seed);
+    run.WriteFor(Seconds(2));
+    run.CheckNoViolation(seed);
+  }
+}
+
+// Guards against ordering a promotion for which one of the replicas is not held
+// any more.
+Test(lost_holds, replica_restarted_before_the_order_is_held_again)
+{
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    PartitionedPromoter run(seed);
+    run.simulation.Upstream(1).unreachableFrom.insert(0);
+    run.AwaitHold(2);
+    run.RestartReplica(2);
+    run.simulation.Upstream(1).unreachableFrom.erase(0);
+    run.AwaitPromotion();
+    run.CheckNoViolation(seed);
+    run.WriteFor(Seconds(2));
+    run.CheckNoViolation(seed);
+  }
+}
--- a/test/proxy-promotion-test.cc
+++ b/test/proxy-promotion-test.cc
@@ -262,7 +262,7 @@
       1, simulation.OpenSession(1), WriteStatement("a", "before"));
     simulation.Upstream(0).unreachableFrom.insert(
       0); // the promoter cannot reach the primary
-    for (int i = 0; i < 400; ++i) {
+    for (int i = 0; i < 600; ++i) {
       simulation.SubmitStatement(
         1, simulation.OpenSession(1), ReadStatement("a"));
       simulation.RunFor(Millis(5 + seed % 7));
