Wait for the last proof of the old primary at every change of primary

What callers would have seen: on a host that doesn't know of a promotion yet, reads of the old primary that lack commits which the new one has acknowledged.

A host that had seen all replicas held used the new primary as soon as it learned of it, 500 ms after the holds, since a held replica gives no proof for the old primary. A replica that has restarted since its report, or that was resumed as the candidate, does give one. So another host could have a proof that was as young as the promotion itself, and read the old primary by it for 500 ms.

Change: a host always waits 500 ms from when it learns of the new primary, as it did when it had not seen all replicas held, or had heard of the new term from another replica first, and as it does when a primary leaves. No report can stand for the wait: it shows how things were, and the hosts do not learn when the promoter resumes a candidate. Weighed: to accept connections that were open all the while as evidence that no replica restarted; that doesn't show a resumed candidate.

--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -353,7 +353,6 @@
   void SampleAllButOne(Time aNow);
   void NoteCompleteLogs();
   void RequestReportIfUnverified(UpstreamIndex aUpstream);
-  void NoteHolds(Time aNow);
   std::optional<UpstreamIndex> Find(const std::string& aId) const;
 
   UpstreamIndex Add(const RegisteredUpstream& aRegistration);
@@ -370,9 +369,6 @@
   // primary from `primaryUsableFrom`.
   Term lastPrimaryTerm = 0;
   Time primaryUsableFrom = kInfiniteFuture;
-  // Since when all members but the primary have been replicas held for a higher
-  // term, so that no report can prove `primary` any more.
-  Time allHeldSince = kInfiniteFuture;
   Time newestProofAsked = kInfinitePast;
   // When each commit that has no answer yet was sent.
   std::map<ConnectionId, Time> unansweredCommits;
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -59,7 +59,6 @@
   if (isConfirmed) {
     this->unconfirmedLogEnd.reset();
   }
-  this->NoteHolds(aNow);
 }
 
 /**
@@ -232,10 +231,11 @@
 {
   if (aTerm != this->lastPrimaryTerm) {
     // Other proxies may use the old primary until their proofs that it is still
-    // the primary expire.
+    // the primary expire. Reports of held replicas do not show when the last
+    // proof was obtained, since a replica may have restarted or been resumed
+    // after its report.
     this->lastPrimaryTerm = aTerm;
-    this->primaryUsableFrom =
-      std::min(aNow, this->allHeldSince) + kPrimaryProofValidity;
+    this->primaryUsableFrom = aNow + kPrimaryProofValidity;
   }
   if (aTerm != this->term) {
     this->StartTerm(aTerm);
@@ -250,7 +250,6 @@
 ServiceView::StartTerm(Term aTerm)
 {
   this->term = aTerm;
-  this->allHeldSince = kInfiniteFuture;
   this->primaryLogEnd = {};
   this->firstLogEnd.reset();
   this->unconfirmedLogEnd.reset();
@@ -295,31 +294,6 @@
   }
 }
 
-/**
- * Sets `allHeldSince`: the time from which all members except the primary have
- * been replicas held for a higher term. From then on no report of a replica can
- * prove that the primary is still the primary, and a proof obtained earlier is
- * valid for `kPrimaryProofValidity`.
- */
-void
-ServiceView::NoteHolds(Time aNow)
-{
-  bool areAllHeld = this->primary.has_value() && this->members.IsKnown(aNow);
-  for (UpstreamIndex i = 0; i < this->upstreams.size(); ++i) {
-    const ProxyUpstream& upstream = this->upstreams[i];
-    bool isHeld = upstream.report && upstream.report->role == Role::Replica &&
-                  upstream.report->held > this->term;
-    bool isPrimary = this->primary == i;
-    bool mayNotConfirm = !this->members.MayConfirm(i, aNow);
-    areAllHeld = areAllHeld && (isPrimary || isHeld || mayNotConfirm);
-  }
-  if (!areAllHeld) {
-    this->allHeldSince = kInfiniteFuture;
-  } else if (this->allHeldSince == kInfiniteFuture) {
-    this->allHeldSince = aNow;
-  }
-}
-
 void
 ServiceView::ApplyProof(Time aAsked)
 {
--- a/test/lost-holds-test.cc
+++ b/test/lost-holds-test.cc
@@ -162,3 +162,24 @@
     run.CheckNoViolation(seed);
   }
 }
+
+// Guards against stale reads after a hold was lost: a host that had seen all
+// replicas held used the new primary at once, while another host, which did not
+// know of it, relied on a later proof that the old one was still the primary.
+Test(lost_holds, host_unaware_of_a_promotion_serves_no_stale_reads)
+{
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    PartitionedPromoter run(seed);
+    run.simulation.Upstream(0).unreachableFrom.insert(1);
+    run.simulation.Upstream(1).unreachableFrom.insert(2);
+    run.writers = { 2 };
+    run.AwaitPhase(PromotionPhase::Confirming);
+    run.WriteFor(Millis(150) + Duration{ 3 * seed });
+    run.RestartReplica(2);
+    run.AwaitPromotion();
+    run.simulation.Upstream(2).unreachableFrom.insert(2);
+    run.writers = { 1 };
+    run.WriteFor(Seconds(1));
+    run.CheckNoViolation(seed);
+  }
+}
