--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -270,16 +270,14 @@
   void QueueCommand(ProxyService& aService, const UpstreamCommand& aCommand);
   void SendQueuedCommands(ProxyService& aService);
   void CloseUnneededLinks(ProxyService& aService);
-  void LogDeparture(const ProxyService& aService,
-                    UpstreamIndex aUpstream,
-                    const std::string& aPeer);
-  void LogFinishedDepartures(ProxyService& aService);
   void Perform(ProxyService& aService, const PromotionActions& aActions);
   void NoteStaleState(ProxyService& aService,
                       UpstreamIndex aUpstream,
                       const UpstreamReport& aReport);
   bool MayCleanUp(ProxyService& aService, const StaleState& aStaleState) const;
   void CleanUpStaleStates(ProxyService& aService);
+
+  // proxy-watch-log.cc
   void LogPromotion(const ProxyService& aService, PromotionPhase aBefore);
   void LogReleasedCandidate(const ProxyService& aService,
                             const CandidateReleased& aReleased);
@@ -287,6 +285,10 @@
   void LogPrimary(ProxyService& aService,
                   std::optional<UpstreamIndex> aBefore,
                   Term aTermBefore);
+  void LogDeparture(const ProxyService& aService,
+                    UpstreamIndex aUpstream,
+                    const std::string& aPeer);
+  void LogFinishedDepartures(ProxyService& aService);
 
   std::string DescribeAge(Time aTime) const;
   void Emit(ProxyAction aAction);
