Test holds that end without a restart, and restarts in any order

Two cases, before and after the order, and a property over restarts of both replicas and partitions between them and the promoter.

--- a/test/lost-holds-test.cc
+++ b/test/lost-holds-test.cc
@@ -1,8 +1,10 @@
 #include "fakes/group-faults.h"
 
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
+#include <ostream>
 
 // Replicas that restart after they were held for a promotion: a restarted
 // replica is not held any more and confirms commits of the old primary.
@@ -21,6 +23,7 @@
 // process; a promotion takes effect 300 ms after its order.
 constexpr int64_t kFirstEndMs = 5;
 constexpr int64_t kEndStepMs = 8;
+constexpr int64_t kResumeStepMs = 7;
 constexpr Duration kRestartTime = Millis(40);
 constexpr Duration kPromotionLimit = Seconds(5);
 
@@ -99,13 +102,20 @@
     }
   }
 
-  void RestartReplica(size_t aUpstream)
+  void RestartReplica(size_t aUpstream, Duration aDowntime = kRestartTime)
   {
     this->simulation.Kill(aUpstream);
-    this->WriteFor(kRestartTime);
+    this->WriteFor(aDowntime);
     this->simulation.Restart(aUpstream);
   }
 
+  /** A command that resumes the replica arrives late, from another promoter. */
+  void ResumeLate(size_t aUpstream)
+  {
+    this->simulation.Upstream(aUpstream).held = 0;
+    this->simulation.SetReplicationBlocked(aUpstream, false);
+  }
+
   void AwaitPromotion()
   {
     Time limit = this->simulation.Now() + kPromotionLimit;
@@ -128,6 +138,34 @@
   std::vector<size_t> readers{ 0, 1, 2 };
 };
 
+/** A replica restarts, or the promoter does not reach it for a while. */
+struct HoldFault
+{
+  int64_t afterMs = 0; // after the end of the last fault
+  size_t upstream = 1;
+  bool isRestart = true;
+  int64_t spanMs = 0; // how long the replica is down or out of reach
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const HoldFault& aFault)
+{
+  return aOut << "after " << aFault.afterMs << " ms u" << aFault.upstream
+              << (aFault.isRestart ? " down for " : " out of reach for ")
+              << aFault.spanMs << " ms";
+}
+
+rc::Gen<HoldFault>
+GenHoldFault()
+{
+  return rc::gen::build<HoldFault>(
+    rc::gen::set(&HoldFault::afterMs, rc::gen::inRange<int64_t>(0, 400)),
+    rc::gen::set(&HoldFault::upstream, rc::gen::inRange<size_t>(1, 3)),
+    rc::gen::set(&HoldFault::isRestart, rc::gen::arbitrary<bool>()),
+    rc::gen::set(&HoldFault::spanMs,
+                 rc::gen::inRange<int64_t>(kRestartTime.ms, 300)));
+}
+
 } // namespace
 
 // Guards against losing the commits that a held replica confirms once it has
@@ -163,6 +201,39 @@
   }
 }
 
+// Guards against losing the commits that a held replica confirms once a late
+// command of an earlier promoter has resumed it. Its connections stay open, so
+// only its report shows it.
+Test(lost_holds, replica_resumed_after_the_order_loses_no_commit)
+{
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    PartitionedPromoter run(seed);
+    run.AwaitPhase(PromotionPhase::Confirming);
+    run.WriteFor(Duration{ kFirstEndMs + kResumeStepMs * seed });
+    run.ResumeLate(2);
+    run.AwaitPromotion();
+    run.CheckNoViolation(seed);
+    run.WriteFor(Seconds(2));
+    run.CheckNoViolation(seed);
+  }
+}
+
+// Guards against an order by holds of which one has ended since its report.
+Test(lost_holds, replica_resumed_before_the_order_is_held_again)
+{
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    PartitionedPromoter run(seed);
+    run.simulation.Upstream(1).unreachableFrom.insert(0);
+    run.AwaitHold(2);
+    run.ResumeLate(2);
+    run.simulation.Upstream(1).unreachableFrom.erase(0);
+    run.AwaitPhase(PromotionPhase::Ordering);
+    cr_assert_neq(run.simulation.Upstream(2).held, 0, "seed %u", seed);
+    run.AwaitPromotion();
+    run.CheckNoViolation(seed);
+  }
+}
+
 // Guards against stale reads after a hold was lost: a host that had seen all
 // replicas held used the new primary at once, while another host, which did not
 // know of it, relied on a later proof that the old one was still the primary.
@@ -183,3 +254,31 @@
     run.CheckNoViolation(seed);
   }
 }
+
+// Guards against any order of restarts and of partitions between the promoter
+// and the replicas that loses commits or ends the service.
+Test(lost_holds, restarts_during_a_promotion_lose_nothing)
+{
+  cr_assert(rc::check("guarantees when held replicas restart", [] {
+    PartitionedPromoter run(*rc::gen::inRange<uint32_t>(1, 100000));
+    auto faults =
+      *rc::gen::resize(4,
+                       rc::gen::container<std::vector<HoldFault>>(
+                         rc::gen::resize(rc::kNominalSize, GenHoldFault())));
+    run.AwaitPhase(PromotionPhase::Holding);
+    for (const HoldFault& fault : faults) {
+      run.WriteFor(Duration{ fault.afterMs });
+      if (fault.isRestart) {
+        run.RestartReplica(fault.upstream, Duration{ fault.spanMs });
+        continue;
+      }
+      auto& unreachable = run.simulation.Upstream(fault.upstream);
+      unreachable.unreachableFrom.insert(0);
+      run.WriteFor(Duration{ fault.spanMs });
+      unreachable.unreachableFrom.erase(0);
+    }
+    run.WriteFor(Seconds(1));
+    RC_ASSERT(ServiceRecovers(run.simulation, 1));
+    RC_ASSERT(run.simulation.Violations() == "");
+  }));
+}
