Ignore reports older than a hold when looking for its end

What would have been seen: a status request that was sent before a hold, on another connection, and answered after it, ended the hold for the promoter. The candidate was resumed without need, or, once released, not resumed at all since the older report showed it as it was before it was held.

Change: a report ends a hold only if it was requested no earlier than the one that showed it, and the release of the candidate only if it was requested after the release.

Tests: promotion-holds-test older_report_does_not_end_a_hold and released_candidate_is_resumed_until_it_reports_it; both failed before ("Held() .count(2) == 1 is false", "Commands(1, Resume) == 2 is false") and pass now.

--- a/include/marigoldpitch/coordination/proxy/promotion.h
+++ b/include/marigoldpitch/coordination/proxy/promotion.h
@@ -211,7 +211,8 @@
   std::optional<UpstreamIndex> FindDoubtfulHold(const ServiceView& aView) const;
   void ReleaseCandidate(UpstreamIndex aUpstream,
                         HoldLoss aLoss,
-                        PromotionActions& aActions);
+                        PromotionActions& aActions,
+                        Time aNow);
   void ResumeCandidate(PromotionActions& aActions, Time aNow);
   void Enter(PromotionPhase aPhase, Time aNow);
   void Advance(const ServiceView& aView, PromotionActions& aActions, Time aNow);
@@ -249,8 +250,9 @@
   // by the reports of the held replicas.
   std::optional<UpstreamIndex> candidate;
   bool holdsCandidate = true; // whether the candidate is held as well
-  // Whether the candidate was held for this attempt and has to be resumed.
-  bool mustResumeCandidate = false;
+  // When the candidate, which was held, was released; set until it reports that
+  // it is not held any more.
+  std::optional<Time> candidateReleasedAt;
   std::map<UpstreamIndex, HeldReplica> held;
   std::map<UpstreamIndex, Time> lastAskedAt; // time of the last command to each
   std::set<UpstreamIndex> unheldAtStart;     // not held when the attempt began
--- a/src/coordination/proxy/promotion-holds.cc
+++ b/src/coordination/proxy/promotion-holds.cc
@@ -166,13 +166,14 @@
 void
 Promotion::ReleaseCandidate(UpstreamIndex aUpstream,
                             HoldLoss aLoss,
-                            PromotionActions& aActions)
+                            PromotionActions& aActions,
+                            Time aNow)
 {
   if (!this->holdsCandidate) {
     return;
   }
   this->holdsCandidate = false;
-  this->mustResumeCandidate = true;
+  this->candidateReleasedAt = aNow;
   this->held.erase(*this->candidate);
   this->lastAskedAt.erase(*this->candidate);
   aActions.push_back(CandidateReleased{ *this->candidate, aUpstream, aLoss });
@@ -184,7 +185,7 @@
 {
   bool isDue = this->lastAskedAt.count(*this->candidate) == 0 ||
                aNow - this->lastAskedAt[*this->candidate] >= kHoldCheckInterval;
-  if (this->mustResumeCandidate && isDue) {
+  if (this->candidateReleasedAt && isDue) {
     this->lastAskedAt[*this->candidate] = aNow;
     aActions.push_back(
       UpstreamCommand{ *this->candidate, StatementKind::Resume });
@@ -207,21 +208,25 @@
     }
     return;
   }
-  if (this->candidate == aUpstream && !this->holdsCandidate) {
-    this->mustResumeCandidate = false;
+  Time asked = aView.At(aUpstream).reportAsked;
+  if (this->candidate == aUpstream && this->candidateReleasedAt &&
+      asked >= *this->candidateReleasedAt) {
+    this->candidateReleasedAt.reset();
   }
-  // An upstream that follows the new term needs no hold any more.
-  bool isLost = this->held.count(aUpstream) != 0 &&
+  // An upstream that follows the new term needs no hold any more. A report may
+  // be older than the hold.
+  auto found = this->held.find(aUpstream);
+  bool isLost = found != this->held.end() && asked >= found->second.asked &&
                 aReport.role == Role::Replica && aReport.term < this->term;
   if (!isLost) {
     return;
   }
-  this->held.erase(aUpstream);
+  this->held.erase(found);
   this->lastAskedAt.erase(aUpstream);
   bool isOrdered = this->phase == PromotionPhase::Ordering ||
                    this->phase == PromotionPhase::Confirming;
   if (isOrdered) {
-    this->ReleaseCandidate(aUpstream, HoldLoss::Reported, aActions);
+    this->ReleaseCandidate(aUpstream, HoldLoss::Reported, aActions, aNow);
   }
 }
 
--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -143,7 +143,7 @@
   bool isPlanned = aReason == PromotionReason::PrimaryLeaving ||
                    aReason == PromotionReason::PrimaryUnlisted;
   this->holdsCandidate = !isPlanned;
-  this->mustResumeCandidate = false;
+  this->candidateReleasedAt.reset();
   this->candidate.reset();
   if (!this->holdsCandidate) {
     this->candidate = BestReplica(aView, aNow);
@@ -322,7 +322,7 @@
                           Time aNow)
 {
   if (auto doubtful = this->FindDoubtfulHold(aView)) {
-    this->ReleaseCandidate(*doubtful, HoldLoss::Unreachable, aActions);
+    this->ReleaseCandidate(*doubtful, HoldLoss::Unreachable, aActions, aNow);
   }
   this->ResumeCandidate(aActions, aNow);
   // Upstreams that registered meanwhile must not confirm commits either.
@@ -380,7 +380,7 @@
   this->held.clear();
   this->lastAskedAt.clear();
   this->holdsCandidate = true;
-  this->mustResumeCandidate = false;
+  this->candidateReleasedAt.reset();
   this->Enter(PromotionPhase::Holding, aNow);
 }
 
--- /dev/null
+++ b/test/promotion-holds-test.cc
@@ -0,0 +1,138 @@
+#include "marigoldpitch/coordination/proxy/promotion.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+// Which reports end a hold, and whose reports a promotion waits for:
+// `Promotion` by itself, with the reports given by hand.
+
+using namespace marigoldpitch;
+
+namespace {
+
+constexpr Time kStart{ 10000 };
+constexpr Duration kDrainTime = Seconds(7);
+constexpr Term kNewTerm = 2;
+
+RegisteredUpstream
+Registration(const std::string& aId, uint16_t aPort)
+{
+  RegisteredUpstream registration;
+  registration.id = aId;
+  registration.service = "service";
+  registration.endpoint = { "10.0.0.1", aPort };
+  registration.incarnation = 1;
+  return registration;
+}
+
+/** The promotion that replaces u0, whose commits stall. */
+class StalledGroup
+{
+public:
+  StalledGroup()
+  {
+    this->registry = { Registration("u0", 1),
+                       Registration("u1", 2),
+                       Registration("u2", 3) };
+    GroupRecord record{ "service", {}, { 0, 1 } };
+    for (const RegisteredUpstream& one : this->registry) {
+      record.members.push_back({ one.id, one.endpoint, one.zone, 1 });
+    }
+    this->view.SetRequiresReplicaConfirmation(true);
+    this->view.ApplyRegistrations(this->registry, this->now);
+    this->view.ApplyRecord(record, this->now);
+    this->view.ApplyReport(
+      0, { Role::Primary, 1, { 1, 5 } }, this->now, this->now);
+    this->Report(1, 0);
+    this->Report(2, 0);
+    this->view.CommitSent(1, this->now);
+    this->Pass(Seconds(1));
+    this->view.Answered(0, this->now);
+    this->Update();
+  }
+
+  void Pass(Duration aSpan) { this->now = this->now + aSpan; }
+
+  void Update() { this->Note(this->promotion.Update(this->view, true, now)); }
+
+  /** The replica reports its hold, asked for `aAge` ago. */
+  void Report(UpstreamIndex aUpstream, Term aHeld, Duration aAge = Millis(0))
+  {
+    UpstreamReport report{ Role::Replica, 1, { 1, 5 }, aHeld };
+    this->view.ApplyReport(aUpstream, report, this->now - aAge, this->now);
+    this->Note(
+      this->promotion.Answered(this->view, aUpstream, report, this->now));
+  }
+
+  /** How many commands of the kind were sent to the upstream. */
+  size_t Commands(UpstreamIndex aUpstream, StatementKind aKind) const
+  {
+    auto isOne = [&](const PromotionAction& aAction) {
+      const auto* command = std::get_if<UpstreamCommand>(&aAction);
+      return command != nullptr && command->upstream == aUpstream &&
+             command->kind == aKind;
+    };
+    return static_cast<size_t>(
+      std::count_if(this->actions.begin(), this->actions.end(), isOne));
+  }
+
+  void Note(const PromotionActions& aActions)
+  {
+    this->actions.insert(this->actions.end(), aActions.begin(), aActions.end());
+  }
+
+  Time now = kStart;
+  std::vector<RegisteredUpstream> registry;
+  ServiceView view{ kDrainTime };
+  Promotion promotion;
+  PromotionActions actions;
+};
+
+} // namespace
+
+// Guards against taking an answer that was overtaken by that of the hold for
+// the end of the hold.
+Test(promotion_holds, older_report_does_not_end_a_hold)
+{
+  StalledGroup group;
+  group.Pass(Millis(10));
+  group.Report(1, kNewTerm, Millis(5));
+  group.Report(2, kNewTerm, Millis(5));
+  group.Pass(Millis(10));
+  group.Report(1, kNewTerm);
+  group.Report(2, kNewTerm);
+  cr_assert_eq(group.promotion.Phase(), PromotionPhase::Ordering);
+  group.Report(2, 0, Millis(15));
+  cr_assert_eq(group.promotion.Held().count(2), 1);
+  cr_assert_eq(group.Commands(1, StatementKind::Resume), 0);
+  group.Pass(Millis(10));
+  group.Report(2, 0);
+  group.Update();
+  cr_assert_eq(group.promotion.Held().count(2), 0);
+  cr_assert_eq(group.Commands(1, StatementKind::Resume), 1);
+  cr_assert_eq(group.Commands(2, StatementKind::Hold), 2);
+}
+
+// Guards against resuming the candidate only until a report that was requested
+// before it was released.
+Test(promotion_holds, released_candidate_is_resumed_until_it_reports_it)
+{
+  StalledGroup group;
+  group.Pass(Millis(10));
+  group.Report(1, kNewTerm, Millis(5));
+  group.Report(2, kNewTerm, Millis(5));
+  group.Pass(Millis(10));
+  group.Report(1, kNewTerm);
+  group.Report(2, kNewTerm);
+  group.Pass(Millis(10));
+  group.Report(2, 0);
+  group.Report(1, 0, Millis(30));
+  group.Pass(kHoldCheckInterval);
+  group.Update();
+  cr_assert_eq(group.Commands(1, StatementKind::Resume), 2);
+  group.Report(1, 0);
+  group.Pass(kHoldCheckInterval);
+  group.Update();
+  cr_assert_eq(group.Commands(1, StatementKind::Resume), 2);
+}
