Don't wait for the second report of a replaced member

What would have been seen: a promotion that doesn't end for up to 15 s, when a held replica is replaced by its successor before it has reported once more. Its successor counts in its place, and commands for what is no member any more are not sent.

Change: only members are asked and waited for. The successor has to be held and to report by itself.

Test: promotion-holds-test replaced_member_is_not_waited_for; it failed before (the phase was not "ordering") and passes now.

--- a/include/marigoldpitch/coordination/proxy/promotion.h
+++ b/include/marigoldpitch/coordination/proxy/promotion.h
@@ -207,7 +207,7 @@
                 const UpstreamReport& aReport,
                 PromotionActions& aActions,
                 Time aNow);
-  bool AreHoldsVerified(const ServiceView& aView) const;
+  bool AreHoldsVerified(const ServiceView& aView, Time aNow) const;
   std::optional<UpstreamIndex> FindDoubtfulHold(const ServiceView& aView) const;
   void ReleaseCandidate(UpstreamIndex aUpstream,
                         HoldLoss aLoss,
--- a/src/coordination/proxy/promotion-holds.cc
+++ b/src/coordination/proxy/promotion-holds.cc
@@ -111,7 +111,7 @@
 
 /**
  * Asks each held replica, the candidate too, whether it is still held: at once
- * in a new phase, then at intervals.
+ * in a new phase, then at intervals. Nobody is asked who is no member any more.
  */
 void
 Promotion::RequestHeldReports(const ServiceView& aView,
@@ -121,7 +121,8 @@
   for (const auto& [upstream, replica] : this->held) {
     Time last = this->lastAskedAt[upstream];
     bool isDue = last < this->phaseSince || aNow - last >= kHoldCheckInterval;
-    if (isDue && !aView.At(upstream).reportRequestOpen) {
+    if (isDue && !aView.At(upstream).reportRequestOpen &&
+        this->MustBeHeld(aView, upstream, aNow)) {
       this->lastAskedAt[upstream] = aNow;
       aActions.push_back(UpstreamCommand{ upstream });
     }
@@ -133,11 +134,12 @@
  * that cannot be reached is not waited for: see `FindDoubtfulHold`.
  */
 bool
-Promotion::AreHoldsVerified(const ServiceView& aView) const
+Promotion::AreHoldsVerified(const ServiceView& aView, Time aNow) const
 {
   for (const auto& [upstream, replica] : this->held) {
-    bool isVerified = replica.asked >= this->phaseSince;
-    if (!isVerified && aView.At(upstream).failures == 0) {
+    bool isAwaited = this->MustBeHeld(aView, upstream, aNow) &&
+                     aView.At(upstream).failures == 0;
+    if (isAwaited && replica.asked < this->phaseSince) {
       return false;
     }
   }
--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -268,7 +268,7 @@
                             Time aNow)
 {
   this->RequestHeldReports(aView, aActions, aNow);
-  if (!this->AreHoldsVerified(aView)) {
+  if (!this->AreHoldsVerified(aView, aNow)) {
     return;
   }
   if (!this->holdsCandidate) {
--- a/test/promotion-holds-test.cc
+++ b/test/promotion-holds-test.cc
@@ -136,3 +136,23 @@
   group.Update();
   cr_assert_eq(group.Commands(1, StatementKind::Resume), 2);
 }
+
+// Guards against waiting for the second report of a replica whose successor has
+// taken over its log: nobody asks it any more.
+Test(promotion_holds, replaced_member_is_not_waited_for)
+{
+  StalledGroup group;
+  group.Pass(Millis(10));
+  group.Report(1, kNewTerm, Millis(5));
+  group.Report(2, kNewTerm, Millis(5));
+  cr_assert_eq(group.promotion.Phase(), PromotionPhase::Verifying);
+  group.registry[2] = Registration("u3", 3);
+  group.view.ApplyRegistrations(group.registry, group.now);
+  group.Pass(Millis(10));
+  group.Update();
+  group.Report(3, kNewTerm);
+  group.Pass(Millis(10));
+  group.Report(1, kNewTerm);
+  group.Report(3, kNewTerm);
+  cr_assert_eq(group.promotion.Phase(), PromotionPhase::Ordering);
+}
