--- a/include/marigoldpitch/coordination/proxy/promotion.h
+++ b/include/marigoldpitch/coordination/proxy/promotion.h
@@ -112,13 +112,13 @@
 } };
 
 /**
- * The candidate is resumed after the order, because another upstream that was
- * held may confirm commits again.
+ * The candidate is resumed after the order, because an upstream that was held
+ * may confirm commits again.
  */
 struct CandidateReleased
 {
   UpstreamIndex candidate = 0;
-  UpstreamIndex upstream = 0; // whose hold is lost or in doubt
+  UpstreamIndex upstream = 0; // whose hold is lost; may be the candidate
   HoldLoss loss = HoldLoss::Reported;
 };
 
@@ -215,6 +215,13 @@
                         Time aNow);
   void ResumeCandidate(PromotionActions& aActions, Time aNow);
   void Enter(PromotionPhase aPhase, Time aNow);
+
+  /** Whether the attempt has got as far as the order. */
+  bool IsOrdered() const
+  {
+    return this->phase == PromotionPhase::Ordering ||
+           this->phase == PromotionPhase::Confirming;
+  }
   void Advance(const ServiceView& aView, PromotionActions& aActions, Time aNow);
   void AdvanceVerifying(const ServiceView& aView,
                         PromotionActions& aActions,
--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -277,7 +277,8 @@
   bool MayCleanUp(ProxyService& aService, const StaleState& aStaleState) const;
   void CleanUpStaleStates(ProxyService& aService);
 
-  // proxy-watch-log.cc
+  // proxy-watch-log.cc: log lines about promotions, primaries and leaving
+  // upstreams.
   void LogPromotion(const ProxyService& aService, PromotionPhase aBefore);
   void LogReleasedCandidate(const ProxyService& aService,
                             const CandidateReleased& aReleased);
--- a/src/coordination/proxy/promotion-holds.cc
+++ b/src/coordination/proxy/promotion-holds.cc
@@ -225,9 +225,7 @@
   }
   this->held.erase(found);
   this->lastAskedAt.erase(aUpstream);
-  bool isOrdered = this->phase == PromotionPhase::Ordering ||
-                   this->phase == PromotionPhase::Confirming;
-  if (isOrdered) {
+  if (this->IsOrdered()) {
     this->ReleaseCandidate(aUpstream, HoldLoss::Reported, aActions, aNow);
   }
 }
--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -84,9 +84,7 @@
 bool
 Promotion::IsNoLongerNeeded(const ServiceView& aView, Time aNow) const
 {
-  bool mustContinue = this->phase == PromotionPhase::Ordering ||
-                      this->phase == PromotionPhase::Confirming;
-  return !mustContinue && !this->FindReason(aView, aNow);
+  return !this->IsOrdered() && !this->FindReason(aView, aNow);
 }
 
 Time
@@ -222,9 +220,9 @@
  * Performs the current phase and enters the next one when its condition is met:
  *
  * - `Holding` ends when `AreAllHeld`.
- * - `Verifying` ends when `AreHoldsVerified`. A candidate that is held as well
- *   is then chosen, provided that `ContainsAllCommits` is true for the longest
- *   log of a held replica. With a candidate that is not held, `CatchingUp`
+ * - `Verifying` ends when `AreHoldsVerified` and, if the candidate is held as
+ *   well, `ContainsAllCommits` for the longest log of a held replica, which
+ *   becomes the candidate. With a candidate that is not held, `CatchingUp`
  *   follows.
  * - `CatchingUp` ends when the candidate's log is not behind the log of any
  *   held replica and `ContainsAllCommits` is true for it.
@@ -238,9 +236,7 @@
                    PromotionActions& aActions,
                    Time aNow)
 {
-  bool isOrdered = this->phase == PromotionPhase::Ordering ||
-                   this->phase == PromotionPhase::Confirming;
-  if (!isOrdered && !this->AreAllHeld(aView, aNow)) {
+  if (!this->IsOrdered() && !this->AreAllHeld(aView, aNow)) {
     if (this->phase != PromotionPhase::Holding) {
       this->Enter(PromotionPhase::Holding, aNow);
     }
@@ -256,8 +252,7 @@
   if (this->phase == PromotionPhase::CatchingUp) {
     this->AdvanceCatchingUp(aView, aActions, aNow);
   }
-  if (this->phase == PromotionPhase::Ordering ||
-      this->phase == PromotionPhase::Confirming) {
+  if (this->IsOrdered()) {
     this->AdvanceOrdered(aView, aActions, aNow);
   }
 }
@@ -298,11 +293,11 @@
                              PromotionActions& aActions,
                              Time aNow)
 {
-  const ProxyUpstream& chosen = aView.At(*this->candidate);
+  const ProxyUpstream& upstream = aView.At(*this->candidate);
   bool containsAll =
-    chosen.report && chosen.reportAsked >= this->phaseSince &&
-    !chosen.report->logEnd.IsBehind(this->LongestHeldLogEnd()) &&
-    this->ContainsAllCommits(aView, chosen.report->logEnd, aNow);
+    upstream.report && upstream.reportAsked >= this->phaseSince &&
+    !upstream.report->logEnd.IsBehind(this->LongestHeldLogEnd()) &&
+    this->ContainsAllCommits(aView, upstream.report->logEnd, aNow);
   if (containsAll) {
     this->Enter(PromotionPhase::Ordering, aNow);
   } else if (aNow - this->phaseSince >= detail::kCatchUpTimeout) {
@@ -337,9 +332,9 @@
   if (this->phase != PromotionPhase::Confirming) {
     return;
   }
-  const ProxyUpstream& chosen = aView.At(*this->candidate);
-  bool isPromoted = chosen.report && chosen.report->role == Role::Primary &&
-                    chosen.report->term >= this->term;
+  const auto& report = aView.At(*this->candidate).report;
+  bool isPromoted =
+    report && report->role == Role::Primary && report->term >= this->term;
   if (isPromoted) {
     this->Finish(aView, aActions, aNow);
   } else if (aNow - this->phaseSince >= detail::kConfirmTimeout) {
