Ask about holds while the candidate of a leaving primary catches up

What callers would have seen: acknowledged writes gone after the planned change of a primary, if a held replica was resumed or restarted while the candidate was behind.

In the phase in which the candidate catches up, up to 400 ms, nobody asked the held replicas. One that was not held any more confirmed commits, and the candidate had to reach only the end of its log as of its last report. The order followed, and a candidate that then received nothing more led without them.

Change: the held replicas are asked in this phase too. One that is not held any more is held again before anything else, and the candidate must reach the end of its log of then.

--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -293,6 +293,7 @@
                              PromotionActions& aActions,
                              Time aNow)
 {
+  this->RequestHeldReports(aView, aActions, aNow);
   const ProxyUpstream& upstream = aView.At(*this->candidate);
   bool containsAll =
     upstream.report && upstream.reportAsked >= this->phaseSince &&
--- a/test/lost-holds-test.cc
+++ b/test/lost-holds-test.cc
@@ -25,6 +25,7 @@
 constexpr int64_t kEndStepMs = 8;
 constexpr int64_t kResumeStepMs = 7;
 constexpr Duration kRestartTime = Millis(40);
+constexpr Duration kCatchUpTime = Millis(150);
 constexpr Duration kPromotionLimit = Seconds(5);
 
 ProxySimulationOptions
@@ -234,6 +235,31 @@
   }
 }
 
+// Guards against losing commits while the candidate of a leaving primary
+// catches up: a replica that is resumed meanwhile confirms what the candidate
+// lacks.
+Test(lost_holds, replica_resumed_while_the_candidate_catches_up_is_held_again)
+{
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    PartitionedPromoter run(seed);
+    run.simulation.Upstream(0).unreachableFrom.clear();
+    run.simulation.Upstream(2).unreachableFrom.insert(0);
+    run.simulation.AnnounceDeparture(0);
+    run.simulation.SendRegistryToAll();
+    run.AwaitPhase(PromotionPhase::Holding);
+    run.simulation.SetReplicationBlocked(1, true);
+    run.WriteFor(Millis(40));
+    run.simulation.Upstream(2).unreachableFrom.erase(0);
+    run.AwaitPhase(PromotionPhase::CatchingUp);
+    run.ResumeLate(2);
+    run.WriteFor(kCatchUpTime);
+    run.simulation.SetReplicationBlocked(1, false);
+    run.simulation.SetReplicationBlocked(1, true);
+    run.AwaitPromotion();
+    run.CheckNoViolation(seed);
+  }
+}
+
 // Guards against stale reads after a hold was lost: a host that had seen all
 // replicas held used the new primary at once, while another host, which did not
 // know of it, relied on a later proof that the old one was still the primary.
