Verify holds by a second report even within one millisecond

What would have been seen: an order by holds that were reported once only.

Cause: a report counted as the second one if it was requested no earlier than when all replicas were held. Where answers take less than a millisecond, the answer to the hold itself was requested in that millisecond.

Change: what was reported before all were held never counts, and each replica is asked at once.

Test: promotion-holds-test order_needs_a_second_report_within_a_millisecond_too; it failed before (the phase was "ordering") and passes now.

--- a/include/marigoldpitch/coordination/proxy/promotion.h
+++ b/include/marigoldpitch/coordination/proxy/promotion.h
@@ -131,6 +131,7 @@
 {
   LogPoint logEnd;
   Time asked = kInfinitePast; // when the report was requested
+  bool isVerified = false;    // it has reported since all were held
 };
 
 /**
@@ -199,6 +200,7 @@
   void RequestHolds(const ServiceView& aView,
                     PromotionActions& aActions,
                     Time aNow);
+  void StartVerifying(Time aNow);
   void RequestHeldReports(const ServiceView& aView,
                           PromotionActions& aActions,
                           Time aNow);
--- a/src/coordination/proxy/promotion-holds.cc
+++ b/src/coordination/proxy/promotion-holds.cc
@@ -109,6 +109,17 @@
   }
 }
 
+/** All are held: each has to report so once more, and is asked at once. */
+void
+Promotion::StartVerifying(Time aNow)
+{
+  this->Enter(PromotionPhase::Verifying, aNow);
+  for (auto& [upstream, replica] : this->held) {
+    replica.isVerified = false;
+    this->lastAskedAt.erase(upstream);
+  }
+}
+
 /**
  * Asks each held replica, the candidate too, whether it is still held: at once
  * in a new phase, then at intervals. Nobody is asked who is no member any more.
@@ -130,8 +141,9 @@
 }
 
 /**
- * Whether each held replica has reported in this phase that it is held. One
- * that cannot be reached is not waited for: see `FindDoubtfulHold`.
+ * Whether each held replica has reported that it is held once more, since all
+ * were held. One that cannot be reached is not waited for: see
+ * `FindDoubtfulHold`.
  */
 bool
 Promotion::AreHoldsVerified(const ServiceView& aView, Time aNow) const
@@ -139,7 +151,7 @@
   for (const auto& [upstream, replica] : this->held) {
     bool isAwaited = this->MustBeHeld(aView, upstream, aNow) &&
                      aView.At(upstream).failures == 0;
-    if (isAwaited && replica.asked < this->phaseSince) {
+    if (isAwaited && !replica.isVerified) {
       return false;
     }
   }
@@ -202,15 +214,16 @@
                     PromotionActions& aActions,
                     Time aNow)
 {
+  Time asked = aView.At(aUpstream).reportAsked;
   bool isHeld = aReport.role == Role::Replica && aReport.held >= this->term;
   if (isHeld) {
     if (this->MustBeHeld(aView, aUpstream, aNow)) {
-      this->held[aUpstream] = { aReport.logEnd,
-                                aView.At(aUpstream).reportAsked };
+      bool isVerified =
+        this->phase != PromotionPhase::Holding && asked >= this->phaseSince;
+      this->held[aUpstream] = { aReport.logEnd, asked, isVerified };
     }
     return;
   }
-  Time asked = aView.At(aUpstream).reportAsked;
   if (this->candidate == aUpstream && this->candidateReleasedAt &&
       asked >= *this->candidateReleasedAt) {
     this->candidateReleasedAt.reset();
--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -244,7 +244,7 @@
     return;
   }
   if (this->phase == PromotionPhase::Holding) {
-    this->Enter(PromotionPhase::Verifying, aNow);
+    this->StartVerifying(aNow);
   }
   if (this->phase == PromotionPhase::Verifying) {
     this->AdvanceVerifying(aView, aActions, aNow);
--- a/test/promotion-holds-test.cc
+++ b/test/promotion-holds-test.cc
@@ -137,6 +137,21 @@
   cr_assert_eq(group.Commands(1, StatementKind::Resume), 2);
 }
 
+// Guards against taking the answer to a hold for the second report, which is to
+// show that the replica was still held once all were.
+Test(promotion_holds, order_needs_a_second_report_within_a_millisecond_too)
+{
+  StalledGroup group;
+  group.Pass(Millis(10));
+  group.Report(1, kNewTerm);
+  group.Report(2, kNewTerm);
+  cr_assert_eq(group.promotion.Phase(), PromotionPhase::Verifying);
+  group.Report(1, kNewTerm);
+  cr_assert_eq(group.promotion.Phase(), PromotionPhase::Verifying);
+  group.Report(2, kNewTerm);
+  cr_assert_eq(group.promotion.Phase(), PromotionPhase::Ordering);
+}
+
 // Guards against waiting for the second report of a replica whose successor has
 // taken over its log: nobody asks it any more.
 Test(promotion_holds, replaced_member_is_not_waited_for)
