--- a/test/promotion-holds-test.cc
+++ b/test/promotion-holds-test.cc
@@ -77,6 +77,17 @@
       std::count_if(this->actions.begin(), this->actions.end(), isOne));
   }
 
+  /** How often the promotion of the upstream was ordered. */
+  size_t Orders(UpstreamIndex aUpstream) const
+  {
+    auto isOne = [&](const PromotionAction& aAction) {
+      const auto* order = std::get_if<OrderPromotion>(&aAction);
+      return order != nullptr && order->upstream == aUpstream;
+    };
+    return static_cast<size_t>(
+      std::count_if(this->actions.begin(), this->actions.end(), isOne));
+  }
+
   void Note(const PromotionActions& aActions)
   {
     this->actions.insert(this->actions.end(), aActions.begin(), aActions.end());
@@ -152,6 +163,21 @@
   cr_assert_eq(group.promotion.Phase(), PromotionPhase::Ordering);
 }
 
+// Guards against ordering the promotion of a replica that cannot be reached
+// while an equal one can.
+Test(promotion_holds, unreachable_replica_is_not_preferred)
+{
+  StalledGroup group;
+  group.Pass(Millis(10));
+  group.Report(1, kNewTerm, Millis(5));
+  group.Report(2, kNewTerm, Millis(5));
+  group.view.Failed(1, group.now);
+  group.Pass(Millis(10));
+  group.Report(2, kNewTerm);
+  cr_assert_eq(group.promotion.Phase(), PromotionPhase::Ordering);
+  cr_assert_eq(group.Orders(2), 1);
+}
+
 // Guards against waiting for the second report of a replica whose successor has
 // taken over its log: nobody asks it any more.
 Test(promotion_holds, replaced_member_is_not_waited_for)
