--- a/test/promotion-holds-test.cc
+++ b/test/promotion-holds-test.cc
@@ -163,6 +163,27 @@
   cr_assert_eq(group.promotion.Phase(), PromotionPhase::Ordering);
 }
 
+// Guards against relying on a second report that came before another replica
+// was held again.
+Test(promotion_holds, lost_hold_before_the_order_starts_the_reports_anew)
+{
+  StalledGroup group;
+  group.Pass(Millis(10));
+  group.Report(1, kNewTerm, Millis(5));
+  group.Report(2, kNewTerm, Millis(5));
+  group.Pass(Millis(10));
+  group.Report(1, kNewTerm);
+  group.Report(2, 0);
+  cr_assert_eq(group.promotion.Phase(), PromotionPhase::Holding);
+  group.Pass(Millis(10));
+  group.Report(2, kNewTerm, Millis(5));
+  group.Pass(Millis(10));
+  group.Report(2, kNewTerm);
+  cr_assert_eq(group.promotion.Phase(), PromotionPhase::Verifying);
+  group.Report(1, kNewTerm);
+  cr_assert_eq(group.promotion.Phase(), PromotionPhase::Ordering);
+}
+
 // Guards against ordering the promotion of a replica that cannot be reached
 // while an equal one can.
 Test(promotion_holds, unreachable_replica_is_not_preferred)
