Make the stand-in's upstreams read lines as the protocol says

They split lines at any white space and took an execution of an unknown name for a read, so that a changed text, a name with a blank or a malformed PREPARE went unnoticed. Invalid lines are answered ERR BAD and counted as strange, as before.

--- a/test/standin/site-store.cc
+++ b/test/standin/site-store.cc
@@ -175,7 +175,8 @@
 {
   HttpResponse response{ aStatus,
                          "application/json",
-                         aBody.dump(),
+                         aBody.dump(
+                           -1, ' ', false, Json::error_handler_t::replace),
                          { { "store-era", std::to_string(this->era) } } };
   if (this->replyDelay == Millis(0)) {
     this->server->Respond(aExchange, response);
@@ -363,6 +364,7 @@
     { { "primary", primary },
       { "strange", this->upstreams.UnexpectedLines() },
       { "late", aBody.contains("late") ? this->Late() : Json::array() },
+      { "runs", aBody.contains("runs") ? this->Runs() : Json::array() },
       { "log", aBody.contains("log") ? this->Log() : Json::array() } });
 }
 
@@ -426,6 +428,30 @@
   return list;
 }
 
+/**
+ * What callers' statements have run since the last call: request, text,
+ * prepared statement and settings. Bytes that are no UTF-8 are replaced in the
+ * reply.
+ */
+Store::Json
+Store::Runs()
+{
+  Json list = Json::array();
+  for (const StatementRun& run : this->upstreams.TakeRuns()) {
+    const SessionStatement& statement = run.statement;
+    std::string prepared;
+    if (statement.kind == StatementKind::Execute) {
+      prepared =
+        (statement.writes ? "WRITE " : "READ ") + statement.preparedText;
+    }
+    list.push_back({ { "request", run.requestId },
+                     { "text", TextOf(statement) },
+                     { "prepared", prepared },
+                     { "settings", run.settings } });
+  }
+  return list;
+}
+
 /** The primary's log as pairs of item and value; empty without a primary. */
 Store::Json
 Store::Log()
--- a/test/standin/site-store.h
+++ b/test/standin/site-store.h
@@ -84,6 +84,7 @@
   void ControlUpstreams(const Json& aBody);
   Json Log();
   Json Late();
+  Json Runs();
   /** A heartbeat that says nothing new is no change. */
   void PutIfChanged(const std::string& aKey, const std::string& aValue);
   void Write(const std::string& aKey, const Item& aItem);
--- a/test/standin/site-upstreams.cc
+++ b/test/standin/site-upstreams.cc
@@ -15,6 +15,9 @@
 // How much longer they serve, and for how long they are gone.
 constexpr Duration kLingerTime = Millis(3500);
 constexpr Duration kAbsence = Millis(1000);
+constexpr char kDone[] = "DONE -\r\n";
+// How many of the newest runs are kept for the tests.
+constexpr size_t kMaxRuns = 20000;
 
 } // namespace
 
@@ -181,7 +184,9 @@
 std::string
 Upstreams::DoneWithSignature(const Session& aSession, const char* aKind)
 {
-  std::string who = aSession.who.empty() ? "" : ".who=" + aSession.who;
+  auto found = aSession.settings.find("who");
+  std::string who =
+    found == aSession.settings.end() ? "" : ".who=" + found->second;
   return fmt::format("DONE sig.{}{}\r\n", aKind, who);
 }
 
@@ -235,28 +240,17 @@
   Session& session = found->second;
   LineLink& link = *session.link;
   Upstream& upstream = this->upstreams[session.upstream];
-  std::istringstream text{ aLine };
-  std::vector<std::string> words;
-  for (std::string word; text >> word;) {
-    words.push_back(word);
-  }
-  std::string end = fmt::format(
-    "READY {} {}.{}\r\n", session.state, upstream.term, upstream.log.size());
   if (!session.hasStarted) {
-    bool isThisUpstream = words.size() >= 4 && words[0] == "START" &&
-                          words[1] == "svc" && words[3] == upstream.id;
-    session.hasStarted = isThisUpstream;
-    session.host = words.size() >= 3 ? words[2] : "";
-    link.Send(isThisUpstream ? end : "ERR MISROUTED -\r\n");
+    this->StartSession(session, aLine);
     return;
   }
-  if (words.size() < 3 || words[0] != "QUERY") {
+  auto line = ReadUpstreamLine(aLine);
+  if (line) {
+    this->CheckDeparture(session, line->requestId);
+  } else {
     ++this->unexpectedLines;
-    return;
   }
-  this->CheckDeparture(session, words[1]);
-  std::vector<std::string> statement(words.begin() + 2, words.end());
-  std::string answer = this->Answer(session, statement);
+  std::string answer = line ? this->Answer(session, *line) : "ERR BAD -\r\n";
   bool isAnswerDropped = this->answerLossInterval != 0 &&
                          ++this->answerCount % this->answerLossInterval == 0;
   if (isAnswerDropped) {
@@ -275,6 +269,26 @@
   }
 }
 
+void
+Upstreams::StartSession(Session& aSession, const std::string& aLine)
+{
+  const Upstream& upstream = this->upstreams[aSession.upstream];
+  std::istringstream text{ aLine };
+  std::vector<std::string> words;
+  for (std::string word; text >> word;) {
+    words.push_back(word);
+  }
+  bool isThisUpstream = words.size() >= 4 && words[0] == "START" &&
+                        words[1] == "svc" && words[3] == upstream.id;
+  aSession.hasStarted = isThisUpstream;
+  aSession.host = words.size() >= 3 ? words[2] : "";
+  aSession.link->Send(isThisUpstream ? fmt::format("READY {} {}.{}\r\n",
+                                                   aSession.state,
+                                                   upstream.term,
+                                                   upstream.log.size())
+                                     : "ERR MISROUTED -\r\n");
+}
+
 void
 Upstreams::CheckDeparture(Session& aSession, const std::string& aRequestId)
 {
@@ -301,83 +315,120 @@
 }
 
 std::string
-Upstreams::Answer(Session& aSession, const std::vector<std::string>& aWords)
+Upstreams::Answer(Session& aSession, const UpstreamLine& aLine)
 {
   Upstream& upstream = this->upstreams[aSession.upstream];
-  std::vector<std::string> words = aWords;
-  std::string done = "DONE -\r\n";
-  if (words[0] == "AFTER" && words.size() > 2) {
-    size_t dot = words[1].find('.');
-    uint64_t position = std::stoull(words[1].substr(dot + 1));
-    words.erase(words.begin(), words.begin() + 2);
-    size_t visibleEntries =
-      upstream.isPrimary ? upstream.log.size() : upstream.visibleEntries;
-    if (position > visibleEntries) {
-      return "ERR BEHIND -\r\n";
-    }
+  const SessionStatement& statement = aLine.statement;
+  size_t visibleEntries =
+    upstream.isPrimary ? upstream.log.size() : upstream.visibleEntries;
+  if (aLine.after && aLine.after->position > visibleEntries) {
+    return "ERR BEHIND -\r\n";
   }
-  const std::string& verb = words[0];
-  if (verb == "STATUS" || verb == "HOLD" || verb == "RESUME" ||
-      verb == "DEMOTE") {
-    bool isHold = verb == "HOLD" && !upstream.isPrimary;
-    upstream.holdTerm = isHold ? std::stoull(words[1]) : upstream.holdTerm;
-    upstream.holdTerm = verb == "RESUME" ? 0 : upstream.holdTerm;
-    upstream.isPrimary = verb == "DEMOTE" ? false : upstream.isPrimary;
-    if (verb == "RESUME" || verb == "DEMOTE") {
-      this->CatchUp(upstream);
+  switch (statement.kind) {
+    case StatementKind::Status:
+    case StatementKind::Hold:
+    case StatementKind::Resume:
+    case StatementKind::Demote:
+      return this->AnswerCommand(upstream, statement);
+    case StatementKind::Reset:
+      aSession.prepared.clear();
+      aSession.settings.clear();
+      return kDone;
+    case StatementKind::SetValue:
+      aSession.settings[statement.name] = statement.arguments;
+      return kDone;
+    case StatementKind::Prepare:
+      aSession.prepared[statement.name] = { statement.writes,
+                                            statement.preparedText };
+      return kDone;
+    case StatementKind::Forget:
+      aSession.prepared.erase(statement.name);
+      return kDone;
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+      if (statement.kind == StatementKind::Begin && !upstream.isPrimary) {
+        return "ERR READONLY -\r\n";
+      }
+      aSession.state = 'T';
+      aSession.hasRun = false;
+      return kDone;
+    case StatementKind::RollBack:
+    case StatementKind::Commit: {
+      aSession.state = 'I';
+      auto pendingWrites = std::exchange(aSession.pendingWrites, {});
+      bool hasWrites =
+        statement.kind == StatementKind::Commit && !pendingWrites.empty();
+      if (hasWrites && !upstream.isPrimary) {
+        return "ERR READONLY -\r\n"; // it has lost the lead since the BEGIN
+      }
+      return hasWrites ? this->CommitEntries(aSession, pendingWrites)
+                       : DoneWithSignature(aSession, "end");
     }
-    return this->StatusReply(upstream);
+    default:
+      return this->RunCallersStatement(aSession, aLine);
   }
-  if (verb == "RESET") {
-    aSession.prepared.clear();
-    aSession.who.clear();
-    return done;
+}
+
+std::string
+Upstreams::AnswerCommand(Upstream& aUpstream,
+                         const SessionStatement& aStatement)
+{
+  switch (aStatement.kind) {
+    case StatementKind::Hold:
+      aUpstream.holdTerm =
+        aUpstream.isPrimary ? aUpstream.holdTerm : aStatement.term;
+      break;
+    case StatementKind::Resume:
+      aUpstream.holdTerm = 0;
+      this->CatchUp(aUpstream);
+      break;
+    case StatementKind::Demote:
+      aUpstream.isPrimary = false;
+      this->CatchUp(aUpstream);
+      break;
+    default:
+      break;
   }
-  if (verb == "SET") {
-    bool setsWho = words.size() > 2 && words[1] == "who";
-    aSession.who = setsWho ? words[2] : aSession.who;
-    return done;
+  return this->StatusReply(aUpstream);
+}
+
+/** Runs a read, a write, or the prepared statement of an execution. */
+std::string
+Upstreams::RunCallersStatement(Session& aSession, const UpstreamLine& aLine)
+{
+  const Upstream& upstream = this->upstreams[aSession.upstream];
+  SessionStatement statement = aLine.statement;
+  bool isExecution = statement.kind == StatementKind::Execute;
+  if (isExecution) {
+    auto prepared = aSession.prepared.find(statement.name);
+    if (prepared == aSession.prepared.end()) {
+      return "ERR NOSTMT -\r\n";
+    }
+    statement.writes = prepared->second.writes;
+    statement.preparedText = prepared->second.preparedText;
   }
-  if (verb == "PREPARE" && words.size() > 2) {
-    aSession.prepared[words[1]] = words[2];
-    return done;
+  if (statement.writes && !upstream.isPrimary) {
+    return "ERR READONLY -\r\n";
   }
-  if (verb == "BEGIN") {
-    if (words.size() == 1 && !upstream.isPrimary) {
-      return "ERR READONLY -\r\n";
-    }
-    aSession.state = 'T';
-    aSession.hasRun = false;
-    return done;
+  this->runs.push_back({ aLine.requestId, statement, aSession.settings });
+  if (this->runs.size() > kMaxRuns) {
+    this->runs.pop_front();
   }
-  if (verb == "ROLLBACK" || verb == "COMMIT") {
-    aSession.state = 'I';
-    auto pendingWrites = std::exchange(aSession.pendingWrites, {});
-    bool hasWrites = verb == "COMMIT" && !pendingWrites.empty();
-    if (hasWrites && !upstream.isPrimary) {
-      return "ERR READONLY -\r\n"; // it has lost the lead since the BEGIN
-    }
-    return hasWrites ? this->CommitEntries(aSession, pendingWrites)
-                     : DoneWithSignature(aSession, "end");
+  const std::string& item = isExecution ? statement.arguments : statement.name;
+  if (!statement.writes) {
+    return this->Read(aSession, item);
   }
-  bool executesWrite = verb == "EXEC" && words.size() > 3 &&
-                       aSession.prepared[words[1]] == "WRITE";
-  if (verb == "WRITE" || executesWrite) {
-    size_t item = verb == "WRITE" ? 1 : 2;
-    if (!upstream.isPrimary) {
-      return "ERR READONLY -\r\n";
-    }
-    if (aSession.state == 'T') {
-      aSession.pendingWrites.emplace_back(words[item], words[item + 1]);
-      return DoneWithSignature(aSession, "write");
-    }
-    return this->CommitEntries(aSession, { { words[item], words[item + 1] } });
+  std::pair<std::string, std::string> entry{ item, statement.arguments };
+  if (isExecution) {
+    size_t blank = item.find(' ');
+    entry = { item.substr(0, blank),
+              blank == std::string::npos ? "" : item.substr(blank + 1) };
   }
-  if (verb == "READ" || verb == "EXEC") {
-    return this->Read(aSession, words[verb == "READ" ? 1 : 2]);
+  if (aSession.state == 'T') {
+    aSession.pendingWrites.push_back(entry);
+    return DoneWithSignature(aSession, "write");
   }
-  ++this->unexpectedLines;
-  return "ERR BAD -\r\n";
+  return this->CommitEntries(aSession, { entry });
 }
 
 std::string
--- a/test/standin/site-upstreams.h
+++ b/test/standin/site-upstreams.h
@@ -1,12 +1,16 @@
 #ifndef MARIGOLDPITCH_TEST_STANDIN_SITE_UPSTREAMS_H
 #define MARIGOLDPITCH_TEST_STANDIN_SITE_UPSTREAMS_H
 
+#include "standin/upstream-line.h"
+
+#include "marigoldpitch/coordination/proxy/proxy-session.h"
 #include "marigoldpitch/state/names.h"
 #include "marigoldpitch/state/time.h"
 #include "marigoldpitch/transport/line-link.h"
 #include "marigoldpitch/transport/tcp-listener.h"
 
 #include <array>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -57,6 +61,14 @@
   Duration sinceLeft;
 };
 
+/** A statement of a caller that an upstream has run. */
+struct StatementRun
+{
+  std::string requestId;
+  SessionStatement statement; // of an execution: with what was prepared
+  std::map<std::string, std::string> settings;
+};
+
 class Upstreams : public LineLinkListener
 {
 public:
@@ -97,6 +109,10 @@
   {
     return std::exchange(this->lateStatements, {});
   }
+
+  /** What callers' statements have run since the last call, the oldest first.
+   */
+  std::deque<StatementRun> TakeRuns() { return std::exchange(this->runs, {}); }
   void SetReplicationBlocked(size_t aUpstream, bool aIsBlocked);
   void SetReplayLag(Duration aLag) { this->replayLag = aLag; }
   void SetExecutionTime(Duration aExecutionTime)
@@ -132,14 +148,19 @@
     std::string host; // which has opened the connection
     char state = 'I';
     bool hasRun = false; // a statement of the open transaction has run
-    std::map<std::string, std::string> prepared; // name to `READ` or `WRITE`
-    std::string who; // session setting `who`, part of each signature
+    std::map<std::string, PreparedStatement> prepared;
+    // `who` is part of each signature.
+    std::map<std::string, std::string> settings;
     std::vector<std::pair<std::string, std::string>> pendingWrites;
   };
 
   void RunStatement(uint64_t aSession, const std::string& aLine);
   void CheckDeparture(Session& aSession, const std::string& aRequestId);
-  std::string Answer(Session& aSession, const std::vector<std::string>& aWords);
+  void StartSession(Session& aSession, const std::string& aLine);
+  std::string Answer(Session& aSession, const UpstreamLine& aLine);
+  std::string AnswerCommand(Upstream& aUpstream,
+                            const SessionStatement& aStatement);
+  std::string RunCallersStatement(Session& aSession, const UpstreamLine& aLine);
   std::string Read(Session& aSession, const std::string& aItem);
   std::string CommitEntries(
     Session& aSession,
@@ -161,6 +182,7 @@
   uint64_t answerLossInterval = 0;
   uint64_t answerCount = 0;
   std::vector<LateStatement> lateStatements;
+  std::deque<StatementRun> runs;
   uint64_t unexpectedLines = 0; // received lines that violate the protocol
 };
 
