Log which setup statement an upstream refused, and what callers sent wrong

E602 said connection-lost both when the upstream closed the connection and when this host closed it because a SET or PREPARE was refused, and invalid statements and lines of callers left no line at all. E608 names the upstream, the kind of the setup statement, its size, and the upstream's code and text; E602 names the upstream; E601 the name that a prepared statement has at the upstream; E604 is logged for the proxy's callers too. Metrics: setups_refused_total, caller_errors_total.

--- a/include/marigoldpitch/coordination/proxy/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-io.h
@@ -46,6 +46,7 @@
 {
   CallerId caller = 0;
   std::string requestId;
+  std::string why;
 };
 
 /** The upstream accepted the connection. */
--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -123,6 +123,13 @@
   { LinkUse::Orphan, "orphan" },
 } };
 
+/** A statement that prepares a connection, and has no answer yet. */
+struct OpenSetup
+{
+  StatementKind kind = StatementKind::Reset;
+  size_t bytes = 0; // of its texts
+};
+
 /** A connection to an upstream, with its settings and prepared statements. */
 struct ProxyLink
 {
@@ -134,10 +141,10 @@
   StatementKind commandKind = StatementKind::Status; // if `use` is a report
   std::map<std::string, std::string> values;
   std::map<std::string, PreparedStatement> prepared; // by the proxy's name
-  uint32_t openSetupReplies = 0; // setup statements with no answer yet
-  uint64_t sequence = 0;         // of the running batch
-  Time asked = kInfinitePast;    // when the open request was sent
-  Time limit = kInfiniteFuture;  // closed if nothing was answered until then
+  std::deque<OpenSetup> openSetups; // in the order in which they were sent
+  uint64_t sequence = 0;            // of the running batch
+  Time asked = kInfinitePast;       // when the open request was sent
+  Time limit = kInfiniteFuture;     // closed if nothing was answered until then
   Time lastAnswer = kInfinitePast;
   bool isOpening = true;
 };
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -71,6 +71,7 @@
   DocumentOutdated,
   HostRegistered,
   CandidateReleased,
+  SetupRefused,
 };
 
 struct LogEventRow
@@ -81,7 +82,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 46> kLogEvents{ {
+constexpr std::array<LogEventRow, 47> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -137,6 +138,7 @@
   { LogEvent::DocumentOutdated, 208, Severity::Warning, "document-outdated" },
   { LogEvent::HostRegistered, 209, Severity::Info, "host-registered" },
   { LogEvent::CandidateReleased, 412, Severity::Warning, "candidate-released" },
+  { LogEvent::SetupRefused, 608, Severity::Warning, "setup-refused" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/state/metrics.h
+++ b/include/marigoldpitch/state/metrics.h
@@ -26,12 +26,14 @@
   StoreCalls,
   FramesRefused,
   ReadsUnproved,       // refused: no log point to prove a replica fresh enough
+  SetupsRefused,       // statements that prepare a connection
+  CallerErrors,        // invalid statements
   StatementsToLeaving, // sent to an upstream known to be leaving or unlisted
   StatementsRelayed,   // sent to the host that serves the service
   StoreRestores,       // the store came back from an old copy
 };
 
-constexpr NameTable<Counter, 13> kCounterNames{ {
+constexpr NameTable<Counter, 15> kCounterNames{ {
   { Counter::ReplicaReads, "replica_reads_total" },
   { Counter::PrimaryReads, "primary_reads_total" },
   { Counter::FallbackReads, "fallback_reads_total" },
@@ -42,6 +44,8 @@
   { Counter::StoreCalls, "store_calls_total" },
   { Counter::FramesRefused, "frames_refused_total" },
   { Counter::ReadsUnproved, "reads_unproved_total" },
+  { Counter::SetupsRefused, "setups_refused_total" },
+  { Counter::CallerErrors, "caller_errors_total" },
   { Counter::StatementsToLeaving, "statements_to_leaving_total" },
   { Counter::StatementsRelayed, "statements_relayed_total" },
   { Counter::StoreRestores, "store_restores_total" },
--- a/src/coordination/proxy/proxy-answers.cc
+++ b/src/coordination/proxy/proxy-answers.cc
@@ -106,10 +106,10 @@
       }
       return;
     case LinkUse::Orphan:
-      if (link.openSetupReplies > 0) {
-        --link.openSetupReplies;
+      if (!link.openSetups.empty()) {
+        link.openSetups.pop_front();
       }
-      if (link.openSetupReplies == 0) {
+      if (link.openSetups.empty()) {
         this->Release(link, aEvent.reply.state);
       }
       return;
@@ -142,13 +142,24 @@
                               CallerSession& aSession,
                               const StatementReply& aReply)
 {
+  OpenSetup setup = aLink.openSetups.front();
+  aLink.openSetups.pop_front();
   if (aReply.failure) {
+    const ServiceView& view = this->ServiceOf(aLink.service).view;
+    this->AddDecision(
+      LogEvent::SetupRefused,
+      aSession.pending->requestId,
+      { { "upstream", view.At(aLink.upstream).registration.id },
+        { "setup", kStatementKindNames.TextOf(setup.kind) },
+        { "bytes", std::to_string(setup.bytes) },
+        { "code", kFailureCodeNames.TextOf(aReply.failure->code) },
+        { "why", aReply.failure->text } });
     // It is not known now which settings and prepared statements the connection
     // has.
     this->Close(aLink.id, false);
     return;
   }
-  if (--aLink.openSetupReplies == 0) {
+  if (aLink.openSetups.empty()) {
     this->SendNext(aLink, aSession);
   }
 }
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -149,6 +149,8 @@
   if (found == this->sessions.end()) {
     return;
   }
+  this->AddDecision(
+    LogEvent::CallerRefused, aEvent.requestId, { { "why", aEvent.why } });
   // Replies carry no id: a failure sent now would be taken for the reply to the
   // statement that is still open.
   if (found->second.pending) {
--- a/src/coordination/proxy/proxy-losses.cc
+++ b/src/coordination/proxy/proxy-losses.cc
@@ -48,9 +48,11 @@
       aSession, FailureCode::OutcomeUnknown, "the connection was lost");
     return;
   }
+  const ServiceView& view = this->ServiceOf(pending.route.service).view;
   this->AddDecision(LogEvent::StatementRetried,
                     pending.requestId,
-                    { { "code", "connection-lost" },
+                    { { "upstream", view.At(aUpstream).registration.id },
+                      { "code", "connection-lost" },
                       { "phase", kStatementPhaseNames.TextOf(pending.phase) },
                       { "try", std::to_string(pending.tries) } });
   this->Requeue(aSession, Millis(0));
--- a/src/coordination/proxy/proxy-placing.cc
+++ b/src/coordination/proxy/proxy-placing.cc
@@ -60,7 +60,7 @@
   this->SendSetup(link, aSession);
   link.asked = this->now;
   link.limit = this->now + detail::kSetupTimeout;
-  if (link.openSetupReplies == 0) {
+  if (link.openSetups.empty()) {
     this->SendNext(link, aSession);
   }
 }
@@ -75,7 +75,9 @@
 {
   PendingStatement& pending = *aSession.pending;
   auto send = [&](const SessionStatement& aStatement) {
-    ++aLink.openSetupReplies;
+    size_t bytes = aStatement.name.size() + aStatement.arguments.size() +
+                   aStatement.preparedText.size();
+    aLink.openSetups.push_back({ aStatement.kind, bytes });
     this->Emit(SendToUpstream{ aLink.id, "", aStatement, {} });
   };
   bool hasForeignSettings = false;
@@ -213,6 +215,7 @@
   std::string from = "none";
   std::string reportingMembers = "none";
   std::string age = "none";
+  bool isExecution = aPending.statement.kind == StatementKind::Execute;
   if (aPending.onReplica && aPending.after) {
     const FreshnessSample& fresh = *aPending.after;
     after = FormatLogPoint(fresh.point);
@@ -233,6 +236,7 @@
       { "proof_age_ms",
         std::to_string((this->now - view.NewestProofAsked()).ms) },
       { "waited_ms", std::to_string((this->now - aPending.arrived).ms) },
+      { "prepared_as", isExecution ? aPending.statement.name : "none" },
       { "try", std::to_string(aPending.tries) } });
 }
 
--- a/src/transport/json-log.cc
+++ b/src/transport/json-log.cc
@@ -23,6 +23,8 @@
   return aEvent == LogEvent::StatementPlaced ||
          aEvent == LogEvent::StatementRetried ||
          aEvent == LogEvent::StatementRefused ||
+         aEvent == LogEvent::SetupRefused ||
+         aEvent == LogEvent::CallerRefused ||
          aEvent == LogEvent::RequestRefused ||
          aEvent == LogEvent::DatabaseUnknown;
 }
