Show statements that run with another text than their callers wrote

The simulation can pass its messages through the program's encoders, and through a reader of lines that is written independently; it checks that what an upstream runs is what the caller sent and had prepared.

--- a/test/fakes/proxy-simulation-relays.cc
+++ b/test/fakes/proxy-simulation-relays.cc
@@ -109,6 +109,9 @@
   }
   Duration delay = this->MessageDelay(this->relayLinks[id].lastRequestArrival);
   RelayedStatementArrived event{ id, aAction.statement };
+  if (this->options.path != nullptr) {
+    event.statement = this->options.path->ToHost(aAction.statement);
+  }
   this->queue.After(delay, [this, to, id, event] {
     if (this->relayLinks.count(id) != 0) {
       this->Send(to, event);
--- a/test/fakes/proxy-simulation-upstreams.cc
+++ b/test/fakes/proxy-simulation-upstreams.cc
@@ -78,14 +78,46 @@
   }
 }
 
+void
+ProxySimulation::CheckText(const FakeLink& aLink,
+                           const SessionStatement& aStatement,
+                           FakeRequest& aRequest) const
+{
+  const SessionStatement& sent = aRequest.statement;
+  bool isSame = !aRequest.isInvalid && sent.kind == aStatement.kind &&
+                sent.arguments == aStatement.arguments;
+  if (aStatement.kind != StatementKind::Execute) {
+    isSame = isSame && sent.name == aStatement.name;
+  } else {
+    const PreparedStatement& run = aLink.prepared.at(aStatement.name);
+    isSame = isSame && aRequest.prepared &&
+             aRequest.prepared->writes == run.writes &&
+             aRequest.prepared->preparedText == run.preparedText;
+  }
+  if (!isSame) {
+    aRequest.violation = "ran with another text";
+  }
+}
+
 StatementReply
 ProxySimulation::Execute(FakeLink& aLink, const SendToUpstream& aAction)
 {
   StatementReply reply;
   reply.state = aLink.state;
   const SessionStatement& statement = aAction.statement;
-  bool writes = statement.writes && (statement.kind == StatementKind::Write ||
-                                     statement.kind == StatementKind::Execute);
+  bool writes = statement.kind == StatementKind::Write;
+  if (statement.kind == StatementKind::Execute) {
+    auto prepared = aLink.prepared.find(statement.name);
+    if (prepared == aLink.prepared.end()) {
+      reply.failure = StatementFailure{ FailureCode::NoStatement, "" };
+      return reply;
+    }
+    writes = prepared->second.writes;
+  }
+  FakeRequest* request = this->Find(aAction.requestId);
+  if (request != nullptr) {
+    this->CheckText(aLink, statement, *request);
+  }
   switch (statement.kind) {
     case StatementKind::Reset:
       aLink.settings.clear();
@@ -97,6 +129,10 @@
     case StatementKind::Prepare:
       aLink.prepared[statement.name] = { statement.writes,
                                          statement.preparedText };
+      this->mostPrepared = std::max(this->mostPrepared, aLink.prepared.size());
+      return reply;
+    case StatementKind::Forget:
+      aLink.prepared.erase(statement.name);
       return reply;
     case StatementKind::RollBack:
       aLink.pendingWrites.clear();
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -220,9 +220,9 @@
 }
 
 std::shared_ptr<FakeRequest>
-ProxySimulation::SubmitStatement(size_t aHost,
-                                 CallerId aCaller,
-                                 const SessionStatement& aStatement)
+ProxySimulation::AddRequest(size_t aHost,
+                            CallerId aCaller,
+                            const SessionStatement& aStatement)
 {
   auto request = std::make_shared<FakeRequest>();
   request->host = aHost;
@@ -236,19 +236,64 @@
   for (Time at : this->acknowledgedAt) {
     request->requiredEntries += at < from ? 1 : 0;
   }
-  auto& held = this->settings[{ aHost, aCaller }];
-  if (aStatement.kind == StatementKind::SetValue) {
-    held[aStatement.name] = aStatement.arguments;
+  request->settings = this->settings[{ aHost, aCaller }];
+  const auto& named = this->prepared[{ aHost, aCaller }];
+  auto found = named.find(aStatement.name);
+  if (aStatement.kind == StatementKind::Execute && found != named.end()) {
+    request->prepared = found->second;
   }
-  request->settings = held;
-  std::string id = "r" + std::to_string(this->requests.size());
+  request->id = "r" + std::to_string(this->requests.size());
   this->requests.push_back(request);
-  this->byId[id] = request;
+  this->byId[request->id] = request;
   this->openRequests[{ aHost, aCaller }] = request;
-  this->Send(aHost, StatementArrived{ aCaller, id, aStatement });
   return request;
 }
 
+std::shared_ptr<FakeRequest>
+ProxySimulation::SubmitStatement(size_t aHost,
+                                 CallerId aCaller,
+                                 const SessionStatement& aStatement)
+{
+  auto request = this->AddRequest(aHost, aCaller, aStatement);
+  this->Send(aHost, StatementArrived{ aCaller, request->id, aStatement });
+  return request;
+}
+
+std::shared_ptr<FakeRequest>
+ProxySimulation::SubmitText(size_t aHost,
+                            CallerId aCaller,
+                            const std::string& aText,
+                            const std::optional<SessionStatement>& aMeaning)
+{
+  auto request =
+    this->AddRequest(aHost, aCaller, aMeaning.value_or(SessionStatement{}));
+  request->isInvalid = !aMeaning;
+  this->Send(aHost,
+             this->options.path->FromCaller(aCaller, request->id, aText));
+  return request;
+}
+
+/** The session has what the reply acknowledges. */
+void
+ProxySimulation::NoteReply(FakeRequest& aRequest, const StatementReply& aReply)
+{
+  aRequest.reply = aReply;
+  aRequest.answered = this->Now();
+  if (aReply.failure) {
+    return;
+  }
+  const SessionStatement& statement = aRequest.statement;
+  std::pair<size_t, CallerId> session{ aRequest.host, aRequest.caller };
+  if (statement.kind == StatementKind::SetValue) {
+    this->settings[session][statement.name] = statement.arguments;
+  } else if (statement.kind == StatementKind::Prepare) {
+    this->prepared[session][statement.name] = { statement.writes,
+                                                statement.preparedText };
+  } else if (statement.kind == StatementKind::Forget) {
+    this->prepared[session].erase(statement.name);
+  }
+}
+
 std::shared_ptr<FakeRequest>
 ProxySimulation::SubmitAndWait(size_t aHost,
                                CallerId aCaller,
@@ -274,8 +319,7 @@
   if (const auto* answer = std::get_if<AnswerCaller>(&aAction)) {
     auto found = this->openRequests.find({ aHost, answer->caller });
     if (found != this->openRequests.end()) {
-      found->second->reply = answer->reply;
-      found->second->answered = this->Now();
+      this->NoteReply(*found->second, answer->reply);
       this->openRequests.erase(found);
     }
   } else if (const auto* end = std::get_if<EndSession>(&aAction)) {
@@ -346,6 +390,7 @@
   link.host = aHost;
   link.upstream = upstream;
   this->links[key] = link;
+  ++this->openedLinks;
   std::string expected = aAction.upstream;
   this->After(aHost, kNetworkDelay + kNetworkDelay, [=] {
     auto found = this->links.find(key);
@@ -400,16 +445,28 @@
       return;
     }
     FakeUpstream& upstream = this->upstreams[linkEntry->second.upstream];
-    StatementKind kind = aAction.statement.kind;
+    std::optional<SendToUpstream> understood = aAction;
+    if (this->options.path != nullptr) {
+      understood = this->options.path->ToUpstream(aAction);
+      bool isOwn = aAction.requestId.empty();
+      this->invalidOwnStatements += isOwn && !understood ? 1 : 0;
+    }
+    if (!understood ||
+        (this->isRefused && this->isRefused(understood->statement))) {
+      this->SendReply(
+        aKey, LinkAnswered{ aKey.second, RefuseAsInvalid(linkEntry->second) });
+      return;
+    }
+    StatementKind kind = understood->statement.kind;
     bool isReport =
       kind == StatementKind::Status || kind == StatementKind::Hold ||
       kind == StatementKind::Resume || kind == StatementKind::Demote;
     ProxyEvent event;
     if (isReport) {
       ++this->reportCount;
-      event = LinkReported{ aKey.second, this->Report(upstream, aAction) };
+      event = LinkReported{ aKey.second, this->Report(upstream, *understood) };
     } else {
-      StatementReply reply = this->Execute(linkEntry->second, aAction);
+      StatementReply reply = this->Execute(linkEntry->second, *understood);
       bool isUnconfirmed = reply.signature == "none";
       reply.position = this->LogPointAfter(upstream, upstream.applied);
       event = LinkAnswered{ aKey.second, reply };
@@ -424,6 +481,15 @@
   });
 }
 
+StatementReply
+ProxySimulation::RefuseAsInvalid(const FakeLink& aLink)
+{
+  StatementReply reply;
+  reply.state = aLink.state;
+  reply.failure = StatementFailure{ FailureCode::Invalid, "refused" };
+  return reply;
+}
+
 /** Sends an upstream's reply to the host of the link. */
 void
 ProxySimulation::SendReply(LinkKey aKey, const ProxyEvent& aEvent)
@@ -484,6 +550,10 @@
       violations += "r" + std::to_string(i) + " " + violation + "\n";
     }
   }
+  if (this->invalidOwnStatements != 0) {
+    violations += std::to_string(this->invalidOwnStatements) +
+                  " statements of the hosts' own were invalid\n";
+  }
   return violations + this->lost +
          this->LostCommits(this->upstreams[this->PrimaryIndex()]);
 }
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -71,6 +71,7 @@
 /** A statement of a caller, its answer, and what the checks found. */
 struct FakeRequest
 {
+  std::string id;
   size_t host = 0;
   CallerId caller = 0;
   SessionStatement statement;
@@ -81,8 +82,31 @@
   int effects = 0;            // commits that contain its write
   size_t requiredEntries = 0; // acknowledged log entries that a read must show
   std::map<std::string, std::string>
-    settings;            // the session's settings when sent
-  std::string violation; // the violated guarantee, if any
+    settings; // the session's settings when sent
+  // Of an execution: what the session had prepared under the name when sent.
+  std::optional<PreparedStatement> prepared;
+  bool isInvalid = false; // it must not run
+  std::string violation;  // the violated guarantee, if any
+};
+
+/**
+ * How messages are encoded on their way. Without one they arrive as they were
+ * sent.
+ */
+class MessagePath
+{
+public:
+  virtual ~MessagePath() = default;
+
+  /** The event that a host makes of a caller's text. */
+  virtual ProxyEvent FromCaller(CallerId aCaller,
+                                const std::string& aRequestId,
+                                const std::string& aText) = 0;
+
+  /** What the upstream makes of it; unset if it is invalid there. */
+  virtual std::optional<SendToUpstream> ToUpstream(
+    const SendToUpstream& aSent) = 0;
+  virtual RelayedStatement ToHost(const RelayedStatement& aSent) = 0;
 };
 
 struct ProxySimulationOptions
@@ -110,6 +134,7 @@
   size_t zones = 0;
   // How long upstreams keep the connections of a process that was replaced.
   Duration lingerTime = Millis(0);
+  MessagePath* path = nullptr; // outlives the simulation
 };
 
 class ProxySimulation
@@ -140,6 +165,16 @@
     CallerId aCaller,
     const SessionStatement& aStatement);
 
+  /**
+   * Sends a text over `options.path`. `aMeaning` is what the text says by the
+   * protocol; unset if it is invalid.
+   */
+  std::shared_ptr<FakeRequest> SubmitText(
+    size_t aHost,
+    CallerId aCaller,
+    const std::string& aText,
+    const std::optional<SessionStatement>& aMeaning);
+
   /** Calls `SubmitStatement` and runs until the answer, for at most 3 s. */
   std::shared_ptr<FakeRequest> SubmitAndWait(
     size_t aHost,
@@ -210,6 +245,15 @@
                         bool aMayPromote,
                         Time aUntil = kInfiniteFuture);
 
+  /** Says which statements the upstreams refuse as invalid. */
+  std::function<bool(const SessionStatement&)> isRefused;
+
+  /** How many connections the hosts have opened. */
+  size_t OpenedLinks() const { return this->openedLinks; }
+
+  /** The most prepared statements that a connection has had at an upstream. */
+  size_t MostPrepared() const { return this->mostPrepared; }
+
   /** Hosts that stand still: what reaches them is handled later. */
   std::set<size_t> paused;
 
@@ -259,6 +303,14 @@
     StatementReply reply;
   };
 
+  std::shared_ptr<FakeRequest> AddRequest(size_t aHost,
+                                          CallerId aCaller,
+                                          const SessionStatement& aStatement);
+  void NoteReply(FakeRequest& aRequest, const StatementReply& aReply);
+  static StatementReply RefuseAsInvalid(const FakeLink& aLink);
+  void CheckText(const FakeLink& aLink,
+                 const SessionStatement& aStatement,
+                 FakeRequest& aRequest) const;
   std::string ZoneOf(size_t aHost) const;
   HostsCounted MakeHostsCounted() const;
   size_t HostNamed(const std::string& aName) const;
@@ -329,6 +381,12 @@
     openRequests;
   std::map<std::pair<size_t, CallerId>, std::map<std::string, std::string>>
     settings;
+  std::map<std::pair<size_t, CallerId>,
+           std::map<std::string, PreparedStatement>>
+    prepared; // by host, caller and name
+  size_t openedLinks = 0;
+  size_t mostPrepared = 0;
+  size_t invalidOwnStatements = 0;
   std::vector<UnconfirmedCommit> unconfirmedCommits;
   std::vector<LogEntry> acknowledged;
   std::vector<Time> acknowledgedAt;
--- /dev/null
+++ b/test/statement-texts-test.cc
@@ -0,0 +1,331 @@
+#include "fakes/proxy-simulation.h"
+#include "standin/upstream-line.h"
+
+#include "wire-lines.h"
+
+#include "marigoldpitch/protocol/wire.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+// What callers may write, on each path to an upstream: an upstream runs a
+// caller's text as it was sent and as its session prepared it, or not at all.
+
+using namespace marigoldpitch;
+using namespace marigoldpitch::fakes;
+using standin::ReadUpstreamLine;
+
+namespace {
+
+/** Encodes messages as the program does; an independent reader decodes them. */
+class LinePath : public MessagePath
+{
+public:
+  ProxyEvent FromCaller(CallerId aCaller,
+                        const std::string& aRequestId,
+                        const std::string& aText) override
+  {
+    auto line = platform::DecodeCallerLine("QUERY " + aRequestId + " " + aText);
+    const auto* query =
+      line ? std::get_if<platform::QueryLine>(&line.value()) : nullptr;
+    if (query == nullptr) {
+      return InvalidStatementArrived{ aCaller, aRequestId, "invalid" };
+    }
+    return StatementArrived{ aCaller, aRequestId, query->statement };
+  }
+
+  std::optional<SendToUpstream> ToUpstream(const SendToUpstream& aSent) override
+  {
+    std::string text =
+      platform::EncodeQuery(aSent.requestId, aSent.statement, aSent.after);
+    // Without the line break.
+    auto read =
+      ReadUpstreamLine(std::string_view(text).substr(0, text.size() - 2));
+    if (!read) {
+      return std::nullopt;
+    }
+    SendToUpstream understood = aSent;
+    understood.statement = read->statement;
+    understood.after = read->after;
+    return understood;
+  }
+
+  RelayedStatement ToHost(const RelayedStatement& aSent) override
+  {
+    auto frame = DecodeFrame(EncodeFrame(RelayedStatementFrame{ aSent }));
+    cr_assert(static_cast<bool>(frame));
+    return std::get<RelayedStatementFrame>(frame.value()).statement;
+  }
+};
+
+/** What the text says by the protocol; unset if it is invalid. */
+std::optional<SessionStatement>
+MeaningOf(const std::string& aText)
+{
+  auto line = ReadUpstreamLine("QUERY r " + aText);
+  return line ? std::make_optional(line->statement) : std::nullopt;
+}
+
+/** A simulation with connections for few sessions at a time. */
+struct Site
+{
+  explicit Site(bool aIsRelayed = false, uint32_t aSeed = 1)
+    : simulation(Options(aIsRelayed, aSeed, path))
+  {
+    this->simulation.SetPromoterLease(0, true);
+    this->simulation.RunFor(Millis(2500));
+    for (size_t i = 0; i < this->simulation.Hosts(); ++i) {
+      bool serves =
+        this->simulation.Host(i).Services().at("service").isServedHere;
+      this->host = serves == aIsRelayed ? this->host : i;
+    }
+  }
+
+  static ProxySimulationOptions Options(bool aIsRelayed,
+                                        uint32_t aSeed,
+                                        LinePath& aPath)
+  {
+    ProxySimulationOptions options;
+    options.seed = aSeed;
+    options.path = &aPath;
+    options.connections = aIsRelayed ? 12 : 4;
+    options.hosts = aIsRelayed ? 12 : 2;
+    options.zones = aIsRelayed ? 2 : 0;
+    return options;
+  }
+
+  CallerId Open() { return this->simulation.OpenSession(this->host); }
+
+  std::shared_ptr<FakeRequest> Send(CallerId aCaller, const std::string& aText)
+  {
+    auto request =
+      this->simulation.SubmitText(this->host, aCaller, aText, MeaningOf(aText));
+    for (int i = 0; i < 2000 && !request->reply; ++i) {
+      this->simulation.RunFor(Millis(1));
+    }
+    return request;
+  }
+
+  LinePath path;
+  ProxySimulation simulation;
+  size_t host = 0; // of the callers: it serves, or relays
+};
+
+FailureCode
+CodeOf(const std::shared_ptr<FakeRequest>& aRequest)
+{
+  cr_assert(aRequest->reply && aRequest->reply->failure, "it has succeeded");
+  return aRequest->reply->failure->code;
+}
+
+/** Text with blanks, words of the protocol and odd bytes. */
+rc::Gen<std::string>
+OddText()
+{
+  auto part = rc::gen::element<std::string>("a",
+                                            "q15",
+                                            " ",
+                                            " ",
+                                            "  ",
+                                            "\t",
+                                            "\x01",
+                                            "\xff\xfe",
+                                            "READ",
+                                            "WRITE",
+                                            " READ ",
+                                            " WRITE ",
+                                            "PREPARE",
+                                            "AFTER 1.1 ",
+                                            "-",
+                                            "'",
+                                            "\\");
+  return rc::gen::map(rc::gen::container<std::vector<std::string>>(part),
+                      [](const std::vector<std::string>& aParts) {
+                        std::string text;
+                        for (const std::string& one : aParts) {
+                          text += one;
+                        }
+                        return text;
+                      });
+}
+
+/** Mostly valid texts of statements, with odd fields. */
+std::string
+DrawText()
+{
+  std::string odd = *OddText();
+  std::string word = *rc::gen::element<std::string>("s1", "s2", "p1", "\xff");
+  std::string kind = *rc::gen::element<std::string>("READ ", "WRITE ");
+  switch (*rc::gen::inRange(0, 12)) {
+    case 0:
+    case 1:
+      return "PREPARE " + word + " " + kind + odd;
+    case 2:
+    case 3:
+    case 4:
+      return "EXEC " + word + " " + odd;
+    case 5:
+      return "READ " + odd;
+    case 6:
+      return "WRITE " + word + " " + odd;
+    case 7:
+      return "SET " + word + *rc::gen::element<std::string>("", " ") + odd;
+    case 8:
+      return "FORGET " + word + *rc::gen::element<std::string>("", " ");
+    case 9:
+      return "BEGIN" + *rc::gen::element<std::string>("", "", " ", " READ");
+    case 10:
+      return *rc::gen::element<std::string>("COMMIT", "ROLLBACK", "COMMIT ");
+    default:
+      return odd;
+  }
+}
+
+} // namespace
+
+Test(statement_texts, prepared_text_with_blanks_runs_as_it_was_prepared)
+{
+  for (bool isRelayed : { false, true }) {
+    Site site(isRelayed);
+    CallerId caller = site.Open();
+    for (std::string text : { "READ qf READ sgxl",
+                              "WRITE q15 WRITE ij",
+                              "READ two words",
+                              "READ  q15 ",
+                              "WRITE \xff\t\x01" }) {
+      cr_assert(IsOk(site.Send(caller, "PREPARE s3 " + text)));
+      cr_assert(IsOk(site.Send(caller, "EXEC s3 k v")), "%s", text.c_str());
+    }
+    cr_assert_eq(site.simulation.Violations(), "");
+  }
+}
+
+Test(statement_texts, prepared_text_does_not_replace_that_of_another_session)
+{
+  for (bool isRelayed : { false, true }) {
+    Site site(isRelayed);
+    CallerId first = site.Open();
+    CallerId second = site.Open();
+    site.Send(first, "PREPARE p WRITE q15");
+    site.Send(second, "PREPARE p WRITE q15 WRITE ij");
+    for (int i = 0; i < 4; ++i) {
+      cr_assert(IsOk(site.Send(first, "EXEC p k v")));
+      cr_assert(IsOk(site.Send(second, "EXEC p k v")));
+    }
+    cr_assert_eq(site.simulation.Violations(), "");
+  }
+}
+
+Test(statement_texts, blanks_at_the_end_of_a_statement_are_kept)
+{
+  for (bool isRelayed : { false, true }) {
+    Site site(isRelayed);
+    CallerId caller = site.Open();
+    cr_assert(IsOk(site.Send(caller, "READ cf ")));
+    cr_assert(IsOk(site.Send(caller, "READ two words")));
+    cr_assert(IsOk(site.Send(caller, "WRITE k  v ")));
+    site.Send(caller, "BEGIN");
+    cr_assert(IsOk(site.Send(caller, "READ k ")));
+    site.Send(caller, "COMMIT ");
+    site.Send(caller, "ROLLBACK");
+    cr_assert_eq(site.simulation.Violations(), "");
+  }
+}
+
+Test(statement_texts, any_texts_run_unchanged_or_not_at_all)
+{
+  cr_assert(rc::check("any texts", [] {
+    Site site(*rc::gen::arbitrary<bool>());
+    std::vector<CallerId> callers{ site.Open(), site.Open(), site.Open() };
+    auto count = *rc::gen::inRange<size_t>(1, 30);
+    for (size_t i = 0; i < count; ++i) {
+      auto request =
+        site.Send(*rc::gen::elementOf(callers), std::string(DrawText()));
+      RC_ASSERT(request->reply.has_value());
+    }
+    RC_ASSERT(site.simulation.Violations() == "");
+  }));
+}
+
+// An upstream that refuses a text would refuse it again.
+Test(statement_texts, refused_prepared_text_is_answered_and_costs_no_connection)
+{
+  for (bool isRelayed : { false, true }) {
+    Site site(isRelayed);
+    site.simulation.isRefused = [](const SessionStatement& aStatement) {
+      return aStatement.kind == StatementKind::Prepare &&
+             aStatement.preparedText == "odd";
+    };
+    CallerId other = site.Open();
+    site.Send(other, "PREPARE p READ even");
+    site.Send(other, "SET tz utc");
+    cr_assert(IsOk(site.Send(other, "EXEC p k")));
+    CallerId caller = site.Open();
+    site.Send(caller, "PREPARE p READ odd");
+    size_t opened = site.simulation.OpenedLinks();
+    for (int i = 0; i < 10; ++i) {
+      cr_assert(CodeOf(site.Send(caller, "EXEC p k")) == FailureCode::Invalid);
+      cr_assert(IsOk(site.Send(other, "EXEC p k")));
+    }
+    cr_assert_eq(site.simulation.OpenedLinks(), opened);
+    cr_assert_eq(site.simulation.Violations(), "");
+  }
+}
+
+Test(statement_texts, refused_prepared_text_rolls_its_transaction_back)
+{
+  Site site;
+  site.simulation.isRefused = [](const SessionStatement& aStatement) {
+    return aStatement.kind == StatementKind::Prepare;
+  };
+  CallerId caller = site.Open();
+  site.Send(caller, "PREPARE p READ odd");
+  site.Send(caller, "BEGIN");
+  cr_assert(IsOk(site.Send(caller, "WRITE k v")));
+  auto refused = site.Send(caller, "EXEC p k");
+  cr_assert(CodeOf(refused) == FailureCode::Invalid);
+  cr_assert(refused->reply->state == SessionState::Failed);
+  cr_assert(IsOk(site.Send(caller, "ROLLBACK")));
+  cr_assert(IsOk(site.Send(caller, "READ k")));
+  cr_assert_eq(site.simulation.Acknowledged().size(), 0);
+  cr_assert_eq(site.simulation.Violations(), "");
+}
+
+Test(statement_texts,
+     setting_refused_after_its_caller_left_is_not_taken_for_set)
+{
+  Site site;
+  bool hasRefused = false;
+  site.simulation.isRefused = [&](const SessionStatement& aStatement) {
+    bool isRefused = aStatement.kind == StatementKind::SetValue;
+    hasRefused = hasRefused || isRefused;
+    return isRefused;
+  };
+  CallerId leaving = site.Open();
+  site.Send(leaving, "SET tz utc");
+  site.simulation.SubmitText(site.host, leaving, "READ k", MeaningOf("READ k"));
+  for (int i = 0; i < 500 && !hasRefused; ++i) {
+    site.simulation.RunFor(Millis(1));
+  }
+  site.simulation.CloseSession(site.host, leaving); // the reply is on its way
+  site.simulation.RunFor(Millis(50));
+  site.simulation.isRefused = nullptr;
+  CallerId caller = site.Open();
+  site.Send(caller, "SET tz utc");
+  for (int i = 0; i < 5; ++i) {
+    cr_assert(IsOk(site.Send(caller, "READ k")));
+  }
+  cr_assert_eq(site.simulation.Violations(), "");
+}
+
+Test(statement_texts, many_prepared_texts_do_not_accumulate_on_a_connection)
+{
+  Site site;
+  CallerId caller = site.Open();
+  for (int i = 0; i < 1000; ++i) {
+    site.Send(caller, "PREPARE p READ q" + std::to_string(i));
+    cr_assert(IsOk(site.Send(caller, "EXEC p k")));
+  }
+  cr_assert_leq(site.simulation.MostPrepared(), 256);
+  cr_assert_eq(site.simulation.Violations(), "");
+}
