Answer a text that an upstream refuses, and keep the connection

What callers saw: an execution whose prepared text was invalid at the upstream was refused as busy, no upstream accepted the statement, so that its client came back with it. Each time six connections were closed under the other sessions of the host, with 12 ms of work each to open anew (E602 connection-lost, preparing, tries 1 to 6; E603 busy).

Cause: whichever setup statement failed with whichever code, the connection was closed, which counted as a lost connection, and the statement was queued again at once.

Change: a text that is invalid or too big is answered with the upstream's code, since any upstream would refuse it; in a transaction, which is rolled back, with the session in the failed state. Other failures are tried again as before. The connection is kept: it takes the answers that are still on their way and is reset before its next use.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -224,6 +224,14 @@
   void HandleSetupReply(ProxyLink& aLink,
                         CallerSession& aSession,
                         const StatementReply& aReply);
+  void LogRefusedSetup(const ProxyLink& aLink,
+                       const PendingStatement& aPending,
+                       const OpenSetup& aSetup,
+                       const StatementFailure& aFailure);
+  void HandleRefusedSetup(ProxyLink& aLink,
+                          CallerSession& aSession,
+                          const StatementReply& aReply);
+  void Abandon(ProxyLink& aLink, SessionState aState);
   void HandleBeginReply(ProxyLink& aLink,
                         CallerSession& aSession,
                         const StatementReply& aReply);
--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -136,6 +136,7 @@
   StatementKind commandKind = StatementKind::Status; // if `use` is a report
   std::map<std::string, std::string> values;
   PreparedStatements prepared;
+  bool needsReset = false; // has more at the upstream than is known here
   std::deque<OpenSetup> openSetups; // in the order in which they were sent
   uint64_t sequence = 0;            // of the running batch
   Time asked = kInfinitePast;       // when the open request was sent
--- a/src/coordination/proxy/proxy-placing.cc
+++ b/src/coordination/proxy/proxy-placing.cc
@@ -86,7 +86,9 @@
   }
   bool needsTest =
     pending.writes && this->now - aLink.lastAnswer >= detail::kTestAfterIdle;
-  if (aSession.pinned == 0 && (hasForeignSettings || needsTest)) {
+  bool needsReset = hasForeignSettings || needsTest || aLink.needsReset;
+  if (aSession.pinned == 0 && needsReset) {
+    aLink.needsReset = false;
     aLink.values.clear();
     aLink.prepared.Clear();
     send({ StatementKind::Reset });
