Reset a connection whose setup failed after its caller had left

What a caller could see: its statement ran without a value that it had set. Not in the users' record; found while looking for the same cause elsewhere.

Cause: when the caller leaves, or its statement is given up, while setup statements have no answer yet, their answers are only counted. A refused SET stayed noted as set on the connection, and the next session with the same value was given the connection without sending it.

Change: a refusal among them marks the connection for a reset.

--- a/src/coordination/proxy/proxy-answers.cc
+++ b/src/coordination/proxy/proxy-answers.cc
@@ -108,6 +108,7 @@
     case LinkUse::Orphan:
       if (!link.openSetups.empty()) {
         link.openSetups.pop_front();
+        link.needsReset = link.needsReset || aEvent.reply.failure.has_value();
       }
       if (link.openSetups.empty()) {
         this->Release(link, aEvent.reply.state);
--- a/test/statement-texts-test.cc
+++ b/test/statement-texts-test.cc
@@ -8,6 +8,8 @@
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
+#include <deque>
+
 // What callers may write, on each path to an upstream: an upstream runs a
 // caller's text as it was sent and as its session prepared it, or not at all.
 
@@ -318,6 +320,49 @@
   cr_assert_eq(site.simulation.Violations(), "");
 }
 
+Test(statement_texts, refusals_and_departures_leave_no_foreign_settings)
+{
+  cr_assert(rc::check("any refusals", [] {
+    Site site(*rc::gen::arbitrary<bool>());
+    // Which of the next statements are refused, as far as they may be.
+    auto refusals = *rc::gen::container<std::deque<bool>>(
+      rc::gen::weightedElement<bool>({ { 3, false }, { 1, true } }));
+    site.simulation.isRefused = [&](const SessionStatement& aStatement) {
+      bool isSetup = aStatement.kind == StatementKind::SetValue ||
+                     aStatement.kind == StatementKind::Prepare ||
+                     aStatement.kind == StatementKind::Reset;
+      if (!isSetup || refusals.empty()) {
+        return false;
+      }
+      bool isRefused = refusals.front();
+      refusals.pop_front();
+      return isRefused;
+    };
+    std::vector<CallerId> callers{ site.Open(), site.Open(), site.Open() };
+    std::vector<std::shared_ptr<FakeRequest>> open(callers.size());
+    auto count = *rc::gen::inRange<size_t>(1, 40);
+    for (size_t i = 0; i < count; ++i) {
+      auto at = *rc::gen::inRange<size_t>(0, callers.size());
+      std::string digit = *rc::gen::element<std::string>("1", "2");
+      std::string text = *rc::gen::element<std::string>("SET a " + digit,
+                                                        "SET b " + digit,
+                                                        "PREPARE p READ 1",
+                                                        "EXEC p k",
+                                                        "READ k",
+                                                        "WRITE k v");
+      if (open[at] && !open[at]->reply) {
+        site.simulation.CloseSession(site.host, callers[at]);
+        callers[at] = site.Open();
+      }
+      open[at] = site.simulation.SubmitText(
+        site.host, callers[at], text, MeaningOf(text));
+      site.simulation.RunFor(Millis(*rc::gen::inRange(0, 12)));
+    }
+    site.simulation.RunFor(Seconds(2));
+    RC_ASSERT(site.simulation.Violations() == "");
+  }));
+}
+
 Test(statement_texts, many_prepared_texts_do_not_accumulate_on_a_connection)
 {
   Site site;
