Limit the prepared statements that a connection keeps

What callers saw: nothing yet. Found while looking for what many names do: each text that any session ever executed stayed prepared on each connection, at the upstream and in this process, until the connection was reset for another reason. A caller that prepares ever new texts fills the memory.

Change: a connection keeps the 256 statements, or 64 KiB of texts, that were used last, and deallocates the others. A relayed session keeps only what its statement executes.

--- a/include/marigoldpitch/coordination/proxy/prepared-statements.h
+++ b/include/marigoldpitch/coordination/proxy/prepared-statements.h
@@ -1,14 +1,22 @@
 #ifndef MARIGOLDPITCH_COORDINATION_PROXY_PREPARED_STATEMENTS_H
 #define MARIGOLDPITCH_COORDINATION_PROXY_PREPARED_STATEMENTS_H
 
+#include "marigoldpitch/state/sizes.h"
+
 #include <cstdint>
+#include <list>
 #include <map>
 #include <string>
 #include <tuple>
+#include <vector>
 
 /** The prepared statements that a connection has at its upstream. */
 namespace marigoldpitch {
 
+/** How many a connection keeps, and how many bytes their texts may have. */
+constexpr size_t kMaxPreparedStatements = 256;
+constexpr size_t kMaxPreparedBytes = 64 * kKibibyte;
+
 /** What a session prepared under a name of its own. */
 struct PreparedStatement
 {
@@ -35,16 +43,39 @@
   struct Placement
   {
     std::string name;
-    bool isNew = false; // it must be prepared
+    bool isNew = false;                 // it must be prepared
+    std::vector<std::string> forgotten; // names to be deallocated first
   };
 
+  PreparedStatements() = default;
+  PreparedStatements(PreparedStatements&&) = default;
+  PreparedStatements& operator=(PreparedStatements&&) = default;
+
+  /**
+   * Notes that the statement is used now. Those that were not used for longest
+   * are forgotten if there are too many. A text that alone has too many bytes
+   * is kept until the next one comes.
+   */
   Placement Use(const PreparedStatement& aStatement);
 
   /** The connection has none any more. */
-  void Clear() { this->names.clear(); }
+  void Clear();
 
 private:
-  std::map<PreparedStatement, std::string> names;
+  using Uses = std::list<const PreparedStatement*>; // the latest first
+
+  struct Entry
+  {
+    std::string name;
+    Uses::iterator use;
+  };
+
+  bool HasRoomFor(size_t aBytes) const;
+  std::string ForgetOldest();
+
+  std::map<PreparedStatement, Entry> entries;
+  Uses uses;        // of the keys of `entries`
+  size_t bytes = 0; // of all texts
   uint64_t lastName = 0;
 };
 
--- a/src/coordination/proxy/proxy-losses.cc
+++ b/src/coordination/proxy/proxy-losses.cc
@@ -68,7 +68,7 @@
 void
 ProxyEngine::RemoveLink(ConnectionId aConnection, bool aIsUpstreamAtFault)
 {
-  ProxyLink link = this->links.at(aConnection);
+  ProxyLink link = std::move(this->links.at(aConnection));
   this->links.erase(aConnection);
   ProxyService& service = this->ServiceOf(link.service);
   service.connections.Remove(aConnection);
--- a/src/coordination/proxy/proxy-placing.cc
+++ b/src/coordination/proxy/proxy-placing.cc
@@ -29,16 +29,16 @@
       upstream.avoidUntil > this->now) {
     return;
   }
-  ProxyLink link;
-  link.id = aService.connections.Open(aUpstream, this->now);
+  ConnectionId id = aService.connections.Open(aUpstream, this->now);
+  ProxyLink& link = this->links[id];
+  link.id = id;
   link.service = aService.name;
   link.upstream = aUpstream;
   link.asked = this->now;
   link.limit = this->now + detail::kOpenTimeout;
   aService.view.NoteAttempt(aUpstream, this->now);
   ++aService.view.At(aUpstream).openedSinceReport;
-  this->links[link.id] = link;
-  this->Emit(OpenLink{ link.id,
+  this->Emit(OpenLink{ id,
                        aService.name,
                        upstream.registration.id,
                        upstream.registration.endpoint });
@@ -106,6 +106,9 @@
   auto placement =
     aLink.prepared.Use({ pending.writes, pending.statement.preparedText });
   pending.preparedAs = placement.name;
+  for (const std::string& name : placement.forgotten) {
+    send({ StatementKind::Forget, name });
+  }
   if (placement.isNew) {
     SessionStatement prepare{ StatementKind::Prepare, placement.name };
     prepare.writes = pending.writes;
--- a/src/coordination/proxy/proxy-relay-serving.cc
+++ b/src/coordination/proxy/proxy-relay-serving.cc
@@ -79,6 +79,7 @@
   session.values = relayed.values;
   session.lastCommit = relayed.lastCommit;
   session.lastActive = this->now;
+  session.prepared.clear(); // each execution comes with its own
   if (relayed.statement.kind == StatementKind::Execute) {
     session.prepared[relayed.statement.name] = {
       relayed.statement.writes, relayed.statement.preparedText
--- a/test/statement-texts-test.cc
+++ b/test/statement-texts-test.cc
@@ -8,6 +8,7 @@
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <deque>
 
 // What callers may write, on each path to an upstream: an upstream runs a
@@ -371,6 +372,25 @@
     site.Send(caller, "PREPARE p READ q" + std::to_string(i));
     cr_assert(IsOk(site.Send(caller, "EXEC p k")));
   }
-  cr_assert_leq(site.simulation.MostPrepared(), 256);
+  cr_assert_leq(site.simulation.MostPrepared(), kMaxPreparedStatements);
   cr_assert_eq(site.simulation.Violations(), "");
 }
+
+Test(statement_texts, forgotten_prepared_texts_are_the_least_used)
+{
+  PreparedStatements prepared;
+  std::string first = prepared.Use({ false, "q" }).name;
+  for (int i = 0; i < 1000; ++i) {
+    auto placement = prepared.Use({ false, "q" + std::to_string(i) });
+    cr_assert(placement.isNew);
+    cr_assert_eq(
+      std::count(placement.forgotten.begin(), placement.forgotten.end(), first),
+      0);
+    auto used = prepared.Use({ false, "q" });
+    cr_assert(used.name == first && !used.isNew);
+  }
+  cr_assert(prepared.Use({ true, "q" }).isNew);
+  auto large = prepared.Use({ false, std::string(kMaxPreparedBytes + 1, 'q') });
+  cr_assert_eq(large.forgotten.size(), kMaxPreparedStatements);
+  cr_assert_eq(prepared.Use({ false, "q" }).forgotten.size(), 1);
+}
