--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -143,6 +143,20 @@
   cr_assert(holds);
 }
 
+Test(lines, ends_of_lines_inside_a_text_are_not_forwarded)
+{
+  for (std::string end :
+       { std::string("\n"), std::string("\r"), std::string(1, '\0') }) {
+    for (std::string text :
+         { "READ a", "WRITE a b", "SET a b", "EXEC s a", "PREPARE s READ q" }) {
+      cr_assert(IsUnknown("QUERY i " + text + end));
+      cr_assert(IsUnknown("QUERY i " + text + end + "QUERY - HOLD 9"));
+    }
+    cr_assert(IsUnknown("QUERY i" + end + "j READ a"));
+    cr_assert_not(DecodeCallerLine("START db" + end + " caller"));
+  }
+}
+
 Test(lines, answers_round_trip)
 {
   bool holds = rc::check("answers", [] {
