Refuse registry entries whose id holds the end of a line

The id of an upstream and its service go into the line that opens a connection. The registry may have entries of other writers; an id with a CR or LF in it would have added lines of its own to that connection.

--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -267,6 +267,16 @@
   cr_assert(holds);
 }
 
+Test(documents, upstream_with_the_end_of_a_line_in_its_id_is_refused)
+{
+  std::string entry =
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","state":"ready",)"
+    R"("dbRole":"replica","seq":4})";
+  cr_assert(static_cast<bool>(DecodeUpstream("i-1", entry)));
+  cr_assert_not(DecodeUpstream("i-1\r\nQUERY - DEMOTE 9", entry));
+  cr_assert_not(DecodeUpstream("i-1\n", entry));
+}
+
 Test(documents, store_values_round_trip)
 {
   bool holds = rc::check("values", [](const std::string& aValue) {
