--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -207,7 +207,6 @@
   void Assign(ProxyService& aService,
               CallerSession& aSession,
               ConnectionId aConnection);
-  void SendSetup(ProxyLink& aLink, CallerSession& aSession);
   void SendNext(ProxyLink& aLink, CallerSession& aSession);
   void LogPlacement(const ProxyLink& aLink, const PendingStatement& aPending);
   void NoteStatementToLeaving(const ProxyLink& aLink,
@@ -215,12 +214,11 @@
   Duration ReadTimeout(const ProxyService& aService,
                        const PendingStatement& aPending) const;
 
-  // proxy-answers.cc: replies of upstreams.
-  void On(const LinkOpened& aEvent);
-  void On(const LinkLost& aEvent);
-  void On(const LinkAnswered& aEvent);
-  void NoteAnswer(ProxyLink& aLink);
-  void Answered(ProxyLink& aLink, const StatementReply& aReply);
+  // proxy-setup.cc: what a connection gets before a session's statement.
+  void SendSetup(ProxyLink& aLink, CallerSession& aSession);
+  bool NeedsReset(const ProxyLink& aLink, const CallerSession& aSession) const;
+  void SendPrepare(ProxyLink& aLink, PendingStatement& aPending);
+  void SendSetupStatement(ProxyLink& aLink, const SessionStatement& aStatement);
   void HandleSetupReply(ProxyLink& aLink,
                         CallerSession& aSession,
                         const StatementReply& aReply);
@@ -232,6 +230,13 @@
                           CallerSession& aSession,
                           const StatementReply& aReply);
   void Abandon(ProxyLink& aLink, SessionState aState);
+
+  // proxy-answers.cc: replies of upstreams.
+  void On(const LinkOpened& aEvent);
+  void On(const LinkLost& aEvent);
+  void On(const LinkAnswered& aEvent);
+  void NoteAnswer(ProxyLink& aLink);
+  void Answered(ProxyLink& aLink, const StatementReply& aReply);
   void HandleBeginReply(ProxyLink& aLink,
                         CallerSession& aSession,
                         const StatementReply& aReply);
--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -19,6 +19,9 @@
 /** The same limit for an answer that no caller waits for any more. */
 constexpr Duration kOrphanTimeout = Millis(1000);
 
+/** How long a statement that an upstream had no capacity for waits. */
+constexpr Duration kBusyRetryDelay = Millis(8);
+
 /** How long to open no connection after an upstream reported its limit. */
 constexpr Duration kFullBackoff = Millis(100);
 
--- a/src/coordination/proxy/proxy-answers.cc
+++ b/src/coordination/proxy/proxy-answers.cc
@@ -6,7 +6,6 @@
 
 namespace detail {
 
-constexpr Duration kBusyRetryDelay = Millis(8);
 constexpr double kMinLagMs = 5;
 constexpr double kMaxLagMs = 200;
 constexpr double kLagGrowth = 1.3; // if the replica is still behind
@@ -138,92 +137,6 @@
   }
 }
 
-void
-ProxyEngine::HandleSetupReply(ProxyLink& aLink,
-                              CallerSession& aSession,
-                              const StatementReply& aReply)
-{
-  OpenSetup setup = aLink.openSetups.front();
-  aLink.openSetups.pop_front();
-  if (aReply.failure) {
-    this->LogRefusedSetup(aLink, *aSession.pending, setup, *aReply.failure);
-    this->HandleRefusedSetup(aLink, aSession, aReply);
-  } else if (aLink.openSetups.empty()) {
-    this->SendNext(aLink, aSession);
-  }
-}
-
-void
-ProxyEngine::LogRefusedSetup(const ProxyLink& aLink,
-                             const PendingStatement& aPending,
-                             const OpenSetup& aSetup,
-                             const StatementFailure& aFailure)
-{
-  const ServiceView& view = this->ServiceOf(aLink.service).view;
-  this->AddDecision(LogEvent::SetupRefused,
-                    aPending.requestId,
-                    { { "upstream", view.At(aLink.upstream).registration.id },
-                      { "setup", kStatementKindNames.TextOf(aSetup.kind) },
-                      { "bytes", std::to_string(aSetup.bytes) },
-                      { "code", kFailureCodeNames.TextOf(aFailure.code) },
-                      { "why", aFailure.text } });
-}
-
-/**
- * The upstream has refused a setup statement, so the session's statement did
- * not run. A text that is invalid there is invalid at any upstream. Other
- * failures are tried again, unless an open transaction was on the connection.
- */
-void
-ProxyEngine::HandleRefusedSetup(ProxyLink& aLink,
-                                CallerSession& aSession,
-                                const StatementReply& aReply)
-{
-  PendingStatement& pending = *aSession.pending;
-  StatementFailure failure = *aReply.failure;
-  bool isCommit = pending.statement.kind == StatementKind::Commit;
-  bool inTransaction = aSession.state == SessionState::InTransaction;
-  bool isTextInvalid =
-    failure.code == FailureCode::Invalid || failure.code == FailureCode::TooBig;
-  bool isRepeatable = !isTextInvalid && aSession.pinned == 0;
-  if (isRepeatable) {
-    this->NoteFailure(aLink, aSession, failure);
-  }
-  pending.connection = 0;
-  aSession.pinned = 0;
-  this->Abandon(aLink, aReply.state);
-  if (isRepeatable) {
-    bool isBusy = failure.code == FailureCode::Busy;
-    this->Requeue(aSession, isBusy ? detail::kBusyRetryDelay : Millis(0));
-    return;
-  }
-  if (inTransaction) {
-    aSession.state = isCommit ? SessionState::Idle : SessionState::Failed;
-  }
-  bool isRolledBack = isCommit || !isTextInvalid;
-  this->AnswerFailure(
-    aSession, isRolledBack ? FailureCode::Aborted : failure.code, failure.text);
-}
-
-/**
- * Gives up the use of a connection that has taken only a part of its setup
- * statements. It is reset before its next use.
- */
-void
-ProxyEngine::Abandon(ProxyLink& aLink, SessionState aState)
-{
-  aLink.values.clear();
-  aLink.prepared.Clear();
-  aLink.needsReset = true;
-  if (aLink.openSetups.empty()) {
-    this->Release(aLink, aState);
-    return;
-  }
-  aLink.use = LinkUse::Orphan;
-  aLink.caller = 0;
-  aLink.limit = this->now + kOrphanTimeout;
-}
-
 void
 ProxyEngine::HandleBeginReply(ProxyLink& aLink,
                               CallerSession& aSession,
@@ -237,9 +150,8 @@
   this->NoteFailure(aLink, aSession, failure);
   aSession.pinned = 0;
   this->Release(aLink, aReply.state);
-  this->Requeue(aSession,
-                failure.code == FailureCode::Busy ? detail::kBusyRetryDelay
-                                                  : Millis(0));
+  this->Requeue(
+    aSession, failure.code == FailureCode::Busy ? kBusyRetryDelay : Millis(0));
 }
 
 void
@@ -402,13 +314,13 @@
     }
     this->Release(aLink, aReply.state);
     bool isBusy = failure.code == FailureCode::Busy;
-    this->Requeue(aSession, isBusy ? detail::kBusyRetryDelay : Millis(0));
+    this->Requeue(aSession, isBusy ? kBusyRetryDelay : Millis(0));
     return;
   }
   if (inTransaction && failure.code == FailureCode::Busy &&
       aReply.state == SessionState::InTransaction) {
     this->NoteFailure(aLink, aSession, failure);
-    this->Requeue(aSession, detail::kBusyRetryDelay);
+    this->Requeue(aSession, kBusyRetryDelay);
     return;
   }
   if (failure.code == FailureCode::ReadOnly) {
--- a/src/coordination/proxy/proxy-placing.cc
+++ b/src/coordination/proxy/proxy-placing.cc
@@ -13,9 +13,6 @@
 constexpr double kMinReadTimeoutMs = 120;
 constexpr Duration kSetupTimeout = Millis(300);
 constexpr Duration kOpenTimeout = Millis(500);
-// A connection that was idle for longer is tested by a reset before a write,
-// because a write whose answer is lost cannot be repeated.
-constexpr Duration kTestAfterIdle = Millis(500);
 
 } // namespace detail
 
@@ -65,58 +62,6 @@
   }
 }
 
-/**
- * Sends the setup statements that give the connection the session's settings
- * and prepare the statement there. The connection is reset first if it has
- * settings that the session lacks, or if it has to be tested before a write.
- */
-void
-ProxyEngine::SendSetup(ProxyLink& aLink, CallerSession& aSession)
-{
-  PendingStatement& pending = *aSession.pending;
-  auto send = [&](const SessionStatement& aStatement) {
-    size_t bytes = aStatement.name.size() + aStatement.arguments.size() +
-                   aStatement.preparedText.size();
-    aLink.openSetups.push_back({ aStatement.kind, bytes });
-    this->Emit(SendToUpstream{ aLink.id, "", aStatement, {} });
-  };
-  bool hasForeignSettings = false;
-  for (const auto& [name, value] : aLink.values) {
-    hasForeignSettings = hasForeignSettings || aSession.values.count(name) == 0;
-  }
-  bool needsTest =
-    pending.writes && this->now - aLink.lastAnswer >= detail::kTestAfterIdle;
-  bool needsReset = hasForeignSettings || needsTest || aLink.needsReset;
-  if (aSession.pinned == 0 && needsReset) {
-    aLink.needsReset = false;
-    aLink.values.clear();
-    aLink.prepared.Clear();
-    send({ StatementKind::Reset });
-  }
-  for (const auto& [name, value] : aSession.values) {
-    auto found = aLink.values.find(name);
-    if (found == aLink.values.end() || found->second != value) {
-      aLink.values[name] = value;
-      send({ StatementKind::SetValue, name, value });
-    }
-  }
-  if (pending.statement.kind != StatementKind::Execute) {
-    return;
-  }
-  auto placement =
-    aLink.prepared.Use({ pending.writes, pending.statement.preparedText });
-  pending.preparedAs = placement.name;
-  for (const std::string& name : placement.forgotten) {
-    send({ StatementKind::Forget, name });
-  }
-  if (placement.isNew) {
-    SessionStatement prepare{ StatementKind::Prepare, placement.name };
-    prepare.writes = pending.writes;
-    prepare.preparedText = pending.statement.preparedText;
-    send(prepare);
-  }
-}
-
 Duration
 ProxyEngine::ReadTimeout(const ProxyService& aService,
                          const PendingStatement& aPending) const
