Prepare and execute in the soak, and compare what ran with what was sent

Callers now prepare odd shapes under a few names that the sessions share, forget them, execute them in place of reads and writes, set odd values and read odd items. The draws for these come from a generator of their own: the seeds draw the same faults and operations as before. The soak takes the stand-in's runs every 100 ms and at the end; `changed` is a run whose text, shape or settings differ from the session's, one that nobody sent, or a valid text that was refused with BAD or NOSTMT. The result line has the number of compared runs.

--- a/test/soak/callers.cc
+++ b/test/soak/callers.cc
@@ -36,13 +36,16 @@
 
 Callers::Callers(Loop& aLoop,
                  WriteHistory& aHistory,
+                 SentStatements& aSent,
                  std::vector<Endpoint> aHosts,
                  uint32_t aSeed,
                  const HostMonitor& aMonitor)
   : loop(aLoop)
   , history(aHistory)
   , hosts(std::move(aHosts))
+  , sent(aSent)
   , random(aSeed)
+  , texts(aSeed)
   , monitor(aMonitor)
   , served(this->hosts.size())
 {
@@ -106,6 +109,8 @@
   ++session.incarnation;
   session.step = Step::Connecting;
   session.newestOwnWrite = 0;
+  session.settings.clear();
+  session.prepared.clear();
   session.row.clear();
   session.done.clear();
   session.error.clear();
@@ -200,34 +205,65 @@
     ++session.incarnation;
     return;
   }
+  constexpr uint32_t kOperationsPerSetup = 3;
+  if (this->texts.OneIn(kOperationsPerSetup)) {
+    this->SendSetup(aSession);
+  } else {
+    this->RunOperation(aSession);
+  }
+}
+
+void
+Callers::SendSetup(size_t aSession)
+{
+  constexpr uint32_t kSetupsPerSet = 3;
+  constexpr uint32_t kSetupsPerForget = 8;
+  SetupStatement& setup = this->sessions[aSession].setup;
+  if (this->texts.OneIn(kSetupsPerSet)) {
+    setup = { StatementKind::SetValue, "note", this->texts.DrawValue() };
+    this->SendQuery(aSession, Step::SettingUp, "SET note " + setup.value);
+  } else if (this->texts.OneIn(kSetupsPerForget)) {
+    setup = { StatementKind::Forget, this->texts.DrawName(), "" };
+    this->SendQuery(aSession, Step::SettingUp, "FORGET " + setup.name);
+  } else {
+    setup = { StatementKind::Prepare,
+              this->texts.DrawName(),
+              this->texts.DrawShape() };
+    this->SendQuery(aSession,
+                    Step::SettingUp,
+                    fmt::format("PREPARE {} {}", setup.name, setup.value));
+  }
+}
+
+void
+Callers::ApplySetup(Session& aSession)
+{
+  const SetupStatement& setup = aSession.setup;
+  if (setup.kind == StatementKind::SetValue) {
+    aSession.settings[setup.name] = setup.value;
+  } else if (setup.kind == StatementKind::Prepare) {
+    aSession.prepared[setup.name] = setup.value;
+  } else {
+    aSession.prepared.erase(setup.name);
+  }
+}
+
+void
+Callers::RunOperation(size_t aSession)
+{
+  Session& session = this->sessions[aSession];
   constexpr uint32_t kReadsOfTen = 5;
   constexpr uint32_t kWritesOfTen = 3;
   uint32_t randomNumber = this->random() % 10;
   if (randomNumber < kReadsOfTen && !this->history.Items().empty()) {
-    const auto& items = this->history.Items();
     session.kind = Kind::Read;
-    session.readItem = items[this->random() % items.size()];
-    Time now = ReadBootClock();
-    session.minReadNumber = this->history.AcknowledgedBefore(
-      session.readItem, now - session.route.maxAge);
-    bool isOwnItem = session.route.freshness == Freshness::Session &&
-                     session.readItem == session.item;
-    if (isOwnItem) {
-      session.minReadNumber =
-        std::max(session.minReadNumber, session.newestOwnWrite);
-    }
-    this->SendQuery(aSession, Step::Running, "READ " + session.readItem);
+    this->SendRead(aSession);
     return;
   }
   if (randomNumber < kReadsOfTen + kWritesOfTen) {
     session.kind = Kind::Write;
     session.number = this->history.Send(session.item, false);
-    this->SendQuery(
-      aSession,
-      Step::Running,
-      fmt::format("WRITE {} {}",
-                  session.item,
-                  WriteHistory::ValueOf(session.item, session.number)));
+    this->SendWrite(aSession, Step::Running, session.number);
     return;
   }
   session.kind = randomNumber == 9 ? Kind::RolledBack : Kind::Transaction;
@@ -236,12 +272,66 @@
   this->SendQuery(aSession, Step::Beginning, "BEGIN");
 }
 
+void
+Callers::SendRead(size_t aSession)
+{
+  constexpr uint32_t kReadsPerOddItem = 6;
+  Session& session = this->sessions[aSession];
+  const auto& items = this->history.Items();
+  session.readItem = items[this->random() % items.size()];
+  if (this->texts.OneIn(kReadsPerOddItem)) {
+    session.readItem = this->texts.ChangeItem(session.readItem);
+  }
+  Time now = ReadBootClock();
+  session.minReadNumber = this->history.AcknowledgedBefore(
+    session.readItem, now - session.route.maxAge);
+  bool isOwnItem = session.route.freshness == Freshness::Session &&
+                   session.readItem == session.item;
+  if (isOwnItem) {
+    session.minReadNumber =
+      std::max(session.minReadNumber, session.newestOwnWrite);
+  }
+  this->SendStatement(aSession, Step::Running, "READ", session.readItem);
+}
+
+void
+Callers::SendWrite(size_t aSession, Step aStep, uint64_t aNumber)
+{
+  const std::string& item = this->sessions[aSession].item;
+  this->SendStatement(aSession,
+                      aStep,
+                      "WRITE",
+                      item + " " + WriteHistory::ValueOf(item, aNumber));
+}
+
+/** Sends a read or a write, or executes a prepared statement that is one. */
+void
+Callers::SendStatement(size_t aSession,
+                       Step aStep,
+                       const std::string& aVerb,
+                       const std::string& aFields)
+{
+  Session& session = this->sessions[aSession];
+  ExpectedRun run{ aVerb + " " + aFields, "", session.settings };
+  std::string text = run.text;
+  auto prepared = session.prepared.find(this->texts.DrawName());
+  bool isPrepared = prepared != session.prepared.end() &&
+                    prepared->second.rfind(aVerb + " ", 0) == 0;
+  if (isPrepared) {
+    run.text = "EXEC " + aFields;
+    run.shape = prepared->second;
+    text = fmt::format("EXEC {} {}", prepared->first, aFields);
+  }
+  this->SendQuery(aSession, aStep, text);
+  this->sent.Add(session.requestId, run);
+}
+
 bool
 Callers::IsWriting(const Session& aSession) const
 {
   return aSession.kind != Kind::Read && aSession.step != Step::Idle &&
          aSession.step != Step::Connecting &&
-         aSession.step != Step::SettingName;
+         aSession.step != Step::SettingName && aSession.step != Step::SettingUp;
 }
 
 void
@@ -291,17 +381,19 @@
       fmt::format("expected {} in the answer, got {}", who, session.done));
   }
   session.done.clear();
-  std::string writeStatement = fmt::format(
-    "WRITE {} {}",
-    session.item,
-    WriteHistory::ValueOf(
-      session.item, session.number + (session.step == Step::Running ? 1 : 0)));
   switch (session.step) {
     case Step::Connecting:
       this->SendQuery(aSession, Step::SettingName, "SET who " + who.substr(4));
       return;
+    case Step::SettingName:
+      session.settings["who"] = who.substr(4);
+      break;
+    case Step::SettingUp:
+      ApplySetup(session);
+      this->RunOperation(aSession);
+      return;
     case Step::Beginning:
-      this->SendQuery(aSession, Step::Running, writeStatement);
+      this->SendWrite(aSession, Step::Running, session.number);
       return;
     case Step::Running:
       if (session.kind == Kind::Read) {
@@ -309,7 +401,7 @@
       } else if (session.kind == Kind::Write) {
         this->RecordOutcome(session, WriteOutcome::Acknowledged);
       } else {
-        this->SendQuery(aSession, Step::SecondWrite, writeStatement);
+        this->SendWrite(aSession, Step::SecondWrite, session.number + 1);
         return;
       }
       break;
@@ -352,7 +444,8 @@
   Session& session = this->sessions[aSession];
   std::string error = std::exchange(session.error, {});
   session.done.clear();
-  if (session.step == Step::RollingBack) {
+  this->CheckRefusal(session, error);
+  if (session.step == Step::RollingBack || session.step == Step::SettingUp) {
     session.link->Close();
     this->MoveToOtherHost(aSession);
     return;
@@ -378,6 +471,20 @@
   this->CallAfter(aSession, kReconnectDelay, &Callers::StartOperation);
 }
 
+/** Callers send valid texts and execute what they have prepared. */
+void
+Callers::CheckRefusal(const Session& aSession, const std::string& aError)
+{
+  bool isSingle = aSession.step == Step::Running &&
+                  (aSession.kind == Kind::Read || aSession.kind == Kind::Write);
+  bool isInvalid = aError == "BAD" || aError == "NOSTMT";
+  if (isInvalid && (isSingle || aSession.step == Step::SettingUp)) {
+    this->history.ReportViolation(
+      Violation::ChangedStatement,
+      fmt::format("{} was refused with {}", aSession.requestId, aError));
+  }
+}
+
 /** Handles a connection that the host closed after an error line. */
 void
 Callers::HandleCloseAfterRefusal(size_t aSession)
--- a/test/soak/callers.h
+++ b/test/soak/callers.h
@@ -1,8 +1,9 @@
 #ifndef MARIGOLDPITCH_TEST_SOAK_CALLERS_H
 #define MARIGOLDPITCH_TEST_SOAK_CALLERS_H
 
-#include "soak/write-history.h"
+#include "soak/statement-texts.h"
 
+#include "marigoldpitch/coordination/proxy/statement.h"
 #include "marigoldpitch/transport/line-link.h"
 
 #include <functional>
@@ -40,6 +41,7 @@
 public:
   Callers(Loop& aLoop,
           WriteHistory& aHistory,
+          SentStatements& aSent,
           std::vector<Endpoint> aHosts,
           uint32_t aSeed,
           const HostMonitor& aMonitor);
@@ -64,6 +66,7 @@
   {
     Connecting,
     SettingName,       // SET who
+    SettingUp,         // another SET, PREPARE or FORGET before an operation
     Idle,              // between two operations
     Beginning,         // BEGIN
     Running,           // a read, a write, or the first write of a transaction
@@ -80,6 +83,14 @@
     RolledBack, // a transaction that the caller rolls back
   };
 
+  /** A SET, PREPARE or FORGET. */
+  struct SetupStatement
+  {
+    StatementKind kind = StatementKind::SetValue;
+    std::string name;
+    std::string value; // of a setting, or the shape
+  };
+
   struct Session
   {
     size_t host = 0;
@@ -98,7 +109,11 @@
     std::string done;
     std::string error;
     uint64_t requestCount = 0;
-    std::string requestId;              // of the last request
+    std::string requestId; // of the last request
+    // Acknowledged on this connection, by name.
+    std::map<std::string, std::string> settings;
+    std::map<std::string, std::string> prepared; // READ or WRITE and the text
+    SetupStatement setup;                        // of `Step::SettingUp`
     Time lastRequestAt = kInfinitePast; // when the last request was sent
   };
 
@@ -107,10 +122,20 @@
                  Duration aPause,
                  void (Callers::*aCall)(size_t));
   void StartOperation(size_t aSession);
+  void SendSetup(size_t aSession);
+  static void ApplySetup(Session& aSession);
+  void RunOperation(size_t aSession);
+  void SendRead(size_t aSession);
+  void SendWrite(size_t aSession, Step aStep, uint64_t aNumber);
+  void SendStatement(size_t aSession,
+                     Step aStep,
+                     const std::string& aVerb,
+                     const std::string& aFields);
   void SendQuery(size_t aSession, Step aStep, const std::string& aText);
   void StartReplyTimeout(size_t aSession);
   void HandleReply(size_t aSession);
   void Refused(size_t aSession);
+  void CheckRefusal(const Session& aSession, const std::string& aError);
   void Acknowledge(Session& aSession);
   void RecordOutcome(Session& aSession, WriteOutcome aOutcome);
   void HandleCloseAfterRefusal(size_t aSession);
@@ -121,7 +146,9 @@
   Loop& loop;
   WriteHistory& history;
   std::vector<Endpoint> hosts;
+  SentStatements& sent;
   std::mt19937 random;
+  OddTexts texts;
   const HostMonitor& monitor;
   std::vector<Session> sessions;
   std::vector<uint64_t> served; // by host
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -57,6 +57,7 @@
     , faults(aLoop, *this, this->options.seed)
     , callers(aLoop,
               this->history,
+              this->sent,
               this->CallerEndpoints(),
               this->options.seed,
               *this)
@@ -86,7 +87,7 @@
       }
       this->callers.Start(this->options.hosts * kSessionsPerHost);
     });
-    this->ReadLateStatements();
+    this->ReadStatements();
     this->loop.After(kWarmUp,
                      [this] { this->faults.Start(this->options.duration); });
     this->loop.After(kWarmUp + this->options.duration + Millis(3600),
@@ -295,11 +296,14 @@
     this->loop.After(kPollInterval, [this] { this->RestartEndedHosts(); });
   }
 
-  /** Reports late statements of hosts that are undisturbed, periodically. */
-  void ReadLateStatements()
+  /**
+   * Reports late statements of hosts that are undisturbed, and statements
+   * that ran with other texts than were sent, periodically.
+   */
+  void ReadStatements()
   {
     HttpCall call{ "POST", "/control" };
-    call.body = R"({"late":true})";
+    call.body = R"({"late":true,"runs":true})";
     this->control->Send(call, [this](const Result<HttpReply>& aReply) {
       auto body = nlohmann::json::parse(
         aReply ? aReply.value().body : "", nullptr, false);
@@ -307,8 +311,9 @@
       for (const auto& late : body.is_object() ? body["late"] : none) {
         this->CheckLateStatement(late[0], late[1], late[2]);
       }
+      this->sent.CheckRuns(body.is_object() ? body["runs"] : none);
     });
-    this->loop.After(kPollInterval, [this] { this->ReadLateStatements(); });
+    this->loop.After(kPollInterval, [this] { this->ReadStatements(); });
   }
 
   void CheckLateStatement(const std::string& aHost,
@@ -396,7 +401,7 @@
   void Finish()
   {
     HttpCall call{ "POST", "/control" };
-    call.body = R"({"log":true})";
+    call.body = R"({"log":true,"runs":true})";
     this->control->Send(call, [this](const Result<HttpReply>& aReply) {
       auto body = nlohmann::json::parse(
         aReply ? aReply.value().body : "", nullptr, false);
@@ -406,6 +411,7 @@
       } else {
         this->history.CheckLog(
           body["log"].get<std::vector<std::pair<std::string, std::string>>>());
+        this->sent.CheckRuns(body["runs"]);
         if (body["strange"] != 0) {
           this->history.ReportViolation(
             Violation::UnknownWrite,
@@ -429,7 +435,7 @@
     }
     fmt::print("seed {}: {} faults, {} served, {} refused, {} unsure, {} "
                "connections lost with a request pending, {} probes, {} late, "
-               "{} wrong\n",
+               "{} runs compared, {} wrong\n",
                this->options.seed,
                faultCount,
                stats.served,
@@ -438,12 +444,14 @@
                stats.connectionsLost,
                this->probes,
                this->lateStatements,
+               this->sent.CheckedRuns(),
                this->history.Violations().size());
   }
 
   Loop& loop;
   Options options;
   WriteHistory history;
+  SentStatements sent{ this->history };
   Children children;
   Faults faults;
   Callers callers;
--- a/test/soak/write-history.h
+++ b/test/soak/write-history.h
@@ -27,9 +27,11 @@
   MissingDatabase,  // a host refused a database of the configuration
   NotRecovered,     // a host served no writes after the faults had ended
   LateStatement,    // an undisturbed host used an upstream that had left
+  ChangedStatement, // an upstream ran another text, prepared statement or
+                    // settings than the session's, or a valid text was refused
 };
 
-constexpr NameTable<Violation, 11> kViolationNames{ {
+constexpr NameTable<Violation, 12> kViolationNames{ {
   { Violation::UnknownWrite, "unasked" },
   { Violation::WrongItem, "mixed" },
   { Violation::SessionNotPinned, "pinned" },
@@ -41,6 +43,7 @@
   { Violation::MissingDatabase, "config" },
   { Violation::NotRecovered, "recover" },
   { Violation::LateStatement, "late" },
+  { Violation::ChangedStatement, "changed" },
 } };
 
 enum class WriteOutcome
