Close a connection whose setup fails for another reason than a text

It then had no settings noted and had answered last, so it was chosen again, and after six refusals the caller got busy, no upstream accepted the statement; a RESET that was refused as invalid was answered to a caller as if its own text were.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -228,6 +228,7 @@
                        const StatementFailure& aFailure);
   void HandleRefusedSetup(ProxyLink& aLink,
                           CallerSession& aSession,
+                          const OpenSetup& aSetup,
                           const StatementReply& aReply);
   void Abandon(ProxyLink& aLink, SessionState aState);
 
--- a/src/coordination/proxy/proxy-setup.cc
+++ b/src/coordination/proxy/proxy-setup.cc
@@ -94,7 +94,7 @@
   aLink.openSetups.pop_front();
   if (aReply.failure) {
     this->LogRefusedSetup(aLink, *aSession.pending, setup, *aReply.failure);
-    this->HandleRefusedSetup(aLink, aSession, aReply);
+    this->HandleRefusedSetup(aLink, aSession, setup, aReply);
   } else if (aLink.openSetups.empty()) {
     this->SendNext(aLink, aSession);
   }
@@ -118,38 +118,34 @@
 
 /**
  * The upstream has refused a setup statement, so the session's statement did
- * not run. A text that is invalid there is invalid at any upstream. Other
- * failures are tried again, unless an open transaction was on the connection.
+ * not run. A text of the caller's that is invalid there is invalid at any
+ * upstream. After any other failure it is not known what the connection has.
  */
 void
 ProxyEngine::HandleRefusedSetup(ProxyLink& aLink,
                                 CallerSession& aSession,
+                                const OpenSetup& aSetup,
                                 const StatementReply& aReply)
 {
-  PendingStatement& pending = *aSession.pending;
   StatementFailure failure = *aReply.failure;
-  bool isCommit = pending.statement.kind == StatementKind::Commit;
-  bool inTransaction = aSession.state == SessionState::InTransaction;
-  bool isTextInvalid =
+  bool isCallersText = aSetup.kind == StatementKind::SetValue ||
+                       aSetup.kind == StatementKind::Prepare;
+  bool isInvalid =
     failure.code == FailureCode::Invalid || failure.code == FailureCode::TooBig;
-  bool isRepeatable = !isTextInvalid && aSession.pinned == 0;
-  if (isRepeatable) {
-    this->NoteFailure(aLink, aSession, failure);
+  if (!isCallersText || !isInvalid) {
+    this->Close(aLink.id, false);
+    return;
   }
-  pending.connection = 0;
+  bool isCommit = aSession.pending->statement.kind == StatementKind::Commit;
+  bool inTransaction = aSession.state == SessionState::InTransaction;
+  aSession.pending->connection = 0;
   aSession.pinned = 0;
   this->Abandon(aLink, aReply.state);
-  if (isRepeatable) {
-    bool isBusy = failure.code == FailureCode::Busy;
-    this->Requeue(aSession, isBusy ? kBusyRetryDelay : Millis(0));
-    return;
-  }
   if (inTransaction) {
     aSession.state = isCommit ? SessionState::Idle : SessionState::Failed;
   }
-  bool isRolledBack = isCommit || !isTextInvalid;
   this->AnswerFailure(
-    aSession, isRolledBack ? FailureCode::Aborted : failure.code, failure.text);
+    aSession, isCommit ? FailureCode::Aborted : failure.code, failure.text);
 }
 
 /**
--- a/test/fakes/proxy-simulation-upstreams.cc
+++ b/test/fakes/proxy-simulation-upstreams.cc
@@ -230,6 +230,12 @@
   aLink.state = SessionState::Idle;
   reply.signature = "s-" + aAction.requestId;
   std::vector<LogEntry> pendingWrites = std::exchange(aLink.pendingWrites, {});
+  FakeRequest* sender = this->Find(aAction.requestId);
+  if (sender != nullptr &&
+      pendingWrites.size() <
+        this->openWrites[{ sender->host, sender->caller }]) {
+    sender->violation = "commits without a write of its transaction";
+  }
   if (pendingWrites.empty()) {
     return reply;
   }
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -284,6 +284,13 @@
   }
   const SessionStatement& statement = aRequest.statement;
   std::pair<size_t, CallerId> session{ aRequest.host, aRequest.caller };
+  bool writes = statement.kind == StatementKind::Write ||
+                (aRequest.prepared && aRequest.prepared->writes);
+  if (aReply.state != SessionState::InTransaction) {
+    this->openWrites[session] = 0;
+  } else if (writes) {
+    ++this->openWrites[session];
+  }
   if (statement.kind == StatementKind::SetValue) {
     this->settings[session][statement.name] = statement.arguments;
   } else if (statement.kind == StatementKind::Prepare) {
@@ -445,28 +452,22 @@
       return;
     }
     FakeUpstream& upstream = this->upstreams[linkEntry->second.upstream];
-    std::optional<SendToUpstream> understood = aAction;
-    if (this->options.path != nullptr) {
-      understood = this->options.path->ToUpstream(aAction);
-      bool isOwn = aAction.requestId.empty();
-      this->invalidOwnStatements += isOwn && !understood ? 1 : 0;
-    }
-    if (!understood ||
-        (this->isRefused && this->isRefused(understood->statement))) {
+    SendToUpstream understood = aAction;
+    if (auto code = this->RefusalOf(aAction, understood)) {
       this->SendReply(
-        aKey, LinkAnswered{ aKey.second, RefuseAsInvalid(linkEntry->second) });
+        aKey, LinkAnswered{ aKey.second, Refuse(linkEntry->second, *code) });
       return;
     }
-    StatementKind kind = understood->statement.kind;
+    StatementKind kind = understood.statement.kind;
     bool isReport =
       kind == StatementKind::Status || kind == StatementKind::Hold ||
       kind == StatementKind::Resume || kind == StatementKind::Demote;
     ProxyEvent event;
     if (isReport) {
       ++this->reportCount;
-      event = LinkReported{ aKey.second, this->Report(upstream, *understood) };
+      event = LinkReported{ aKey.second, this->Report(upstream, understood) };
     } else {
-      StatementReply reply = this->Execute(linkEntry->second, *understood);
+      StatementReply reply = this->Execute(linkEntry->second, understood);
       bool isUnconfirmed = reply.signature == "none";
       reply.position = this->LogPointAfter(upstream, upstream.applied);
       event = LinkAnswered{ aKey.second, reply };
@@ -481,12 +482,28 @@
   });
 }
 
+/** Why the upstream refuses what it understands; unset if it does not. */
+std::optional<FailureCode>
+ProxySimulation::RefusalOf(const SendToUpstream& aSent,
+                           SendToUpstream& aUnderstood)
+{
+  if (this->options.path != nullptr) {
+    auto understood = this->options.path->ToUpstream(aSent);
+    if (!understood) {
+      this->invalidOwnStatements += aSent.requestId.empty() ? 1 : 0;
+      return FailureCode::Invalid;
+    }
+    aUnderstood = *understood;
+  }
+  return this->refusal ? this->refusal(aUnderstood.statement) : std::nullopt;
+}
+
 StatementReply
-ProxySimulation::RefuseAsInvalid(const FakeLink& aLink)
+ProxySimulation::Refuse(const FakeLink& aLink, FailureCode aCode)
 {
   StatementReply reply;
   reply.state = aLink.state;
-  reply.failure = StatementFailure{ FailureCode::Invalid, "refused" };
+  reply.failure = StatementFailure{ aCode, "refused" };
   return reply;
 }
 
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -245,8 +245,8 @@
                         bool aMayPromote,
                         Time aUntil = kInfiniteFuture);
 
-  /** Says which statements the upstreams refuse as invalid. */
-  std::function<bool(const SessionStatement&)> isRefused;
+  /** Says which statements the upstreams refuse, and with which code. */
+  std::function<std::optional<FailureCode>(const SessionStatement&)> refusal;
 
   /** How many connections the hosts have opened. */
   size_t OpenedLinks() const { return this->openedLinks; }
@@ -307,7 +307,9 @@
                                           CallerId aCaller,
                                           const SessionStatement& aStatement);
   void NoteReply(FakeRequest& aRequest, const StatementReply& aReply);
-  static StatementReply RefuseAsInvalid(const FakeLink& aLink);
+  static StatementReply Refuse(const FakeLink& aLink, FailureCode aCode);
+  std::optional<FailureCode> RefusalOf(const SendToUpstream& aSent,
+                                       SendToUpstream& aUnderstood);
   void CheckText(const FakeLink& aLink,
                  const SessionStatement& aStatement,
                  FakeRequest& aRequest) const;
@@ -387,6 +389,8 @@
   size_t openedLinks = 0;
   size_t mostPrepared = 0;
   size_t invalidOwnStatements = 0;
+  // By host and caller: the writes of the open transaction that have succeeded.
+  std::map<std::pair<size_t, CallerId>, size_t> openWrites;
   std::vector<UnconfirmedCommit> unconfirmedCommits;
   std::vector<LogEntry> acknowledged;
   std::vector<Time> acknowledgedAt;
--- a/test/statement-texts-test.cc
+++ b/test/statement-texts-test.cc
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 
 // What callers may write, on each path to an upstream: an upstream runs a
 // caller's text as it was sent and as its session prepared it, or not at all.
@@ -121,6 +122,15 @@
   return aRequest->reply->failure->code;
 }
 
+/** Refuses all statements of the kind. */
+std::function<std::optional<FailureCode>(const SessionStatement&)>
+RefuseAll(StatementKind aKind, FailureCode aCode)
+{
+  return [aKind, aCode](const SessionStatement& aStatement) {
+    return aStatement.kind == aKind ? std::make_optional(aCode) : std::nullopt;
+  };
+}
+
 /** Text with blanks, words of the protocol and odd bytes. */
 rc::Gen<std::string>
 OddText()
@@ -255,9 +265,10 @@
 {
   for (bool isRelayed : { false, true }) {
     Site site(isRelayed);
-    site.simulation.isRefused = [](const SessionStatement& aStatement) {
-      return aStatement.kind == StatementKind::Prepare &&
-             aStatement.preparedText == "odd";
+    site.simulation.refusal = [](const SessionStatement& aStatement) {
+      bool isOdd = aStatement.kind == StatementKind::Prepare &&
+                   aStatement.preparedText == "odd";
+      return isOdd ? std::make_optional(FailureCode::Invalid) : std::nullopt;
     };
     CallerId other = site.Open();
     site.Send(other, "PREPARE p READ even");
@@ -278,9 +289,8 @@
 Test(statement_texts, refused_prepared_text_rolls_its_transaction_back)
 {
   Site site;
-  site.simulation.isRefused = [](const SessionStatement& aStatement) {
-    return aStatement.kind == StatementKind::Prepare;
-  };
+  site.simulation.refusal =
+    RefuseAll(StatementKind::Prepare, FailureCode::Invalid);
   CallerId caller = site.Open();
   site.Send(caller, "PREPARE p READ odd");
   site.Send(caller, "BEGIN");
@@ -299,10 +309,10 @@
 {
   Site site;
   bool hasRefused = false;
-  site.simulation.isRefused = [&](const SessionStatement& aStatement) {
+  site.simulation.refusal = [&](const SessionStatement& aStatement) {
     bool isRefused = aStatement.kind == StatementKind::SetValue;
     hasRefused = hasRefused || isRefused;
-    return isRefused;
+    return isRefused ? std::make_optional(FailureCode::Invalid) : std::nullopt;
   };
   CallerId leaving = site.Open();
   site.Send(leaving, "SET tz utc");
@@ -312,7 +322,7 @@
   }
   site.simulation.CloseSession(site.host, leaving); // the reply is on its way
   site.simulation.RunFor(Millis(50));
-  site.simulation.isRefused = nullptr;
+  site.simulation.refusal = nullptr;
   CallerId caller = site.Open();
   site.Send(caller, "SET tz utc");
   for (int i = 0; i < 5; ++i) {
@@ -321,23 +331,77 @@
   cr_assert_eq(site.simulation.Violations(), "");
 }
 
+Test(statement_texts, setting_refused_inside_a_transaction_rolls_it_back)
+{
+  for (FailureCode code :
+       { FailureCode::Invalid, FailureCode::Busy, FailureCode::Failed }) {
+    for (bool isCommit : { false, true }) {
+      Site site;
+      CallerId caller = site.Open();
+      site.Send(caller, "BEGIN");
+      cr_assert(IsOk(site.Send(caller, "WRITE k v")));
+      site.Send(caller, "SET tz utc");
+      site.simulation.refusal = RefuseAll(StatementKind::SetValue, code);
+      auto refused = site.Send(caller, isCommit ? "COMMIT" : "WRITE k w");
+      bool isAborted = isCommit || code != FailureCode::Invalid;
+      cr_assert(CodeOf(refused) ==
+                (isAborted ? FailureCode::Aborted : FailureCode::Invalid));
+      site.simulation.refusal = nullptr;
+      if (!isCommit) {
+        cr_assert(CodeOf(site.Send(caller, "COMMIT")) == FailureCode::Aborted);
+      }
+      cr_assert(IsOk(site.Send(caller, "READ k")));
+      cr_assert_eq(site.simulation.Acknowledged().size(), 0);
+      cr_assert_eq(site.simulation.Violations(), "");
+    }
+  }
+}
+
+Test(statement_texts, connection_whose_setup_fails_is_replaced)
+{
+  for (FailureCode code : { FailureCode::Invalid,
+                            FailureCode::Busy,
+                            FailureCode::Failed,
+                            FailureCode::Timeout }) {
+    Site site;
+    CallerId first = site.Open();
+    site.Send(first, "SET tz utc");
+    cr_assert(IsOk(site.Send(first, "WRITE k v")));
+    size_t refusals = 0;
+    site.simulation.refusal = [&](const SessionStatement& aStatement) {
+      bool isRefused =
+        aStatement.kind == StatementKind::Reset && refusals++ < 2;
+      return isRefused ? std::make_optional(code) : std::nullopt;
+    };
+    CallerId second = site.Open();
+    cr_assert(IsOk(site.Send(second, "WRITE k w")));
+    cr_assert_eq(site.simulation.Violations(), "");
+  }
+}
+
 Test(statement_texts, refusals_and_departures_leave_no_foreign_settings)
 {
   cr_assert(rc::check("any refusals", [] {
     Site site(*rc::gen::arbitrary<bool>());
-    // Which of the next statements are refused, as far as they may be.
-    auto refusals = *rc::gen::container<std::deque<bool>>(
-      rc::gen::weightedElement<bool>({ { 3, false }, { 1, true } }));
-    site.simulation.isRefused = [&](const SessionStatement& aStatement) {
+    // What becomes of the next setup statements; they succeed when it is empty.
+    auto codes = *rc::gen::container<std::deque<std::optional<FailureCode>>>(
+      rc::gen::weightedElement<std::optional<FailureCode>>(
+        { { 6, std::nullopt },
+          { 2, FailureCode::Invalid },
+          { 1, FailureCode::Failed },
+          { 1, FailureCode::Busy } }));
+    site.simulation.refusal =
+      [&](const SessionStatement& aStatement) -> std::optional<FailureCode> {
       bool isSetup = aStatement.kind == StatementKind::SetValue ||
                      aStatement.kind == StatementKind::Prepare ||
+                     aStatement.kind == StatementKind::Forget ||
                      aStatement.kind == StatementKind::Reset;
-      if (!isSetup || refusals.empty()) {
-        return false;
+      if (!isSetup || codes.empty()) {
+        return std::nullopt;
       }
-      bool isRefused = refusals.front();
-      refusals.pop_front();
-      return isRefused;
+      auto code = codes.front();
+      codes.pop_front();
+      return code;
     };
     std::vector<CallerId> callers{ site.Open(), site.Open(), site.Open() };
     std::vector<std::shared_ptr<FakeRequest>> open(callers.size());
@@ -347,20 +411,31 @@
       std::string digit = *rc::gen::element<std::string>("1", "2");
       std::string text = *rc::gen::element<std::string>("SET a " + digit,
                                                         "SET b " + digit,
-                                                        "PREPARE p READ 1",
-                                                        "EXEC p k",
+                                                        "PREPARE p WRITE 1",
+                                                        "EXEC p k v",
+                                                        "BEGIN",
+                                                        "COMMIT",
+                                                        "ROLLBACK",
                                                         "READ k",
                                                         "WRITE k v");
       if (open[at] && !open[at]->reply) {
         site.simulation.CloseSession(site.host, callers[at]);
         callers[at] = site.Open();
       }
+      if (*rc::gen::inRange(0, 20) == 0) {
+        site.simulation.Reset(site.host, 0);
+      }
       open[at] = site.simulation.SubmitText(
         site.host, callers[at], text, MeaningOf(text));
       site.simulation.RunFor(Millis(*rc::gen::inRange(0, 12)));
     }
-    site.simulation.RunFor(Seconds(2));
+    site.simulation.RunFor(
+      Seconds(4)); // until all are answered and rolled back
+    codes.clear();
     RC_ASSERT(site.simulation.Violations() == "");
+    for (int i = 0; i < 3; ++i) {
+      RC_ASSERT(IsOk(site.Send(site.Open(), "WRITE k v")));
+    }
   }));
 }
 
