Prepare anew what an upstream has forgotten, in transactions too

What callers would see: NOSTMT for a statement whose preparing was acknowledged, in one transaction after the other.

Cause: only where a statement was tried again did NOSTMT clear what was noted of the connection; in a transaction, and after the caller had left, the name stayed noted.

Change: any NOSTMT marks the connection for a reset, which also ends statements there that nobody knows any more.

Measured: statement_forgotten_by_its_upstream_is_prepared_anew failed before, direct, at the second transaction, and passes direct and relayed.

--- a/src/coordination/proxy/proxy-answers.cc
+++ b/src/coordination/proxy/proxy-answers.cc
@@ -89,6 +89,12 @@
   ProxyLink& link = found->second;
   ServiceView& view = this->ServiceOf(link.service).view;
   this->NoteAnswer(link);
+  if (aEvent.reply.failure &&
+      aEvent.reply.failure->code == FailureCode::NoStatement) {
+    // It lacks a statement that was prepared there, and perhaps others.
+    link.prepared.Clear();
+    link.needsReset = true;
+  }
   view.CommitEnded(link.id);
   if (aEvent.reply.position) {
     view.ApplyLogEnd(link.upstream, *aEvent.reply.position, link.asked);
@@ -309,9 +315,6 @@
     this->NoteFailure(aLink, aSession, failure);
     aSession.pinned = 0;
     pending.mayHaveRun = pending.mayHaveRun || !didNotRun;
-    if (failure.code == FailureCode::NoStatement) {
-      aLink.prepared.Clear();
-    }
     this->Release(aLink, aReply.state);
     bool isBusy = failure.code == FailureCode::Busy;
     this->Requeue(aSession, isBusy ? kBusyRetryDelay : Millis(0));
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -454,6 +454,9 @@
     FakeUpstream& upstream = this->upstreams[linkEntry->second.upstream];
     SendToUpstream understood = aAction;
     if (auto code = this->RefusalOf(aAction, understood)) {
+      if (code == FailureCode::NoStatement) {
+        linkEntry->second.prepared.clear();
+      }
       this->SendReply(
         aKey, LinkAnswered{ aKey.second, Refuse(linkEntry->second, *code) });
       return;
--- a/test/statement-texts-test.cc
+++ b/test/statement-texts-test.cc
@@ -357,6 +357,31 @@
   }
 }
 
+Test(statement_texts, statement_forgotten_by_its_upstream_is_prepared_anew)
+{
+  for (bool isRelayed : { false, true }) {
+    Site site(isRelayed);
+    bool isForgotten = true;
+    site.simulation.refusal = [&](const SessionStatement& aStatement) {
+      bool isLost = aStatement.kind == StatementKind::Execute &&
+                    std::exchange(isForgotten, false);
+      return isLost ? std::make_optional(FailureCode::NoStatement)
+                    : std::nullopt;
+    };
+    for (int i = 0; i < 4; ++i) {
+      CallerId caller = site.Open();
+      site.Send(caller, "PREPARE p WRITE q");
+      site.Send(caller, "BEGIN");
+      cr_assert(IsOk(site.Send(caller, "WRITE k v")));
+      auto execution = site.Send(caller, "EXEC p k w");
+      cr_assert(i == 0 || IsOk(execution));
+      site.Send(caller, "ROLLBACK");
+      site.simulation.RunFor(Millis(20));
+    }
+    cr_assert_eq(site.simulation.Violations(), "");
+  }
+}
+
 Test(statement_texts, connection_whose_setup_fails_is_replaced)
 {
   for (FailureCode code : { FailureCode::Invalid,
