--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -1,4 +1,5 @@
 #include "documents.h"
+#include "upstream-links.h"
 #include "wire-lines.h"
 
 #include "marigoldpitch/protocol/proxy-settings.h"
@@ -365,6 +366,31 @@
   cr_assert_eq(errno, ECONNRESET);
 }
 
+// Records and other hosts may name upstreams that the registry does not.
+Test(upstream_links, name_with_the_end_of_a_line_is_not_sent)
+{
+  UniqueFd listener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  auto* raw = reinterpret_cast<sockaddr*>(&address);
+  cr_assert_eq(bind(listener.Get(), raw, length), 0);
+  cr_assert_eq(listen(listener.Get(), 1), 0);
+  cr_assert_eq(getsockname(listener.Get(), raw, &length), 0);
+  auto loop = Loop::Create();
+  bool isLost = false;
+  UpstreamLinks links(*loop.value(), "h", [&](const ProxyEvent& aEvent) {
+    isLost = isLost || std::holds_alternative<LinkLost>(aEvent);
+  });
+  Endpoint endpoint{ "127.0.0.1", ntohs(address.sin_port) };
+  links.Perform(OpenLink{ 1, "svc", "i\r\nQUERY - DEMOTE 9", endpoint });
+  loop.value()->After(Millis(50), [&] { loop.value()->Stop(); });
+  loop.value()->Run();
+  cr_assert(isLost);
+  cr_assert_eq(accept(listener.Get(), nullptr, nullptr), -1);
+}
+
 Test(log, full_pipe_drops_lines_and_logs_the_loss)
 {
   int ends[2];
