Send no statement when its transaction has ended at the upstream

What callers would see: a write of a transaction that the upstream has ended runs, and is committed, by itself. Found by the review; whether the users' back ends end a transaction silently is not known.

Cause: the state in the reply to a setup statement, and to BEGIN, was not looked at.

Change: unless it is the state that the session's statement needs, the connection is closed; inside a transaction the answer is aborted.

Measured: statement_does_not_run_after_its_transaction_has_ended failed before (a commit without a COMMIT), and passes direct and relayed.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -219,6 +219,7 @@
   bool NeedsReset(const ProxyLink& aLink, const CallerSession& aSession) const;
   void SendPrepare(ProxyLink& aLink, PendingStatement& aPending);
   void SendSetupStatement(ProxyLink& aLink, const SessionStatement& aStatement);
+  static SessionState ExpectedState(const CallerSession& aSession);
   void HandleSetupReply(ProxyLink& aLink,
                         CallerSession& aSession,
                         const StatementReply& aReply);
--- a/src/coordination/proxy/proxy-answers.cc
+++ b/src/coordination/proxy/proxy-answers.cc
@@ -148,6 +148,10 @@
                               CallerSession& aSession,
                               const StatementReply& aReply)
 {
+  if (!aReply.failure && aReply.state != SessionState::InTransaction) {
+    this->Close(aLink.id, false);
+    return;
+  }
   if (!aReply.failure) {
     this->SendNext(aLink, aSession);
     return;
--- a/src/coordination/proxy/proxy-setup.cc
+++ b/src/coordination/proxy/proxy-setup.cc
@@ -15,6 +15,17 @@
 
 } // namespace detail
 
+/**
+ * The state in which the upstream must be before the session's statement is
+ * sent: the statement would run outside its transaction otherwise.
+ */
+SessionState
+ProxyEngine::ExpectedState(const CallerSession& aSession)
+{
+  return aSession.pinned == 0 ? SessionState::Idle
+                              : SessionState::InTransaction;
+}
+
 /**
  * Sends the setup statements that give the connection the session's settings
  * and prepare the statement there.
@@ -95,6 +106,8 @@
   if (aReply.failure) {
     this->LogRefusedSetup(aLink, *aSession.pending, setup, *aReply.failure);
     this->HandleRefusedSetup(aLink, aSession, setup, aReply);
+  } else if (aReply.state != ExpectedState(aSession)) {
+    this->Close(aLink.id, false);
   } else if (aLink.openSetups.empty()) {
     this->SendNext(aLink, aSession);
   }
--- a/test/fakes/proxy-simulation-upstreams.cc
+++ b/test/fakes/proxy-simulation-upstreams.cc
@@ -489,6 +489,15 @@
   this->Restart(aUpstream);
 }
 
+void
+ProxySimulation::EndTransactions()
+{
+  for (auto& [key, link] : this->links) {
+    link.state = SessionState::Idle;
+    link.pendingWrites.clear();
+  }
+}
+
 void
 ProxySimulation::Silence(size_t aHost, size_t aUpstream)
 {
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -254,6 +254,9 @@
   /** The most prepared statements that a connection has had at an upstream. */
   size_t MostPrepared() const { return this->mostPrepared; }
 
+  /** The upstreams end their open transactions without saying so. */
+  void EndTransactions();
+
   /** Hosts that stand still: what reaches them is handled later. */
   std::set<size_t> paused;
 
--- a/test/statement-texts-test.cc
+++ b/test/statement-texts-test.cc
@@ -382,6 +382,21 @@
   }
 }
 
+Test(statement_texts, statement_does_not_run_after_its_transaction_has_ended)
+{
+  for (bool isRelayed : { false, true }) {
+    Site site(isRelayed);
+    CallerId caller = site.Open();
+    site.Send(caller, "BEGIN");
+    cr_assert(IsOk(site.Send(caller, "WRITE k v")));
+    site.Send(caller, "SET tz utc");
+    site.simulation.EndTransactions();
+    cr_assert(CodeOf(site.Send(caller, "WRITE k w")) == FailureCode::Aborted);
+    cr_assert_eq(site.simulation.Acknowledged().size(), 0);
+    cr_assert_eq(site.simulation.Violations(), "");
+  }
+}
+
 Test(statement_texts, connection_whose_setup_fails_is_replaced)
 {
   for (FailureCode code : { FailureCode::Invalid,
