Refuse statements that the proxy's additions make too long

A caller whose line was within 1 MiB got ERR TIMEOUT or BUSY, "no upstream accepted the statement", and six connections that others use as well were closed. The proxy adds AFTER and a log point (up to 48 bytes), and its own name for a prepared statement; the message is then over 1 MiB, and the upstream closes the connection, once for each try.

One bound for statements, `kMaxStatementBytes`, 1 KiB below that of a message, checked when the statement is handled, whichever the encoding. The refusal is `TooBig`; nothing has run, and session and transaction stay as they were.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -133,6 +133,9 @@
   // callers, and the end of transactions.
   void HandleStatement(CallerSession& aSession, const StatementArrived& aEvent);
   void HandleNextStatement(CallerSession& aSession);
+  void RefuseTooBig(CallerSession& aSession,
+                    const std::string& aRequestId,
+                    const std::string& aWhy);
   void Begin(CallerSession& aSession, bool aReadOnly);
   void SetValue(CallerSession& aSession, const SessionStatement& aStatement);
   void RollBack(CallerSession& aSession);
--- /dev/null
+++ b/include/marigoldpitch/coordination/proxy/statement-limits.h
@@ -0,0 +1,37 @@
+#ifndef MARIGOLDPITCH_COORDINATION_PROXY_STATEMENT_LIMITS_H
+#define MARIGOLDPITCH_COORDINATION_PROXY_STATEMENT_LIMITS_H
+
+#include "marigoldpitch/coordination/proxy/statement.h"
+#include "marigoldpitch/state/sizes.h"
+
+/**
+ * How large statements may be, independent of any encoding. A caller must not
+ * be able to send what would destroy a connection that others use as well.
+ */
+namespace marigoldpitch {
+
+/** The largest message that callers, proxies and upstreams accept, in bytes. */
+constexpr size_t kMaxMessageBytes = kMebibyte;
+
+/**
+ * The part of a message to an upstream that is not the caller's text, in bytes:
+ * the keywords of the encoding, a log point to wait for, and the proxy's own
+ * name for a prepared statement.
+ */
+constexpr size_t kMessageReserveBytes = kKibibyte;
+
+/** The largest statement of a caller with its request id, in bytes. */
+constexpr size_t kMaxStatementBytes = kMaxMessageBytes - kMessageReserveBytes;
+
+/** The texts that the caller sent for the statement, in bytes. */
+inline size_t
+SizeOf(const SessionStatement& aStatement)
+{
+  bool isPrepare = aStatement.kind == StatementKind::Prepare;
+  return aStatement.name.size() + (isPrepare ? aStatement.preparedText.size()
+                                             : aStatement.arguments.size());
+}
+
+} // namespace marigoldpitch
+
+#endif
--- a/include/marigoldpitch/coordination/proxy/statement.h
+++ b/include/marigoldpitch/coordination/proxy/statement.h
@@ -93,7 +93,9 @@
 
   // The request is invalid.
   NoDatabase,
-  TooBig,  // too many statements are pipelined
+  // The statement is too long, or too many are pipelined. It did not run, and
+  // the session stays as it was, unless it is closed.
+  TooBig,
   Invalid, // malformed, or not allowed in the session's present state
 };
 
--- a/src/coordination/proxy/proxy-sessions.cc
+++ b/src/coordination/proxy/proxy-sessions.cc
@@ -1,4 +1,5 @@
 #include "marigoldpitch/coordination/proxy/proxy-engine.h"
+#include "marigoldpitch/coordination/proxy/statement-limits.h"
 
 namespace marigoldpitch {
 
@@ -29,6 +30,10 @@
                         "the transaction has failed and must be rolled back");
     return;
   }
+  if (aEvent.requestId.size() + SizeOf(statement) > kMaxStatementBytes) {
+    this->RefuseTooBig(aSession, aEvent.requestId, "the statement is too long");
+    return;
+  }
   switch (statement.kind) {
     case StatementKind::Begin:
     case StatementKind::BeginReadOnly:
@@ -60,6 +65,16 @@
   this->Submit(aSession, aEvent);
 }
 
+/** Refuses a statement that has changed nothing; the session goes on. */
+void
+ProxyEngine::RefuseTooBig(CallerSession& aSession,
+                          const std::string& aRequestId,
+                          const std::string& aWhy)
+{
+  this->AddDecision(LogEvent::CallerRefused, aRequestId, { { "why", aWhy } });
+  this->AnswerFailure(aSession, FailureCode::TooBig, aWhy);
+}
+
 void
 ProxyEngine::HandleNextStatement(CallerSession& aSession)
 {
