Check the length of every line that a link receives

A line over 1 MiB was accepted if it arrived together with its end: only the rest without an end was compared with the limit. A line of exactly the limit was refused if its CR and LF arrived apart. With each chunk the search for the end began at the start of the line.

`LineSplitter` checks each line, complete or not, and searches only what is new.

--- a/include/marigoldpitch/transport/line-link.h
+++ b/include/marigoldpitch/transport/line-link.h
@@ -1,6 +1,7 @@
 #ifndef MARIGOLDPITCH_TRANSPORT_LINE_LINK_H
 #define MARIGOLDPITCH_TRANSPORT_LINE_LINK_H
 
+#include "marigoldpitch/protocol/line-splitter.h"
 #include "marigoldpitch/state/sizes.h"
 #include "marigoldpitch/transport/stream-link.h"
 
@@ -22,7 +23,7 @@
   virtual void OnLinkDown(LineLink& aLink, const Error& aReason) = 0;
 };
 
-/** The maximum length of a line; a longer line closes the link. */
+/** The maximum length of a line in bytes; a longer line closes the link. */
 constexpr size_t kMaxLineBytes = kMebibyte;
 
 class LineLink : public StreamLink
@@ -54,7 +55,7 @@
 
   uint64_t tag;
   LineLinkListener& listener;
-  std::string unparsed;
+  LineSplitter splitter;
 };
 
 } // namespace marigoldpitch
--- a/src/transport/line-link.cc
+++ b/src/transport/line-link.cc
@@ -3,7 +3,6 @@
 namespace marigoldpitch {
 
 namespace detail {
-constexpr std::string_view kLineEnd = "\r\n";
 // A multiple of `kMaxLineBytes`; a peer that does not read is disconnected.
 constexpr size_t kMaxQueuedLineBytes = 4 * kMebibyte;
 } // namespace detail
@@ -12,6 +11,7 @@
   : StreamLink(aLoop, detail::kMaxQueuedLineBytes)
   , tag(aTag)
   , listener(aListener)
+  , splitter(kMaxLineBytes)
 {
 }
 
@@ -40,22 +40,17 @@
 void
 LineLink::OnBytes(std::string_view aBytes)
 {
-  this->unparsed += aBytes;
-  size_t consumed = 0;
+  this->splitter.Append(aBytes);
   while (this->IsOpen()) {
-    size_t end = this->unparsed.find(detail::kLineEnd, consumed);
-    if (end == std::string::npos) {
-      break;
+    auto line = this->splitter.Next();
+    if (!line) {
+      this->Fail(line.error());
+      return;
     }
-    std::string_view line =
-      std::string_view(this->unparsed).substr(consumed, end - consumed);
-    consumed = end + detail::kLineEnd.size();
-    this->listener.OnLine(*this, line);
-  }
-  this->unparsed.erase(0, consumed);
-  if (this->IsOpen() && this->unparsed.size() > kMaxLineBytes) {
-    this->Fail(
-      { ErrorCode::TooLarge, "read", "the line exceeds the maximum length" });
+    if (!line.value()) {
+      return;
+    }
+    this->listener.OnLine(*this, *line.value());
   }
 }
 
