Cut long values in log lines

A database name, request id or error text of up to 1 MiB stood whole in a line, up to six times as long when escaped, and pushed other lines out of the log's buffer of 64 KiB.

A value takes at most 256 bytes in the lines that requests cause, 2 KiB in others, whose lists of members are longer, and is cut between two characters.

Without the limit, and with a cut at any byte, log/long_values_are_cut_between_characters fails.

--- a/include/marigoldpitch/transport/json-log.h
+++ b/include/marigoldpitch/transport/json-log.h
@@ -16,7 +16,8 @@
 /**
  * Never blocks: lines that standard output cannot take yet wait in a buffer of
  * bounded size. The events that requests cause share a rate limit. Lines that
- * exceed either limit are dropped, and their number is logged.
+ * exceed either limit are dropped, and their number is logged. Long values are
+ * cut, since some are texts of callers.
  */
 class JsonLog
 {
--- a/src/transport/json-log.cc
+++ b/src/transport/json-log.cc
@@ -16,6 +16,11 @@
 constexpr size_t kMaxBufferedBytes = 64 * kKibibyte;
 // Applies to the events that requests cause; all others are not rate-limited.
 constexpr uint32_t kRateLimitedLinesPerSecond = 100;
+// The longest value of a line that requests cause, in which callers' texts
+// stand, and of any other line.
+constexpr size_t kMaxRequestFieldBytes = 256;
+constexpr size_t kMaxFieldBytes = 2 * kKibibyte;
+constexpr std::string_view kCutMark = "...";
 
 bool
 IsRateLimited(LogEvent aEvent)
@@ -29,6 +34,28 @@
          aEvent == LogEvent::DatabaseUnknown;
 }
 
+bool
+IsUtf8Continuation(char aByte)
+{
+  return (static_cast<unsigned char>(aByte) & 0xc0U) == 0x80U;
+}
+
+/** The text, cut between two characters if it is over the limit. */
+std::string
+CutText(const std::string& aText, size_t aMaxBytes)
+{
+  constexpr size_t kMaxContinuationBytes = 3;
+  if (aText.size() <= aMaxBytes) {
+    return aText;
+  }
+  size_t end = aMaxBytes;
+  while (aMaxBytes - end < kMaxContinuationBytes &&
+         IsUtf8Continuation(aText[end])) {
+    --end;
+  }
+  return aText.substr(0, end).append(kCutMark);
+}
+
 } // namespace detail
 
 JsonLog::JsonLog(std::string aHost)
@@ -87,10 +114,13 @@
   line["event"] = fmt::format("E{}", row.number);
   line["name"] = row.name;
   if (!aRequestId.empty()) {
-    line["request"] = aRequestId;
+    line["request"] =
+      detail::CutText(aRequestId, detail::kMaxRequestFieldBytes);
   }
+  size_t limit = detail::IsRateLimited(aEvent) ? detail::kMaxRequestFieldBytes
+                                               : detail::kMaxFieldBytes;
   for (const auto& [name, value] : aFields) {
-    line[name] = value;
+    line[name] = detail::CutText(value, limit);
   }
   this->buffer +=
     line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -52,6 +52,42 @@
   return line && std::holds_alternative<InvalidQueryLine>(line.value());
 }
 
+/** The lines of a log; fails the test if one is not JSON. */
+std::vector<nlohmann::json>
+ParseLines(const std::string& aText)
+{
+  std::vector<nlohmann::json> lines;
+  size_t start = 0;
+  for (size_t end; (end = aText.find('\n', start)) != std::string::npos;
+       start = end + 1) {
+    lines.push_back(nlohmann::json::parse(aText.substr(start, end - start)));
+  }
+  return lines;
+}
+
+/** What `aWrite` logs; it must fit a pipe's buffer of 1 MiB. */
+template<typename Write>
+std::string
+LogText(Write aWrite)
+{
+  int ends[2];
+  cr_assert_eq(pipe(ends), 0);
+  UniqueFd reader(ends[0]);
+  UniqueFd writer(ends[1]);
+  fcntl(writer.Get(), F_SETPIPE_SZ, 1 << 20);
+  UniqueFd saved(dup(STDOUT_FILENO));
+  dup2(writer.Get(), STDOUT_FILENO);
+  JsonLog log("h");
+  aWrite(log);
+  log.Flush();
+  dup2(saved.Get(), STDOUT_FILENO);
+  std::string text(1 << 20, '\0');
+  fcntl(reader.Get(), F_SETFL, O_NONBLOCK);
+  ssize_t size = read(reader.Get(), text.data(), text.size());
+  text.resize(size < 0 ? 0 : static_cast<size_t>(size));
+  return text;
+}
+
 } // namespace
 
 Test(lines, statements_are_forwarded_unchanged)
@@ -421,14 +457,40 @@
   dup2(saved.Get(), STDOUT_FILENO);
   cr_assert_lt(text.size(), 200000);
   cr_assert(text.find("log-dropped") != std::string::npos);
-  size_t start = 0;
-  for (size_t end; (end = text.find('\n', start)) != std::string::npos;
-       start = end + 1) {
-    auto line = nlohmann::json::parse(text.substr(start, end - start));
+  for (const nlohmann::json& line : ParseLines(text)) {
     cr_assert(line.contains("event"));
   }
 }
 
+// Guards against a caller whose long texts fill the log's buffer.
+Test(log, long_values_are_cut_between_characters)
+{
+  constexpr size_t kLongBytes = 1 << 20;
+  constexpr size_t kMaxLineBytes = 8 << 10;
+  std::string ascii(kLongBytes, 'x');
+  std::string controls(kLongBytes, '\x01');
+  std::string wide;
+  for (size_t i = 0; i < kLongBytes / 3; ++i) {
+    wide += "\xe2\x82\xac";
+  }
+  std::string text = LogText([&](JsonLog& aLog) {
+    aLog.AddLine(LogEvent::DatabaseUnknown, ascii, { { "database", wide } });
+    aLog.AddLine(LogEvent::SetupRefused, "q1", { { "why", controls } });
+    aLog.AddLine(LogEvent::FrameRefused, "", { { "why", ascii } });
+    aLog.AddLine(LogEvent::ConnectionLost, "", { { "upstream", "short" } });
+  });
+  std::vector<nlohmann::json> lines = ParseLines(text);
+  cr_assert_eq(lines.size(), 4);
+  cr_assert_lt(text.size(), lines.size() * kMaxLineBytes);
+  for (const char* field : { "request", "database" }) {
+    std::string value = lines[0][field];
+    cr_assert_lt(value.size(), 300);
+    cr_assert_eq(value.substr(value.size() - 3), "...");
+    cr_assert(value.find("\xef\xbf\xbd") == std::string::npos);
+  }
+  cr_assert_eq(lines[3]["upstream"], "short");
+}
+
 Test(clock, timers_use_the_monotonic_clock)
 {
   // Both clocks advance alike while the host is not suspended. Neither is the
