Bound a session's settings and prepared statements

A session could hold any number of them. Settings are sent in one go: more than 4 MiB overflow the write queue of the connection to the upstream, which is closed, again with each try; relayed, they exceed a frame between hosts, and the link that all callers of the host share is closed.

A session holds 1 MiB of settings and 4 MiB of prepared statements, 128 bytes for each entry included; beyond that SET or PREPARE is answered `TooBig` and changes nothing. Static assertions and a test relate the limits to those of a frame and of a write queue. The simulation now closes a link between hosts at a frame over its limit.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -137,7 +137,7 @@
                     const std::string& aRequestId,
                     const std::string& aWhy);
   void Begin(CallerSession& aSession, bool aReadOnly);
-  void SetValue(CallerSession& aSession, const SessionStatement& aStatement);
+  void SetValue(CallerSession& aSession, const StatementArrived& aEvent);
   void RollBack(CallerSession& aSession);
   void Answer(CallerSession& aSession, StatementReply aReply);
   void AnswerFailure(CallerSession& aSession,
--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -86,6 +86,8 @@
   std::string database;
   std::map<std::string, std::string> values;
   std::map<std::string, PreparedStatement> prepared;
+  size_t settingsBytes = 0; // of `values`, with the overhead of each
+  size_t preparedBytes = 0; // of `prepared`, likewise
   SessionState state = SessionState::Idle;
   bool readOnly = false; // whether the open transaction is
   bool transactionWrote = false;
--- a/include/marigoldpitch/coordination/proxy/statement-limits.h
+++ b/include/marigoldpitch/coordination/proxy/statement-limits.h
@@ -23,6 +23,17 @@
 /** The largest statement of a caller with its request id, in bytes. */
 constexpr size_t kMaxStatementBytes = kMaxMessageBytes - kMessageReserveBytes;
 
+/**
+ * The largest sum of a session's settings, and of its prepared statements, in
+ * bytes. The settings are sent together: to an upstream's connection before a
+ * statement, and to another host along with it.
+ */
+constexpr size_t kMaxSettingsBytes = kMebibyte;
+constexpr size_t kMaxPreparedBytes = 4 * kMebibyte;
+
+/** What a setting or prepared statement counts besides its texts, in bytes. */
+constexpr size_t kEntryOverheadBytes = 128;
+
 /** The texts that the caller sent for the statement, in bytes. */
 inline size_t
 SizeOf(const SessionStatement& aStatement)
--- a/include/marigoldpitch/protocol/wire.h
+++ b/include/marigoldpitch/protocol/wire.h
@@ -5,6 +5,7 @@
 #include "marigoldpitch/coordination/proxy/relay-io.h"
 #include "marigoldpitch/state/error.h"
 #include "marigoldpitch/state/request.h"
+#include "marigoldpitch/state/sizes.h"
 
 #include <cstdint>
 #include <string>
@@ -14,6 +15,9 @@
 /** Frames between the system's own daemons, encoded as FlatBuffers. */
 namespace marigoldpitch {
 
+/** The largest frame of a link between proxies; a larger one closes it. */
+constexpr size_t kMaxRelayFrameBytes = 4 * kMebibyte;
+
 struct RequestFrame
 {
   uint64_t number = 0;
--- a/include/marigoldpitch/transport/line-link.h
+++ b/include/marigoldpitch/transport/line-link.h
@@ -26,6 +26,9 @@
 /** The maximum length of a line in bytes; a longer line closes the link. */
 constexpr size_t kMaxLineBytes = kMebibyte;
 
+/** How much may wait to be sent; a peer that does not read is disconnected. */
+constexpr size_t kMaxQueuedLineBytes = 4 * kMebibyte;
+
 class LineLink : public StreamLink
 {
 public:
--- a/src/coordination/proxy/proxy-sessions.cc
+++ b/src/coordination/proxy/proxy-sessions.cc
@@ -3,6 +3,66 @@
 
 namespace marigoldpitch {
 
+namespace detail {
+
+size_t
+EntryBytes(const std::string& aName, const std::string& aText)
+{
+  return aName.size() + aText.size() + kEntryOverheadBytes;
+}
+
+/** Returns false and changes nothing if the settings would be over the limit.
+ */
+bool
+StoreSetting(CallerSession& aSession, const SessionStatement& aStatement)
+{
+  const std::string& name = aStatement.name;
+  auto found = aSession.values.find(name);
+  size_t replaced =
+    found == aSession.values.end() ? 0 : EntryBytes(name, found->second);
+  size_t bytes =
+    aSession.settingsBytes - replaced + EntryBytes(name, aStatement.arguments);
+  if (bytes > kMaxSettingsBytes) {
+    return false;
+  }
+  aSession.settingsBytes = bytes;
+  aSession.values[name] = aStatement.arguments;
+  return true;
+}
+
+size_t
+PreparedBytes(const CallerSession& aSession, const std::string& aName)
+{
+  auto found = aSession.prepared.find(aName);
+  return found == aSession.prepared.end()
+           ? 0
+           : EntryBytes(aName, found->second.preparedText);
+}
+
+/** Like `StoreSetting`, for a prepared statement. */
+bool
+StorePrepared(CallerSession& aSession, const SessionStatement& aStatement)
+{
+  const std::string& name = aStatement.name;
+  size_t bytes = aSession.preparedBytes - PreparedBytes(aSession, name) +
+                 EntryBytes(name, aStatement.preparedText);
+  if (bytes > kMaxPreparedBytes) {
+    return false;
+  }
+  aSession.preparedBytes = bytes;
+  aSession.prepared[name] = { aStatement.writes, aStatement.preparedText };
+  return true;
+}
+
+void
+RemovePrepared(CallerSession& aSession, const std::string& aName)
+{
+  aSession.preparedBytes -= PreparedBytes(aSession, aName);
+  aSession.prepared.erase(aName);
+}
+
+} // namespace detail
+
 const DatabaseRoute*
 ProxyEngine::RouteOf(const std::string& aDatabase) const
 {
@@ -45,7 +105,7 @@
     case StatementKind::SetValue:
     case StatementKind::Prepare:
     case StatementKind::Forget:
-      this->SetValue(aSession, statement);
+      this->SetValue(aSession, aEvent);
       return;
     case StatementKind::Commit:
       if (isFailed) {
@@ -108,21 +168,26 @@
 }
 
 void
-ProxyEngine::SetValue(CallerSession& aSession,
-                      const SessionStatement& aStatement)
+ProxyEngine::SetValue(CallerSession& aSession, const StatementArrived& aEvent)
 {
-  switch (aStatement.kind) {
+  const SessionStatement& statement = aEvent.statement;
+  bool isStored = true;
+  switch (statement.kind) {
     case StatementKind::SetValue:
-      aSession.values[aStatement.name] = aStatement.arguments;
+      isStored = detail::StoreSetting(aSession, statement);
       break;
     case StatementKind::Prepare:
-      aSession.prepared[aStatement.name] = { aStatement.writes,
-                                             aStatement.preparedText };
+      isStored = detail::StorePrepared(aSession, statement);
       break;
     default:
-      aSession.prepared.erase(aStatement.name);
+      detail::RemovePrepared(aSession, statement.name);
       break;
   }
+  if (!isStored) {
+    this->RefuseTooBig(
+      aSession, aEvent.requestId, "the session would hold too much");
+    return;
+  }
   this->Answer(aSession, {});
 }
 
--- a/src/transport/line-link.cc
+++ b/src/transport/line-link.cc
@@ -2,13 +2,8 @@
 
 namespace marigoldpitch {
 
-namespace detail {
-// A multiple of `kMaxLineBytes`; a peer that does not read is disconnected.
-constexpr size_t kMaxQueuedLineBytes = 4 * kMebibyte;
-} // namespace detail
-
 LineLink::LineLink(Loop& aLoop, uint64_t aTag, LineLinkListener& aListener)
-  : StreamLink(aLoop, detail::kMaxQueuedLineBytes)
+  : StreamLink(aLoop, kMaxQueuedLineBytes)
   , tag(aTag)
   , listener(aListener)
   , splitter(kMaxLineBytes)
--- a/src/transport/relay-links.cc
+++ b/src/transport/relay-links.cc
@@ -1,12 +1,19 @@
 #include "marigoldpitch/transport/relay-links.h"
 
+#include "marigoldpitch/coordination/proxy/statement-limits.h"
 #include "marigoldpitch/transport/clock.h"
 
 namespace marigoldpitch {
 
 namespace detail {
 
-constexpr size_t kRelayFrameBytes = 4U << 20;
+// What a frame holds besides a caller's texts, names of the configuration among
+// them.
+constexpr size_t kFrameReserveBytes = 256 * kKibibyte;
+static_assert(2 * kMaxStatementBytes + kMaxSettingsBytes + kFrameReserveBytes <=
+                kMaxRelayFrameBytes,
+              "a statement, its prepared text and the settings fit a frame");
+
 constexpr size_t kMaxRelayLinks = 1024;
 constexpr Duration kConnectTimeout = Millis(300);
 // A host from which nothing was heard for this long is sent a ping, sooner if
@@ -33,7 +40,7 @@
                     PeerNetwork::Create(aLoop,
                                         aOwnHost,
                                         aListen,
-                                        detail::kRelayFrameBytes,
+                                        kMaxRelayFrameBytes,
                                         detail::kMaxRelayLinks,
                                         *links));
   links->network = std::move(created);
--- a/test/fakes/proxy-simulation-relays.cc
+++ b/test/fakes/proxy-simulation-relays.cc
@@ -1,5 +1,7 @@
 #include "fakes/proxy-simulation.h"
 
+#include "marigoldpitch/protocol/wire.h"
+
 // The links of `ProxySimulation` over which hosts relay statements.
 
 namespace marigoldpitch::fakes {
@@ -8,6 +10,12 @@
 
 constexpr Duration kConnectTime = Millis(2);
 
+size_t
+BytesOf(const Frame& aFrame)
+{
+  return EncodeFrame(aFrame).size();
+}
+
 } // namespace
 
 std::string
@@ -99,12 +107,28 @@
   }
 }
 
+/** A frame over the limit makes the receiver close the link. */
+bool
+ProxySimulation::FitsRelayLink(RelayLinkId aLink, size_t aFrameBytes)
+{
+  if (aFrameBytes <= kMaxRelayFrameBytes) {
+    return true;
+  }
+  RelayLink link = this->relayLinks[aLink];
+  this->queue.After(kConnectTime, [this, link] {
+    ++this->oversizedFrames;
+    this->LoseRelayLink(link.from, link.to);
+  });
+  return false;
+}
+
 void
 ProxySimulation::Perform(size_t aHost, const RelayStatement& aAction)
 {
   size_t to = this->HostNamed(aAction.host);
   RelayLinkId id = this->FindRelay(aHost, to);
-  if (id == 0) {
+  if (id == 0 || !this->FitsRelayLink(
+                   id, BytesOf(RelayedStatementFrame{ aAction.statement }))) {
     return;
   }
   Duration delay = this->MessageDelay(this->relayLinks[id].lastRequestArrival);
@@ -141,7 +165,8 @@
 {
   RelayLinkId id = aAction.link;
   auto found = this->relayLinks.find(id);
-  if (found == this->relayLinks.end()) {
+  if (found == this->relayLinks.end() ||
+      !this->FitsRelayLink(id, BytesOf(RelayedReplyFrame{ aAction.reply }))) {
     return;
   }
   size_t from = found->second.from;
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -220,6 +220,9 @@
   /** Closes the link over which a host relays to another; it opens another. */
   void LoseRelayLink(size_t aFrom, size_t aTo);
 
+  /** How many frames between hosts were over their limit. */
+  size_t OversizedFrames() const { return this->oversizedFrames; }
+
   /** Whether the host keeps connections to the upstream. */
   bool HasLinks(size_t aHost, size_t aUpstream) const;
 
@@ -320,6 +323,7 @@
   HostsCounted MakeHostsCounted() const;
   size_t HostNamed(const std::string& aName) const;
   void ConnectRelays(size_t aHost);
+  bool FitsRelayLink(RelayLinkId aLink, size_t aFrameBytes);
   RelayLinkId FindRelay(size_t aFrom, size_t aTo) const;
   void LoseRelayLinksOf(size_t aHost);
   void Perform(size_t aHost, const RelayStatement& aAction);
@@ -401,6 +405,7 @@
   std::map<std::string, size_t> placed;
   size_t promotions = 0;
   size_t excessLinks = 0;
+  size_t oversizedFrames = 0;
   size_t reportCount = 0;
   CallerId lastCaller = 0;
 };
--- a/test/statement-limits-test.cc
+++ b/test/statement-limits-test.cc
@@ -2,6 +2,7 @@
 #include "wire-lines.h"
 
 #include "marigoldpitch/coordination/proxy/statement-limits.h"
+#include "marigoldpitch/protocol/wire.h"
 #include "marigoldpitch/transport/line-link.h"
 
 #include <criterion/criterion.h>
@@ -18,6 +19,8 @@
 constexpr size_t kLineEndBytes = 2;
 constexpr size_t kMaxPreparedNameBytes = 24; // of the proxy's own names
 
+constexpr size_t kRelayHosts = 4;
+
 ProxySimulationOptions
 Options()
 {
@@ -34,6 +37,61 @@
   aSimulation.RunFor(Millis(1500));
 }
 
+/** Hosts of one zone, of which one serves the service for the others. */
+ProxySimulationOptions
+RelayOptions()
+{
+  ProxySimulationOptions options;
+  options.hosts = kRelayHosts;
+  options.zones = 1;
+  options.connections = kRelayHosts;
+  return options;
+}
+
+/** A host that relays its callers' statements. */
+size_t
+RelayingHost(ProxySimulation& aSimulation)
+{
+  size_t host = 0;
+  while (aSimulation.Host(host).Services().at("service").isServedHere) {
+    ++host;
+  }
+  return host;
+}
+
+SessionStatement
+Setting(const std::string& aName, size_t aBytes)
+{
+  return { StatementKind::SetValue, aName, std::string(aBytes, 'v') };
+}
+
+SessionStatement
+Prepared(const std::string& aName, size_t aBytes)
+{
+  SessionStatement statement{ StatementKind::Prepare, aName };
+  statement.preparedText = std::string(aBytes, 'p');
+  return statement;
+}
+
+/** The largest statement with as many settings of the size as fit. */
+RelayedStatement
+LargestRelayed(size_t aSettingBytes)
+{
+  RelayedStatement relayed;
+  relayed.requestId = "q1";
+  relayed.statement = { StatementKind::Execute, "s" };
+  relayed.statement.arguments = std::string(kMaxStatementBytes, 'x');
+  relayed.statement.preparedText = std::string(kMaxStatementBytes, 'x');
+  size_t used = 0;
+  for (size_t n = 0; used + aSettingBytes <= kMaxSettingsBytes; ++n) {
+    std::string name = std::to_string(n);
+    size_t rest = aSettingBytes - kEntryOverheadBytes - name.size();
+    relayed.values[name] = std::string(rest, 'v');
+    used += aSettingBytes;
+  }
+  return relayed;
+}
+
 bool
 IsTooBig(const std::shared_ptr<FakeRequest>& aRequest)
 {
@@ -110,3 +168,73 @@
   cr_assert_leq(LineBytes("", prepare, false), kMaxLineBytes);
   cr_assert_leq(LineBytes("", set, false), kMaxLineBytes);
 }
+
+// Guards against settings that no connection can take in one go.
+Test(statement_limits, settings_of_a_session_are_bounded)
+{
+  ProxySimulation simulation(Options());
+  WarmUp(simulation);
+  CallerId caller = simulation.OpenSession(0);
+  constexpr size_t kHalf = kMaxSettingsBytes / 2 - kEntryOverheadBytes - 1;
+  auto set = [&](const std::string& aName, size_t aBytes) {
+    return simulation.SubmitAndWait(0, caller, Setting(aName, aBytes));
+  };
+  cr_assert(IsOk(set("a", kHalf)));
+  cr_assert(IsOk(set("b", kHalf)));
+  cr_assert(IsTooBig(set("c", 1)));
+  cr_assert(IsTooBig(set("b", kHalf + 1)));
+  cr_assert(IsOk(set("b", kHalf)));
+  cr_assert(IsOk(simulation.SubmitAndWait(0, caller, ReadStatement("a"))));
+  cr_assert(IsOk(set("b", 1)));
+  cr_assert(IsOk(set("c", 1)));
+  cr_assert(IsOk(simulation.SubmitAndWait(0, caller, ReadStatement("a"))));
+  cr_assert_eq(simulation.Violations(), "");
+}
+
+// Guards against a session whose prepared statements fill the memory.
+Test(statement_limits, prepared_statements_of_a_session_are_bounded)
+{
+  ProxySimulation simulation(Options());
+  WarmUp(simulation);
+  CallerId caller = simulation.OpenSession(0);
+  constexpr size_t kPart = kMaxPreparedBytes / 8 - kEntryOverheadBytes - 1;
+  auto prepare = [&](const std::string& aName, size_t aBytes) {
+    return simulation.SubmitAndWait(0, caller, Prepared(aName, aBytes));
+  };
+  for (char name = 'a'; name < 'a' + 8; ++name) {
+    cr_assert(IsOk(prepare(std::string(1, name), kPart)));
+  }
+  cr_assert(IsTooBig(prepare("z", 1)));
+  SessionStatement execute{ StatementKind::Execute, "a", "k" };
+  cr_assert(IsOk(simulation.SubmitAndWait(0, caller, execute)));
+  SessionStatement forget{ StatementKind::Forget, "a" };
+  simulation.SubmitAndWait(0, caller, forget);
+  cr_assert(IsOk(prepare("z", kPart)));
+}
+
+// Guards against settings that close the link that all callers of a host share.
+Test(statement_limits, settings_over_the_limit_leave_the_relay_link_up)
+{
+  ProxySimulation simulation(RelayOptions());
+  WarmUp(simulation);
+  size_t host = RelayingHost(simulation);
+  CallerId caller = simulation.OpenSession(host);
+  for (int i = 0; i < 10; ++i) {
+    simulation.SubmitAndWait(
+      host, caller, Setting(std::to_string(i), kMebibyte / 2));
+  }
+  cr_assert(IsOk(simulation.SubmitAndWait(host, caller, ReadStatement("a"))));
+  cr_assert_eq(simulation.OversizedFrames(), 0);
+  cr_assert_eq(simulation.Violations(), "");
+}
+
+// Guards against limits whose sum is over that of a frame between hosts.
+Test(statement_limits, largest_statement_and_session_fit_a_relay_frame)
+{
+  constexpr size_t kLongestNameBytes = 4;
+  for (size_t bytes :
+       { kEntryOverheadBytes + kLongestNameBytes, kMaxSettingsBytes / 2 }) {
+    RelayedStatementFrame frame{ LargestRelayed(bytes) };
+    cr_assert_leq(EncodeFrame(frame).size(), kMaxRelayFrameBytes);
+  }
+}
