Refuse replies that are larger than a link carries

Rows of an upstream that exceed 4 MiB together closed the link between the host that served the statement and the caller's host, for all callers of both: reads were sent again and closed further links, writes were unsure. On the caller's own host they closed the caller's connection without a reply.

A reply over 4 MiB less 64 KiB is refused: `Failed` for a read, `OutcomeUnknown` for a commit or a single write. A transaction is rolled back at the upstream, and a write in it gets `Aborted`: the caller's host counts a write as part of the transaction only when its reply arrives, so that the transaction must not stay open.

Without the bound oversized_reply_is_refused_truthfully and oversized_reply_in_a_transaction_rolls_it_back fail; so they do if every reply is called failed, and the second one if the transaction stays open.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -143,6 +143,7 @@
   void AnswerFailure(CallerSession& aSession,
                      FailureCode aCode,
                      const std::string& aText);
+  void RefuseReply(CallerSession& aSession);
   void FailTransaction(CallerSession& aSession);
   void LeaveTransaction(CallerSession& aSession);
   void ExpireTransactions();
--- a/include/marigoldpitch/coordination/proxy/statement-limits.h
+++ b/include/marigoldpitch/coordination/proxy/statement-limits.h
@@ -34,6 +34,13 @@
 /** What a setting or prepared statement counts besides its texts, in bytes. */
 constexpr size_t kEntryOverheadBytes = 128;
 
+/**
+ * The largest reply that is passed on to a caller or another host, in bytes,
+ * with `kRowOverheadBytes` for each row.
+ */
+constexpr size_t kMaxReplyBytes = 4 * kMebibyte - 64 * kKibibyte;
+constexpr size_t kRowOverheadBytes = 16;
+
 /** The texts that the caller sent for the statement, in bytes. */
 inline size_t
 SizeOf(const SessionStatement& aStatement)
@@ -43,6 +50,17 @@
                                              : aStatement.arguments.size());
 }
 
+/** What the reply counts towards `kMaxReplyBytes`. */
+inline size_t
+SizeOf(const StatementReply& aReply)
+{
+  size_t bytes = aReply.signature.size();
+  for (const std::string& row : aReply.rows) {
+    bytes += row.size() + kRowOverheadBytes;
+  }
+  return bytes;
+}
+
 } // namespace marigoldpitch
 
 #endif
--- a/src/coordination/proxy/proxy-sessions.cc
+++ b/src/coordination/proxy/proxy-sessions.cc
@@ -201,6 +201,10 @@
 void
 ProxyEngine::Answer(CallerSession& aSession, StatementReply aReply)
 {
+  if (SizeOf(aReply) > kMaxReplyBytes) {
+    this->RefuseReply(aSession);
+    return;
+  }
   aReply.state = aSession.state;
   aSession.pending.reset();
   aSession.lastActive = this->now;
@@ -212,6 +216,26 @@
   this->HandleNextStatement(aSession);
 }
 
+/**
+ * Answers a statement whose reply is larger than a link carries. It has run: a
+ * commit may not be called failed, and an open transaction is rolled back.
+ */
+void
+ProxyEngine::RefuseReply(CallerSession& aSession)
+{
+  bool inTransaction = aSession.state == SessionState::InTransaction;
+  FailureCode code = FailureCode::Failed;
+  if (ProxyEngine::IsCommit(aSession)) {
+    code = FailureCode::OutcomeUnknown;
+  } else if (inTransaction && aSession.pending->writes) {
+    code = FailureCode::Aborted;
+  }
+  if (inTransaction) {
+    this->FailTransaction(aSession);
+  }
+  this->AnswerFailure(aSession, code, "the reply is too large");
+}
+
 void
 ProxyEngine::AnswerFailure(CallerSession& aSession,
                            FailureCode aCode,
--- a/src/transport/relay-links.cc
+++ b/src/transport/relay-links.cc
@@ -13,6 +13,9 @@
 static_assert(2 * kMaxStatementBytes + kMaxSettingsBytes + kFrameReserveBytes <=
                 kMaxRelayFrameBytes,
               "a statement, its prepared text and the settings fit a frame");
+constexpr size_t kReplyReserveBytes = 16 * kKibibyte;
+static_assert(kMaxReplyBytes + kReplyReserveBytes <= kMaxRelayFrameBytes,
+              "a reply fits a frame");
 
 constexpr size_t kMaxRelayLinks = 1024;
 constexpr Duration kConnectTimeout = Millis(300);
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -1,5 +1,7 @@
 #include "fakes/proxy-simulation.h"
 
+#include "marigoldpitch/state/sizes.h"
+
 #include <algorithm>
 
 namespace marigoldpitch::fakes {
@@ -473,6 +475,10 @@
       StatementReply reply = this->Execute(linkEntry->second, understood);
       bool isUnconfirmed = reply.signature == "none";
       reply.position = this->LogPointAfter(upstream, upstream.applied);
+      if (!aAction.requestId.empty()) {
+        reply.rows.resize(reply.rows.size() + upstream.extraRows,
+                          std::string(kMebibyte, 'r'));
+      }
       event = LinkAnswered{ aKey.second, reply };
       if (isUnconfirmed) {
         reply.signature = "s-" + aAction.requestId;
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -48,6 +48,7 @@
   Duration lag = Millis(5);          // until a replica applies an entry
   Duration executionTime = Millis(4);
   Duration extraDelay = Millis(0); // added to each of its answers
+  size_t extraRows = 0; // of 1 MiB each, in each reply to a caller's statement
 };
 
 /** A connection of a proxy, with the session's state at the upstream. */
--- a/test/statement-limits-test.cc
+++ b/test/statement-limits-test.cc
@@ -99,6 +99,22 @@
          aRequest->reply->failure->code == FailureCode::TooBig;
 }
 
+FailureCode
+CodeOf(const std::shared_ptr<FakeRequest>& aRequest)
+{
+  cr_assert(aRequest->reply && aRequest->reply->failure,
+            "the statement was not refused");
+  return aRequest->reply->failure->code;
+}
+
+void
+SetExtraRows(ProxySimulation& aSimulation, size_t aRows)
+{
+  for (size_t i = 0; i < aSimulation.Upstreams(); ++i) {
+    aSimulation.Upstream(i).extraRows = aRows;
+  }
+}
+
 size_t
 LineBytes(const std::string& aRequestId,
           const SessionStatement& aStatement,
@@ -238,3 +254,72 @@
     cr_assert_leq(EncodeFrame(frame).size(), kMaxRelayFrameBytes);
   }
 }
+
+// Guards against rows that close the link that all callers of a host share.
+Test(statement_limits, oversized_reply_is_refused_truthfully)
+{
+  for (const ProxySimulationOptions& options : { Options(), RelayOptions() }) {
+    ProxySimulation simulation(options);
+    WarmUp(simulation);
+    size_t host = options.zones == 0 ? 0 : RelayingHost(simulation);
+    CallerId caller = simulation.OpenSession(host);
+    SetExtraRows(simulation, 4);
+    auto read = simulation.SubmitAndWait(host, caller, ReadStatement("a"));
+    cr_assert(CodeOf(read) == FailureCode::Failed);
+    auto write =
+      simulation.SubmitAndWait(host, caller, WriteStatement("a", "v"));
+    cr_assert(CodeOf(write) == FailureCode::OutcomeUnknown);
+    cr_assert_eq(write->runs, 1);
+    SetExtraRows(simulation, 3);
+    cr_assert(IsOk(simulation.SubmitAndWait(host, caller, ReadStatement("a"))));
+    cr_assert_eq(simulation.OversizedFrames(), 0);
+    cr_assert_eq(simulation.Violations(), "");
+  }
+}
+
+// Guards against a promise about a transaction that its reply makes untrue.
+Test(statement_limits, oversized_reply_in_a_transaction_rolls_it_back)
+{
+  for (const ProxySimulationOptions& options : { Options(), RelayOptions() }) {
+    ProxySimulation simulation(options);
+    WarmUp(simulation);
+    size_t host = options.zones == 0 ? 0 : RelayingHost(simulation);
+    CallerId caller = simulation.OpenSession(host);
+    auto submit = [&](const SessionStatement& aStatement) {
+      return simulation.SubmitAndWait(host, caller, aStatement);
+    };
+    submit(StatementOf(StatementKind::Begin));
+    cr_assert(IsOk(submit(WriteStatement("a", "v1"))));
+    SetExtraRows(simulation, 4);
+    auto write = submit(WriteStatement("a", "v2"));
+    cr_assert(CodeOf(write) == FailureCode::Aborted);
+    cr_assert(write->reply->state == SessionState::Failed);
+    SetExtraRows(simulation, 0);
+    submit(StatementOf(StatementKind::RollBack));
+    cr_assert_eq(simulation.Acknowledged().size(), 0);
+    submit(StatementOf(StatementKind::Begin));
+    cr_assert(IsOk(submit(WriteStatement("a", "v3"))));
+    SetExtraRows(simulation, 4);
+    auto commit = submit(StatementOf(StatementKind::Commit));
+    cr_assert(CodeOf(commit) == FailureCode::OutcomeUnknown);
+    SetExtraRows(simulation, 0);
+    cr_assert(IsOk(submit(ReadStatement("a"))));
+    cr_assert_eq(simulation.OversizedFrames(), 0);
+    cr_assert_eq(simulation.Violations(), "");
+  }
+}
+
+// Guards against a bound on replies that is over that of a frame.
+Test(statement_limits, largest_reply_fits_a_relay_frame)
+{
+  for (size_t bytes : { size_t{ 0 }, kMebibyte }) {
+    RelayedReply relayed;
+    size_t rows = kMaxReplyBytes / (bytes + kRowOverheadBytes);
+    relayed.reply.rows.resize(rows, std::string(bytes, 'r'));
+    cr_assert_leq(SizeOf(relayed.reply), kMaxReplyBytes);
+    cr_assert_leq(EncodeFrame(RelayedReplyFrame{ relayed }).size(),
+                  kMaxRelayFrameBytes);
+    cr_assert_lt(platform::EncodeReply(relayed.reply).size(),
+                 kMaxQueuedLineBytes);
+  }
+}
