Bound pipelined statements by their size

A session could keep 32 statements of 1 MiB waiting behind the open one: the bound was a count only.

Without the bound pipelined_statements_are_bounded_by_their_size fails; if the sum keeps what has been handled, handled_statements_make_room_for_further_ones.

--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -102,6 +102,7 @@
   LogPoint lastCommit;
   std::optional<PendingStatement> pending;
   std::deque<StatementArrived> inbox; // pipelined behind `pending`
+  size_t inboxBytes = 0;              // of their ids and texts
   Time lastActive;
 };
 
--- a/include/marigoldpitch/coordination/proxy/statement-limits.h
+++ b/include/marigoldpitch/coordination/proxy/statement-limits.h
@@ -1,7 +1,7 @@
 #ifndef MARIGOLDPITCH_COORDINATION_PROXY_STATEMENT_LIMITS_H
 #define MARIGOLDPITCH_COORDINATION_PROXY_STATEMENT_LIMITS_H
 
-#include "marigoldpitch/coordination/proxy/statement.h"
+#include "marigoldpitch/coordination/proxy/proxy-io.h"
 #include "marigoldpitch/state/sizes.h"
 
 /**
@@ -31,6 +31,9 @@
 constexpr size_t kMaxSettingsBytes = kMebibyte;
 constexpr size_t kMaxPreparedBytes = 4 * kMebibyte;
 
+/** The largest sum of the statements that a session has pipelined, in bytes. */
+constexpr size_t kMaxInboxBytes = 2 * kMebibyte;
+
 /** What a setting or prepared statement counts besides its texts, in bytes. */
 constexpr size_t kEntryOverheadBytes = 128;
 
@@ -50,6 +53,13 @@
                                              : aStatement.arguments.size());
 }
 
+/** What counts towards `kMaxStatementBytes`. */
+inline size_t
+SizeOf(const StatementArrived& aEvent)
+{
+  return aEvent.requestId.size() + SizeOf(aEvent.statement);
+}
+
 /** What the reply counts towards `kMaxReplyBytes`. */
 inline size_t
 SizeOf(const StatementReply& aReply)
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -1,4 +1,5 @@
 #include "marigoldpitch/coordination/proxy/proxy-engine.h"
+#include "marigoldpitch/coordination/proxy/statement-limits.h"
 
 #include <algorithm>
 
@@ -9,7 +10,7 @@
 // The load balancer needs two failed health checks, a second apart, to stop
 // sending new callers.
 constexpr Duration kBalancerReactionTime = Millis(2200);
-constexpr size_t kMaxInbox = 32;
+constexpr size_t kMaxInbox = 32; // statements
 constexpr Duration kHostDecreaseDelay = Seconds(4);
 // How long links to serving hosts take to come up after a start.
 constexpr Duration kRelayConnectTime = Millis(500);
@@ -129,13 +130,16 @@
   CallerSession& session = found->second;
   session.lastActive = this->now;
   if (session.pending || !session.inbox.empty()) {
-    if (session.inbox.size() < detail::kMaxInbox) {
+    size_t bytes = session.inboxBytes + SizeOf(aEvent);
+    if (session.inbox.size() < detail::kMaxInbox && bytes <= kMaxInboxBytes) {
       session.inbox.push_back(aEvent);
+      session.inboxBytes = bytes;
       return;
     }
-    this->Emit(
-      EndSession{ aEvent.caller,
-                  { FailureCode::TooBig, "too many pipelined statements" } });
+    std::string why = "too many pipelined statements";
+    this->AddDecision(
+      LogEvent::CallerRefused, aEvent.requestId, { { "why", why } });
+    this->Emit(EndSession{ aEvent.caller, { FailureCode::TooBig, why } });
     this->On(SessionClosed{ aEvent.caller });
     return;
   }
--- a/src/coordination/proxy/proxy-sessions.cc
+++ b/src/coordination/proxy/proxy-sessions.cc
@@ -90,7 +90,7 @@
                         "the transaction has failed and must be rolled back");
     return;
   }
-  if (aEvent.requestId.size() + SizeOf(statement) > kMaxStatementBytes) {
+  if (SizeOf(aEvent) > kMaxStatementBytes) {
     this->RefuseTooBig(aSession, aEvent.requestId, "the statement is too long");
     return;
   }
@@ -141,6 +141,7 @@
   while (!aSession.pending && !aSession.inbox.empty()) {
     StatementArrived next = aSession.inbox.front();
     aSession.inbox.pop_front();
+    aSession.inboxBytes -= SizeOf(next);
     this->HandleStatement(aSession, next);
   }
 }
--- a/test/statement-limits-test.cc
+++ b/test/statement-limits-test.cc
@@ -323,3 +323,35 @@
                  kMaxQueuedLineBytes);
   }
 }
+
+// Guards against pipelined statements that fill the memory.
+Test(statement_limits, pipelined_statements_are_bounded_by_their_size)
+{
+  ProxySimulation simulation(Options());
+  WarmUp(simulation);
+  CallerId caller = simulation.OpenSession(0);
+  SessionStatement read = ReadStatement(std::string(kMebibyte / 2, 'x'));
+  for (int i = 0; i < 4; ++i) {
+    simulation.SubmitStatement(0, caller, read);
+  }
+  cr_assert_eq(simulation.endedSessions.count(caller), 0);
+  simulation.SubmitStatement(0, caller, read);
+  cr_assert_eq(simulation.endedSessions.count(caller), 1);
+  cr_assert(simulation.endedSessions[caller]->code == FailureCode::TooBig);
+}
+
+// Guards against a sum that keeps what has been handled.
+Test(statement_limits, handled_statements_make_room_for_further_ones)
+{
+  ProxySimulation simulation(Options());
+  WarmUp(simulation);
+  CallerId caller = simulation.OpenSession(0);
+  SessionStatement read = ReadStatement(std::string(kMebibyte / 2, 'x'));
+  for (int round = 0; round < 4; ++round) {
+    for (int i = 0; i < 4; ++i) {
+      simulation.SubmitStatement(0, caller, read);
+    }
+    simulation.RunFor(Millis(200));
+  }
+  cr_assert_eq(simulation.endedSessions.count(caller), 0);
+}
