--- a/include/marigoldpitch/coordination/proxy/prepared-statements.h
+++ b/include/marigoldpitch/coordination/proxy/prepared-statements.h
@@ -14,8 +14,8 @@
 namespace marigoldpitch {
 
 /** How many a connection keeps, and how many bytes their texts may have. */
-constexpr size_t kMaxPreparedStatements = 256;
-constexpr size_t kMaxPreparedBytes = 64 * kKibibyte;
+constexpr size_t kMaxConnectionTexts = 256;
+constexpr size_t kMaxConnectionTextBytes = 64 * kKibibyte;
 
 /** What a session prepared under a name of its own. */
 struct PreparedStatement
--- a/src/coordination/proxy/prepared-statements.cc
+++ b/src/coordination/proxy/prepared-statements.cc
@@ -28,8 +28,8 @@
 bool
 PreparedStatements::HasRoomFor(size_t aBytes) const
 {
-  return this->uses.size() < kMaxPreparedStatements &&
-         this->bytes + aBytes <= kMaxPreparedBytes;
+  return this->uses.size() < kMaxConnectionTexts &&
+         this->bytes + aBytes <= kMaxConnectionTextBytes;
 }
 
 std::string
--- a/test/statement-texts-test.cc
+++ b/test/statement-texts-test.cc
@@ -487,7 +487,7 @@
     site.Send(caller, "PREPARE p READ q" + std::to_string(i));
     cr_assert(IsOk(site.Send(caller, "EXEC p k")));
   }
-  cr_assert_leq(site.simulation.MostPrepared(), kMaxPreparedStatements);
+  cr_assert_leq(site.simulation.MostPrepared(), kMaxConnectionTexts);
   cr_assert_eq(site.simulation.Violations(), "");
 }
 
@@ -505,7 +505,8 @@
     cr_assert(used.name == first && !used.isNew);
   }
   cr_assert(prepared.Use({ true, "q" }).isNew);
-  auto large = prepared.Use({ false, std::string(kMaxPreparedBytes + 1, 'q') });
-  cr_assert_eq(large.forgotten.size(), kMaxPreparedStatements);
+  auto large =
+    prepared.Use({ false, std::string(kMaxConnectionTextBytes + 1, 'q') });
+  cr_assert_eq(large.forgotten.size(), kMaxConnectionTexts);
   cr_assert_eq(prepared.Use({ false, "q" }).forgotten.size(), 1);
 }
