Refuse null bytes in statements, parameters, sessions and request ids

Cause: texts reach libpq as C strings.

Change: where a request is decoded, a null byte in one of these texts is an error that names the place. The request has not run. PostgreSQL's texts cannot hold a null byte, so no valid request is refused.

--- a/src/protocol/rpc.cc
+++ b/src/protocol/rpc.cc
@@ -131,6 +131,34 @@
   aRequest.requestId = aMessage.request_id();
 }
 
+/**
+ * Refuses a text that an upstream cannot get whole: PostgreSQL's messages end a
+ * text at its first null byte.
+ */
+void
+CheckNoNullByte(const std::string& aPlace,
+                const std::string& aText,
+                Findings& aFindings)
+{
+  if (aText.find('\0') != std::string::npos) {
+    aFindings.Add(aPlace, "contains a null byte");
+  }
+}
+
+/** Checks the texts that become part of messages to an upstream. */
+void
+CheckUpstreamTexts(const Request& aRequest, Findings& aFindings)
+{
+  CheckNoNullByte("context.session", aRequest.session, aFindings);
+  CheckNoNullByte("request_id", aRequest.requestId, aFindings);
+  CheckNoNullByte("sql", aRequest.statement.sql, aFindings);
+  size_t index = 0;
+  for (const auto& parameter : aRequest.statement.parameters) {
+    std::string place = "parameters[" + std::to_string(index++) + "]";
+    CheckNoNullByte(place, parameter.value_or(""), aFindings);
+  }
+}
+
 template<typename M>
 Result<Request>
 DecodeRequestAs(BodyFormat aFormat, const std::string& aBody)
@@ -142,6 +170,7 @@
   ContextFromProto(message.context(), request, findings);
   FillRequest(message, request);
   CheckNameLength("request_id", request.requestId, findings);
+  CheckUpstreamTexts(request, findings);
   if (!findings.Empty()) {
     return findings.ToError("body");
   }
--- a/test/codec-test.cc
+++ b/test/codec-test.cc
@@ -1,3 +1,4 @@
+#include "marigoldpitch.pb.h"
 #include "marigoldpitch/protocol/burn-report.h"
 #include "marigoldpitch/protocol/documents.h"
 #include "marigoldpitch/protocol/frame-splitter.h"
@@ -376,6 +377,27 @@
   }
 }
 
+Test(codec, a_null_byte_never_cuts_a_text_short)
+{
+  const std::string null(1, '\0');
+  v1::ExecuteRequest message;
+  message.mutable_context()->set_group("orders");
+  message.mutable_context()->set_session("s" + null + "1");
+  message.set_request_id("w" + null + "1");
+  message.set_sql("DELETE FROM orders" + null + " WHERE key = $1");
+  message.add_parameters()->set_text("k" + null + "1");
+  for (const auto& format : kBodyFormatNames.rows) {
+    auto request = DecodeRequest(
+      RpcMethod::Execute, format.value, EncodeBody(format.value, message));
+    cr_assert(!request, "a text that PostgreSQL cannot carry was accepted");
+    std::string text = request.error().ToString();
+    for (const char* place :
+         { "context.session", "request_id", "sql", "parameters[0]" }) {
+      cr_assert(text.find(place) != std::string::npos, "%s", text.c_str());
+    }
+  }
+}
+
 Test(codec, outcomes_map_to_http_statuses)
 {
   for (const auto& row : kOutcomeNames.rows) {
