Discard an upstream session's values before each transaction

What callers would see: what one caller's SELECT leaves in the session of a shared connection (set_config, a temporary table that hides a real one, advisory locks) acts on whoever comes next.

Cause: statements are judged by their first keyword, and a SELECT can leave values, temporary tables and locks in the session.

Change: a batch that begins a transaction sends DISCARD ALL first, in the same pipeline, so without a further round trip. If it fails, the transaction has not begun, and the connection is closed.

The stand-in database gets set_config, current_setting and DISCARD ALL as PostgreSQL documents them: values are undone with their transaction, and DISCARD ALL is refused in a transaction and after another statement of the same pipeline.

Its cost was not measured with the stand-in.

--- a/include/marigoldpitch/protocol/upstream-sql.h
+++ b/include/marigoldpitch/protocol/upstream-sql.h
@@ -27,6 +27,15 @@
 StepResult
 FromSql(const Step& aStep, const SqlResult& aResult);
 
+/**
+ * The statements of a batch. Before a transaction begins, the session's own
+ * values, temporary tables and locks are discarded: an earlier caller's
+ * `SELECT` can leave them behind on the connection.
+ */
+std::vector<Statement>
+ToSql(const Batch& aBatch);
+
+/** `aResults` are those of the statements of `ToSql(aBatch)`. */
 BatchResult
 FromSql(const Batch& aBatch, const std::vector<SqlResult>& aResults);
 
--- a/src/protocol/upstream-sql.cc
+++ b/src/protocol/upstream-sql.cc
@@ -18,6 +18,15 @@
 constexpr char kReadRecord[] =
   "SELECT value FROM marigoldpitch_record WHERE key = $1";
 
+constexpr char kDiscardSession[] = "DISCARD ALL";
+
+bool
+BeginsTransaction(const Batch& aBatch)
+{
+  return !aBatch.empty() && (aBatch[0].kind == StepKind::Begin ||
+                             aBatch[0].kind == StepKind::BeginReadOnly);
+}
+
 std::optional<std::string>
 FirstRowCell(const Rows& aRows, const char* aColumn)
 {
@@ -163,15 +172,34 @@
   return result;
 }
 
+std::vector<Statement>
+ToSql(const Batch& aBatch)
+{
+  std::vector<Statement> statements;
+  if (detail::BeginsTransaction(aBatch)) {
+    statements.push_back(detail::MakeStatement(detail::kDiscardSession, {}));
+  }
+  for (const Step& step : aBatch) {
+    statements.push_back(ToSql(step));
+  }
+  return statements;
+}
+
 BatchResult
 FromSql(const Batch& aBatch, const std::vector<SqlResult>& aResults)
 {
+  SqlResult missing;
+  missing.skipped = true;
+  size_t first = detail::BeginsTransaction(aBatch) ? 1 : 0;
   BatchResult result;
   for (size_t i = 0; i < aBatch.size(); ++i) {
-    SqlResult missing;
-    missing.skipped = true;
+    size_t index = first + i;
     result.steps.push_back(
-      FromSql(aBatch[i], i < aResults.size() ? aResults[i] : missing));
+      FromSql(aBatch[i], index < aResults.size() ? aResults[index] : missing));
+  }
+  // A session that could not be cleaned begins no transaction.
+  if (first == 1 && !aResults.empty() && !aResults[0].done) {
+    result.steps[0] = FromSql(aBatch[0], aResults[0]);
   }
   return result;
 }
--- a/src/transport/upstream-pool.cc
+++ b/src/transport/upstream-pool.cc
@@ -193,12 +193,7 @@
   PooledConnection& pooled = found->second;
   pooled.sequence = aAction.sequence;
   pooled.batch = aAction.batch;
-  std::vector<Statement> statements;
-  statements.reserve(aAction.batch.size());
-  for (const Step& step : aAction.batch) {
-    statements.push_back(ToSql(step));
-  }
-  pooled.connection->Run(statements);
+  pooled.connection->Run(ToSql(aAction.batch));
 }
 
 void
--- a/test/codec-test.cc
+++ b/test/codec-test.cc
@@ -354,6 +354,24 @@
   }));
 }
 
+Test(codec, a_session_that_keeps_its_values_begins_no_transaction)
+{
+  Batch batch(2);
+  batch[0].kind = StepKind::BeginReadOnly;
+  batch[1].kind = StepKind::User;
+  cr_assert_eq(ToSql(batch).size(), 3u);
+  SqlResult failed;
+  failed.sqlState = "25001";
+  SqlResult skipped;
+  skipped.skipped = true;
+  BatchResult result = FromSql(batch, { failed, skipped, skipped });
+  cr_assert_eq(result.Failure(), result.steps.data());
+  SqlResult done;
+  done.done = true;
+  result = FromSql(batch, { done, done, failed });
+  cr_assert(result.Done(0) && result.Failure() == &result.steps[1]);
+}
+
 Test(codec, tokens_are_parsed_and_formatted)
 {
   cr_assert(ParseToken("").value().IsUnset());
--- a/test/engine-test.cc
+++ b/test/engine-test.cc
@@ -267,6 +267,33 @@
   cr_assert_eq(good, 1u);
 }
 
+Test(requests, session_values_of_one_caller_never_reach_another)
+{
+  GroupSimulationOptions options = ThreeOwnerOptions(1);
+  options.slots = 1; // one connection serves both
+  GroupSimulation simulation(options);
+  const Statement set{ "SELECT set_config($1, $2, false)",
+                       { std::string("app.tenant"), std::string("mine") } };
+  for (Operation operation : { Operation::Read, Operation::Write }) {
+    std::vector<Answer> answers;
+    Request mine = MakeWrite("set", "");
+    mine.operation = operation;
+    mine.statement = set;
+    Request theirs = MakeRead("", std::nullopt);
+    theirs.statement = { "SELECT current_setting($1)",
+                         { std::string("app.tenant") } };
+    for (const Request& request : { mine, theirs }) {
+      simulation.SubmitToOwner(
+        0, request, [&](const Answer& aAnswer) { answers.push_back(aAnswer); });
+      simulation.RunFor(Millis(300));
+    }
+    cr_assert_eq(answers.size(), 2u);
+    cr_assert(answers[0].outcome == Outcome::Ok);
+    cr_assert(answers[1].outcome == Outcome::Ok);
+    cr_assert_str_eq(answers[1].rows.rows[0][0]->c_str(), "");
+  }
+}
+
 Test(limits, slots_and_connections_hold_under_load_and_faults)
 {
   cr_assert(rc::check("slots and connections are never exceeded", [] {
--- a/test/fakes/group-simulation-upstreams.cc
+++ b/test/fakes/group-simulation-upstreams.cc
@@ -113,12 +113,13 @@
       }
       std::vector<SqlResult> results;
       bool isSkipping = false;
-      for (const Step& step : aAction.batch) {
+      session->transaction->hasPipelined = false;
+      for (const Statement& statement : ToSql(aAction.batch)) {
         SqlResult result;
         result.skipped = true;
         if (!isSkipping) {
           result = ToResult(target.database->Execute(
-            *session->transaction, ToSql(step), this->Now()));
+            *session->transaction, statement, this->Now()));
           isSkipping = !result.done;
         }
         results.push_back(result);
--- a/test/standin/database.cc
+++ b/test/standin/database.cc
@@ -68,6 +68,39 @@
   return aWord;
 }
 
+// Supports two forms, for names with a dot:
+// SELECT set_config($1, $2, false)
+// SELECT current_setting($1)
+StatementResult
+AccessValue(SessionValues& aValues,
+            const std::vector<std::string>& aWords,
+            const Statement& aStatement)
+{
+  std::string name = Operand(aWords[3], aStatement);
+  if (aWords[1] == "set_config" && aWords.size() == 9) {
+    aValues[name] = Operand(aWords[5], aStatement);
+  }
+  auto found = aValues.find(name);
+  if (found == aValues.end()) {
+    return MakeError("42704", "unrecognized configuration parameter " + name);
+  }
+  return OneRow({ aWords[1] }, { found->second });
+}
+
+/** A discarded value is empty: its name stays known to the session. */
+StatementResult
+DiscardAll(Transaction& aTransaction)
+{
+  if (aTransaction.open || aTransaction.hasPipelined) {
+    return MakeError("25001",
+                     "DISCARD ALL cannot run inside a transaction block");
+  }
+  for (auto& [name, value] : aTransaction.values) {
+    value.clear();
+  }
+  return CommandComplete("DISCARD ALL");
+}
+
 std::string
 AddNumbers(const std::string& aLeft, const std::string& aRight)
 {
@@ -130,35 +163,58 @@
     aTransaction.open = true;
     aTransaction.readOnly = words.size() > 1;
     aTransaction.term = this->term;
+    aTransaction.valuesBefore = aTransaction.values;
     return CommandComplete("BEGIN");
   }
-  StatementResult result;
-  if (verb == "COMMIT") {
-    result = this->Commit(aTransaction);
-  } else if (verb == "SELECT" && words.size() > 3 &&
-             words[3].rfind("marigoldpitch_", 0) == 0 &&
-             words[3] != "marigoldpitch_record") {
-    result = this->CallFunction(words[3], aStatement, aNow);
-  } else if (verb == "SELECT") {
-    result = this->Select(aTransaction, words, aStatement);
-  } else if (verb == "INSERT" || verb == "UPDATE") {
-    result = this->Write(aTransaction, words, aStatement);
-  } else {
-    result = MakeError("42601", "unsupported statement: " + verb);
-  }
+  StatementResult result = this->Run(aTransaction, words, aStatement, aNow);
   if (result.error && aTransaction.open) {
     aTransaction.aborted = true;
   }
   return result;
 }
 
+StatementResult
+Database::Run(Transaction& aTransaction,
+              const std::vector<std::string>& aWords,
+              const Statement& aStatement,
+              Time aNow)
+{
+  const std::string& verb = aWords[0];
+  if (verb == "COMMIT") {
+    return this->Commit(aTransaction);
+  }
+  if (verb == "DISCARD" && aWords.size() == 2 && aWords[1] == "ALL") {
+    return DiscardAll(aTransaction);
+  }
+  aTransaction.hasPipelined = true;
+  if (verb == "SELECT" && aWords.size() > 3 &&
+      aWords[3].rfind("marigoldpitch_", 0) == 0 &&
+      aWords[3] != "marigoldpitch_record") {
+    return this->CallFunction(aWords[3], aStatement, aNow);
+  }
+  if (verb == "SELECT" && aWords.size() > 4 &&
+      (aWords[1] == "set_config" || aWords[1] == "current_setting")) {
+    return AccessValue(aTransaction.values, aWords, aStatement);
+  }
+  if (verb == "SELECT") {
+    return this->Select(aTransaction, aWords, aStatement);
+  }
+  if (verb == "INSERT" || verb == "UPDATE") {
+    return this->Write(aTransaction, aWords, aStatement);
+  }
+  return MakeError("42601", "unsupported statement: " + verb);
+}
+
 void
 Database::RollBack(Transaction& aTransaction)
 {
   for (const std::string& lockedKey : aTransaction.insertedKeys) {
     this->lockedKeys.erase(lockedKey);
   }
+  SessionValues values =
+    aTransaction.open ? aTransaction.valuesBefore : aTransaction.values;
   aTransaction = {};
+  aTransaction.values = std::move(values);
 }
 
 StatementResult
@@ -167,6 +223,7 @@
   Transaction transaction = aTransaction;
   this->RollBack(aTransaction);
   if (transaction.changes.empty()) {
+    aTransaction.values = transaction.values;
     return CommandComplete("COMMIT");
   }
   // A transaction that began in an earlier term must not commit.
@@ -177,6 +234,7 @@
   this->Apply(entry);
   this->log.push_back(std::move(entry));
   this->replayed = this->log.size();
+  aTransaction.values = transaction.values;
   return CommandComplete("COMMIT");
 }
 
@@ -246,6 +304,7 @@
   if (isAutoCommit) {
     aTransaction.open = true;
     aTransaction.term = this->term;
+    aTransaction.valuesBefore = aTransaction.values;
   }
   RowChange change;
   std::string tag;
--- a/test/standin/database.h
+++ b/test/standin/database.h
@@ -51,9 +51,15 @@
   bool hasRows = false;
 };
 
-/** The state of a session's transaction. */
+/** A session's own values, which statements of any transaction can read. */
+using SessionValues = std::map<std::string, std::string>;
+
+/** The state of a session and of its transaction. */
 struct Transaction
 {
+  SessionValues values;       // kept until the session discards them
+  SessionValues valuesBefore; // at the start of the open transaction
+  bool hasPipelined = false;  // a statement ran since the last Sync or commit
   bool open = false;
   bool aborted = false;
   bool readOnly = false;
@@ -126,6 +132,10 @@
                         const std::vector<std::string>& aWords,
                         const Statement& aStatement);
   StatementResult Commit(Transaction& aTransaction);
+  StatementResult Run(Transaction& aTransaction,
+                      const std::vector<std::string>& aWords,
+                      const Statement& aStatement,
+                      Time aNow);
   StatementResult AdoptTerm(Term aTerm);
   StatementResult Promote(Term aTerm);
   StatementResult Follow(const Statement& aStatement);
--- a/test/standin/pg-session.cc
+++ b/test/standin/pg-session.cc
@@ -232,6 +232,7 @@
 PgSession::Sync()
 {
   this->skipsUntilSync = false;
+  this->transaction.hasPipelined = false;
   this->RestartIdleTimer();
   this->AppendMessage('Z',
                       this->transaction.aborted ? "E"
