Refuse statements with more parameters than an upstream takes

What callers would see: a read with 65,536 parameters closes one upstream connection after the other, and leaves no budget for the retries of other callers of the group.

Cause: libpq refuses such a statement before it sends it. The owner took that for a lost connection, closed it and tried the next one.

Change: more than 65,535 parameters are an error where the request is decoded (parameters: more than 65535). The request has not run.

codec-test more_parameters_than_an_upstream_takes_are_refused failed before (21 of 22 passed) and passes (22 of 22).

--- a/src/protocol/rpc.cc
+++ b/src/protocol/rpc.cc
@@ -11,6 +11,7 @@
 namespace detail {
 
 constexpr size_t kMaxNameBytes = 200;
+constexpr size_t kMaxParameters = 65535; // of a statement in PostgreSQL
 
 using Parameters = google::protobuf::RepeatedPtrField<v1::Value>;
 
@@ -152,6 +153,10 @@
   CheckNoNullByte("context.session", aRequest.session, aFindings);
   CheckNoNullByte("request_id", aRequest.requestId, aFindings);
   CheckNoNullByte("sql", aRequest.statement.sql, aFindings);
+  if (aRequest.statement.parameters.size() > kMaxParameters) {
+    aFindings.Add("parameters", "more than " + std::to_string(kMaxParameters));
+    return;
+  }
   size_t index = 0;
   for (const auto& parameter : aRequest.statement.parameters) {
     std::string place = "parameters[" + std::to_string(index++) + "]";
--- a/test/codec-test.cc
+++ b/test/codec-test.cc
@@ -416,6 +416,23 @@
   }
 }
 
+Test(codec, more_parameters_than_an_upstream_takes_are_refused)
+{
+  v1::ReadRequest message;
+  message.mutable_context()->set_group("orders");
+  message.mutable_context()->set_session("s");
+  message.set_sql("SELECT 1");
+  for (int count : { 65535, 65536 }) {
+    while (message.parameters_size() < count) {
+      message.add_parameters()->set_null(true);
+    }
+    auto request = DecodeRequest(RpcMethod::Read,
+                                 BodyFormat::Proto,
+                                 EncodeBody(BodyFormat::Proto, message));
+    cr_assert_eq(request.has_value(), count == 65535);
+  }
+}
+
 Test(codec, outcomes_map_to_http_statuses)
 {
   for (const auto& row : kOutcomeNames.rows) {
