Refuse results and requests that fit no frame of a shared link

What callers would see: a result, or an upstream's message, that is larger than a frame closes the link from the entry to the owner, with all other callers' requests on it, again with each attempt.

Cause: the receiver closes a link on which a frame is over frame_bytes. The entry then connects anew and sends the same request again.

Change: the owner bounds the frame of a result before it answers. A read whose result is too large is refused as invalid; a write is rolled back and so is a transaction whose statement has such a result, so the refusals are true. A stored result of an earlier run that is over the limit is answered unknown, with a text that says that the request ran. An upstream's message is cut after 1 KiB, between characters. The entry refuses with 413 what may not fit into a frame to an owner, which is possible where body_bytes is set near frame_bytes or above; names that become part of that frame are limited to 200 bytes as the others are.

With the two checks switched off, engine-test results_that_fit_no_frame... and a_long_message_of_an_upstream... failed; with them 19 of 19 pass. codec-test 23 of 23, guarantees-test 9 of 9, entry-test 12 of 12, process/bad-input-test passes. The entry's 413 has no test.

--- a/include/marigoldpitch/coordination/owner/group-engine.h
+++ b/include/marigoldpitch/coordination/owner/group-engine.h
@@ -12,6 +12,7 @@
 #include "marigoldpitch/state/connection-table.h"
 #include "marigoldpitch/state/error.h"
 #include "marigoldpitch/state/session-table.h"
+#include "marigoldpitch/state/sizes.h"
 
 #include <array>
 #include <map>
@@ -40,6 +41,7 @@
   bool standby = false; // not first in the group's owner order
   size_t sessions = 100000;
   size_t queueLimit = 10000;
+  size_t answerBytes = 4 * kMebibyte; // limit of a frame that carries an answer
   GroupTiming timing;
 };
 
@@ -153,6 +155,12 @@
    * was not checked: `NotRun` only if no earlier attempt can have run.
    */
   Outcome OutcomeWithoutRecordCheck(const Work& aWork) const;
+  /**
+   * Whether a result does not fit into a frame. Sent all the same, it would
+   * close the link to the entry, with the other callers' requests on it.
+   */
+  bool IsOverAnswerLimit(const Rows& aRows) const;
+  std::string OverLimitText() const;
   void UpdateServiceTime(const Work& aWork);
   /**
    * Decides what happens to work whose connection was lost. It is resolved if a
--- a/include/marigoldpitch/state/request.h
+++ b/include/marigoldpitch/state/request.h
@@ -80,6 +80,15 @@
   }
 };
 
+/**
+ * An upper bound of the bytes that a frame takes with these texts; the frame's
+ * other fields are in it.
+ */
+size_t
+FrameBytes(const Statement& aStatement);
+size_t
+FrameBytes(const Rows& aRows);
+
 struct Request
 {
   Operation operation = Operation::Read;
--- a/src/coordination/owner/group-outcomes.cc
+++ b/src/coordination/owner/group-outcomes.cc
@@ -167,6 +167,19 @@
   return isKnownNotRun ? Outcome::NotRun : Outcome::Unknown;
 }
 
+bool
+GroupEngine::IsOverAnswerLimit(const Rows& aRows) const
+{
+  return FrameBytes(aRows) > this->options.answerBytes;
+}
+
+std::string
+GroupEngine::OverLimitText() const
+{
+  return "the result is over the limit of " +
+         std::to_string(this->options.answerBytes) + " bytes";
+}
+
 void
 GroupEngine::UpdateServiceTime(const Work& aWork)
 {
--- a/src/coordination/owner/group-reads.cc
+++ b/src/coordination/owner/group-reads.cc
@@ -74,6 +74,10 @@
     this->queue.Remove(aWork.id);
     return;
   }
+  if (this->IsOverAnswerLimit(aResult.steps[1].rows)) {
+    this->Finish(aWork, Outcome::Invalid, this->OverLimitText());
+    return;
+  }
   Answer answer;
   answer.rows = aResult.steps[1].rows;
   if (status->role == Role::Primary) {
--- a/src/coordination/owner/group-transactions.cc
+++ b/src/coordination/owner/group-transactions.cc
@@ -99,6 +99,14 @@
   answer.source = Source::Primary;
   if (const StepResult* failure = aResult.Failure()) {
     answer = FailureAnswer(*failure);
+  } else if (this->IsOverAnswerLimit(aResult.steps[0].rows)) {
+    // The caller must not commit a statement whose result it did not get.
+    ConnectionId connection = aWork.connection;
+    this->Finish(aWork,
+                 Outcome::Invalid,
+                 this->OverLimitText() + "; the transaction was rolled back");
+    this->CloseAndRemove(connection);
+    return;
   } else {
     answer.rows = aResult.steps[0].rows;
   }
--- a/src/coordination/owner/group-writes.cc
+++ b/src/coordination/owner/group-writes.cc
@@ -119,6 +119,12 @@
                  "not finished in time, and rolled back"));
     return;
   }
+  if (this->IsOverAnswerLimit(aResult.steps.back().rows)) {
+    this->RollBackAndAnswer(
+      aWork,
+      MakeAnswer(Outcome::Invalid, this->OverLimitText() + "; rolled back"));
+    return;
+  }
   aWork.rows = aResult.steps.back().rows;
   Step store =
     detail::MakeStep(StepKind::StoreResult, RecordKey(aWork.request));
@@ -226,7 +232,11 @@
     return;
   }
   Answer answer;
-  if (record->ran) {
+  if (record->ran && this->IsOverAnswerLimit(record->result)) {
+    // It ran under a higher limit.
+    answer = MakeAnswer(Outcome::Unknown,
+                        "the request ran, but " + this->OverLimitText());
+  } else if (record->ran) {
     answer.rows = record->result;
     answer.source = Source::Primary;
     answer.replayed = true;
--- a/src/coordination/owner/upstream-call.cc
+++ b/src/coordination/owner/upstream-call.cc
@@ -1,11 +1,35 @@
 #include "marigoldpitch/coordination/owner/upstream-call.h"
 
+#include "marigoldpitch/state/sizes.h"
+
 namespace marigoldpitch {
 
+namespace detail {
+
+// An upstream's message can contain the caller's text or values.
+constexpr size_t kMaxMessageBytes = kKibibyte;
+
+/** Cuts a long text before a character of UTF-8. */
+std::string
+Shorten(const std::string& aText)
+{
+  size_t end = kMaxMessageBytes;
+  if (aText.size() <= end) {
+    return aText;
+  }
+  while (end > 0 && (static_cast<unsigned char>(aText[end]) & 0xc0U) == 0x80U) {
+    --end;
+  }
+  return aText.substr(0, end) + "...";
+}
+
+} // namespace detail
+
 Answer
 FailureAnswer(const StepResult& aFailure)
 {
-  Answer answer = MakeAnswer(OutcomeOf(aFailure.failure), aFailure.message);
+  Answer answer =
+    MakeAnswer(OutcomeOf(aFailure.failure), detail::Shorten(aFailure.message));
   answer.sqlState = aFailure.sqlState;
   return answer;
 }
--- a/src/protocol/rpc.cc
+++ b/src/protocol/rpc.cc
@@ -59,6 +59,8 @@
   }
   CheckNameLength("context.group", aContext.group(), aFindings);
   CheckNameLength("context.session", aContext.session(), aFindings);
+  CheckNameLength("context.service", aContext.service(), aFindings);
+  CheckNameLength("context.zone", aContext.zone(), aFindings);
   aRequest.group = aContext.group();
   aRequest.service = aContext.service();
   aRequest.session = aContext.session();
@@ -175,6 +177,7 @@
   ContextFromProto(message.context(), request, findings);
   FillRequest(message, request);
   CheckNameLength("request_id", request.requestId, findings);
+  CheckNameLength("transaction", request.transaction, findings);
   CheckUpstreamTexts(request, findings);
   if (!findings.Empty()) {
     return findings.ToError("body");
--- a/src/transport/entry-daemon.cc
+++ b/src/transport/entry-daemon.cc
@@ -94,6 +94,14 @@
     return;
   }
   Request& callerRequest = request.value();
+  if (FrameBytes(callerRequest.statement) > this->settings.limits.frameBytes) {
+    this->Reply(
+      aExchange,
+      EncodeError(
+        *format,
+        { ErrorCode::TooLarge, "body", "too large for a frame to an owner" }));
+    return;
+  }
   // A newly generated id cannot have been sent before.
   if (callerRequest.operation == Operation::Write &&
       callerRequest.requestId.empty()) {
--- a/src/transport/owner-daemon.cc
+++ b/src/transport/owner-daemon.cc
@@ -207,6 +207,7 @@
   options.standby = this->OwnRank(aConfig.name) != 0;
   options.sessions = this->settings.limits.sessions;
   options.queueLimit = this->settings.limits.queue;
+  options.answerBytes = this->settings.limits.frameBytes;
   return options;
 }
 
--- a/test/codec-test.cc
+++ b/test/codec-test.cc
@@ -141,6 +141,25 @@
   }));
 }
 
+Test(codec, frames_stay_within_their_computed_bound)
+{
+  cr_assert(rc::check("frames stay within their bound", [] {
+    AnswerFrame answer;
+    answer.answer.rows = RandomRows();
+    RC_ASSERT(EncodeFrame(answer).size() <= FrameBytes(answer.answer.rows));
+    RequestFrame request;
+    request.request.statement = {
+      *rc::gen::arbitrary<std::string>(),
+      *rc::gen::container<std::vector<std::optional<std::string>>>(GenCell())
+    };
+    RC_ASSERT(EncodeFrame(request).size() <=
+              FrameBytes(request.request.statement));
+  }));
+  AnswerFrame many;
+  many.answer.rows.rows.assign(100000, { std::string("1") });
+  cr_assert_leq(EncodeFrame(many).size(), FrameBytes(many.answer.rows));
+}
+
 Test(codec, requests_round_trip)
 {
   cr_assert(rc::check("requests survive encoding and decoding", [] {
--- a/test/engine-test.cc
+++ b/test/engine-test.cc
@@ -294,6 +294,53 @@
   }
 }
 
+Test(requests, results_that_fit_no_frame_are_refused_and_rolled_back)
+{
+  GroupSimulationOptions options = ThreeOwnerOptions(1);
+  options.answerBytes = 4096;
+  GroupSimulation simulation(options);
+  Request store = MakeWrite("store", "k");
+  store.statement.parameters[1] = std::string(5000, 'x');
+  Request read = MakeRead("k", std::nullopt);
+  Request write = read;
+  write.operation = Operation::Write;
+  write.requestId = "select";
+  Request resolve = write;
+  resolve.operation = Operation::Resolve;
+  std::string id = BeginAt(simulation, "t");
+  Request statement = read;
+  statement.operation = Operation::Statement;
+  statement.session = "t";
+  statement.transaction = id;
+  Request commit = statement;
+  commit.operation = Operation::Commit;
+  commit.requestId = "commit";
+  std::vector<Outcome> outcomes;
+  for (const Request& request :
+       { store, read, write, resolve, statement, commit }) {
+    simulation.SubmitToOwner(0, request, [&](const Answer& aAnswer) {
+      outcomes.push_back(aAnswer.outcome);
+    });
+    simulation.RunFor(Millis(300));
+  }
+  std::vector<Outcome> expected{ Outcome::Ok,      Outcome::Invalid,
+                                 Outcome::Invalid, Outcome::NotRun,
+                                 Outcome::Invalid, Outcome::NotRun };
+  cr_assert(outcomes == expected);
+}
+
+Test(requests, a_long_message_of_an_upstream_is_cut_between_characters)
+{
+  StepResult failure;
+  for (int i = 0; i < 2000; ++i) {
+    failure.message += "\u00e9";
+  }
+  failure.message.insert(0, "x");
+  std::string text = FailureAnswer(failure).message;
+  cr_assert_leq(text.size(), 1100u);
+  cr_assert_str_eq(text.substr(text.size() - 5).c_str(), "\u00e9...");
+}
+
 Test(limits, slots_and_connections_hold_under_load_and_faults)
 {
   cr_assert(rc::check("slots and connections are never exceeded", [] {
--- a/test/fakes/group-simulation.cc
+++ b/test/fakes/group-simulation.cc
@@ -49,6 +49,7 @@
   for (size_t i = 0; i < aOptions.owners; ++i) {
     Owner owner;
     GroupOptions groupOptions;
+    groupOptions.answerBytes = aOptions.answerBytes;
     std::string host = HostName(i);
     groupOptions.owner = host + "~a";
     groupOptions.standby = RankOf(host, this->config.name, hosts.hosts) != 0;
--- a/test/fakes/group-simulation.h
+++ b/test/fakes/group-simulation.h
@@ -44,6 +44,7 @@
   size_t entries = 2;
   uint32_t slots = 2;
   uint32_t connections = 16;
+  size_t answerBytes = GroupOptions{}.answerBytes;
   Duration oneWay = Millis(1);       // between availability zones
   Duration opening = Millis(12);     // time to open a connection
   Duration service = Millis(2);      // time to run a batch
