Ask upstreams for UTF-8, the encoding of callers' texts

What callers would see with a database in another encoding, such as LATIN1: texts that are stored, and read back, as other characters.

Cause: connections set no client_encoding, so the database's own encoding held for texts that are UTF-8 in callers' messages.

Change: connections are opened with client_encoding UTF8; DISCARD ALL goes back to it. Databases in UTF-8 see no difference; in SQL_ASCII the server converts nothing.

--- a/src/transport/pg-connection.cc
+++ b/src/transport/pg-connection.cc
@@ -38,12 +38,21 @@
   std::string port = std::to_string(aTarget.endpoint.port);
   std::string options = "-c idle_in_transaction_session_timeout=" +
                         std::to_string(aTarget.idleInTransactionTimeout.ms);
-  std::array<const char*, 10> keys{
-    "hostaddr",         "port",       "dbname",           "user",
-    "sslmode",          "gssencmode", "application_name", "options",
-    "tcp_user_timeout", nullptr,
+  std::array<const char*, 11> keys{
+    "hostaddr",
+    "port",
+    "dbname",
+    "user",
+    "sslmode",
+    "gssencmode",
+    "application_name",
+    "options",
+    "tcp_user_timeout",
+    "client_encoding",
+    nullptr,
   };
-  std::array<const char*, 10> values{
+  // Callers' texts are UTF-8, whatever the database's own encoding is.
+  std::array<const char*, 11> values{
     aTarget.endpoint.address.c_str(),
     port.c_str(),
     aTarget.database.c_str(),
@@ -53,6 +62,7 @@
     "marigoldpitch",
     options.c_str(),
     "5000",
+    "UTF8",
     nullptr,
   };
   PGconn* raw = PQconnectStartParams(keys.data(), values.data(), 0);
--- a/test/standin/database.cc
+++ b/test/standin/database.cc
@@ -68,7 +68,7 @@
   return aWord;
 }
 
-// Supports two forms, for names with a dot:
+// Supports two forms, for names with a dot and those set at the start:
 // SELECT set_config($1, $2, false)
 // SELECT current_setting($1)
 StatementResult
@@ -87,7 +87,7 @@
   return OneRow({ aWords[1] }, { found->second });
 }
 
-/** A discarded value is empty: its name stays known to the session. */
+/** A value without a start value becomes empty: its name stays known. */
 StatementResult
 DiscardAll(Transaction& aTransaction)
 {
@@ -96,7 +96,8 @@
                      "DISCARD ALL cannot run inside a transaction block");
   }
   for (auto& [name, value] : aTransaction.values) {
-    value.clear();
+    auto start = aTransaction.startValues.find(name);
+    value = start == aTransaction.startValues.end() ? "" : start->second;
   }
   return CommandComplete("DISCARD ALL");
 }
@@ -213,7 +214,9 @@
   }
   SessionValues values =
     aTransaction.open ? aTransaction.valuesBefore : aTransaction.values;
+  SessionValues startValues = std::move(aTransaction.startValues);
   aTransaction = {};
+  aTransaction.startValues = std::move(startValues);
   aTransaction.values = std::move(values);
 }
 
--- a/test/standin/database.h
+++ b/test/standin/database.h
@@ -57,6 +57,7 @@
 /** The state of a session and of its transaction. */
 struct Transaction
 {
+  SessionValues startValues;  // what discarding sets the values to
   SessionValues values;       // kept until the session discards them
   SessionValues valuesBefore; // at the start of the open transaction
   bool hasPipelined = false;  // a statement ran since the last Sync or commit
--- a/test/standin/pg-session.cc
+++ b/test/standin/pg-session.cc
@@ -116,6 +116,14 @@
     this->idleTimeout =
       Millis(std::atoll(this->input.c_str() + option + kIdleOption.size()));
   }
+  // Without a wish of the client's, an encoding that its texts are not in.
+  static const std::string kEncoding("client_encoding\0", 16);
+  size_t encoding = this->input.find(kEncoding);
+  std::string chosen = encoding < length
+                         ? this->input.c_str() + encoding + kEncoding.size()
+                         : "LATIN1";
+  this->transaction.startValues["client_encoding"] = chosen;
+  this->transaction.values = this->transaction.startValues;
   this->input.erase(0, length);
   this->hasStarted = true;
   if (this->isRefused) {
@@ -125,7 +133,7 @@
   }
   this->AppendMessage('R', EncodeInt(0, 4));
   this->AppendMessage('S', EncodeText("server_version") + EncodeText("15.0"));
-  this->AppendMessage('S', EncodeText("client_encoding") + EncodeText("UTF8"));
+  this->AppendMessage('S', EncodeText("client_encoding") + EncodeText(chosen));
   this->AppendMessage('K',
                       EncodeInt(static_cast<uint32_t>(this->processId), 4) +
                         EncodeInt(1, 4));
