Add customers, key hashes and their messages to the core types

Cause: the name after the database in a caller's START was dropped, and no customer, key or limit existed in the code. Nothing decides by them yet.

--- a/include/marigoldpitch/coordination/proxy/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-io.h
@@ -26,6 +26,7 @@
 {
   CallerId caller = 0;
   std::string database;
+  KeyHash key = {};
 };
 
 struct SessionClosed
@@ -228,6 +229,7 @@
   std::string service;
   std::string upstream; // its id, which the server at the endpoint must confirm
   Endpoint endpoint;
+  std::string customer = {}; // empty: the connection is this host's own
 };
 
 struct CloseLink
--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -49,6 +49,7 @@
   SessionStatement statement;
   std::string preparedAs; // the connection's name for what it executes
   DatabaseRoute route;
+  std::string customer; // for whom it runs; empty: nobody in particular
   StatementPhase phase = StatementPhase::Queued;
   bool needsPrimary = false;
   // Whether the primary may serve it only with a proof that it is still the
@@ -84,6 +85,7 @@
 {
   CallerId id = 0;
   std::string database;
+  KeyHash key = {};
   std::map<std::string, std::string> values;
   std::map<std::string, PreparedStatement> prepared;
   size_t settingsBytes = 0; // of `values`, with the overhead of each
@@ -95,6 +97,7 @@
   bool abortUnreported = false;
   Time transactionArrived = kInfinitePast;
   DatabaseRoute route;     // of the open transaction
+  std::string customer;    // of the open transaction, or set by the relay
   ConnectionId pinned = 0; // the connection of the open transaction
   std::string relayHost;   // the host that has the transaction open
   uint64_t lastRelayNumber = 0;
@@ -137,6 +140,7 @@
   ConnectionId id = 0;
   std::string service;
   UpstreamIndex upstream = 0;
+  std::string customer; // whose statements it carries; empty: nobody's
   LinkUse use = LinkUse::None;
   CallerId caller = 0;
   StatementKind commandKind = StatementKind::Status; // if `use` is a report
--- a/include/marigoldpitch/coordination/proxy/relay-io.h
+++ b/include/marigoldpitch/coordination/proxy/relay-io.h
@@ -26,6 +26,7 @@
   std::string requestId;
   SessionStatement statement;
   DatabaseRoute route;
+  std::string customer; // whose statement it is; empty: nobody's
   std::map<std::string, std::string> values; // the session's settings
   LogPoint lastCommit;
   SessionState state = SessionState::Idle;
--- a/include/marigoldpitch/coordination/proxy/statement.h
+++ b/include/marigoldpitch/coordination/proxy/statement.h
@@ -83,6 +83,7 @@
   ReadOnly,    // the upstream is not the primary
   Misrouted,   // another upstream than expected answers at the endpoint
   TooManyConnections,
+  OverLimit, // beyond the customer's rate limit
 
   // The statement ran, or may have run.
   Failed,         // it returned an error
@@ -93,24 +94,28 @@
 
   // The request is invalid.
   NoDatabase,
-  // The statement is too long, or too many are pipelined. It did not run, and
-  // the session stays as it was, unless it is closed.
+  Unauthorized, // the key is unknown, or has been withdrawn
+                // The statement is too long, or too many are pipelined. It did
+                // not run, and the session stays as it was, unless it is
+                // closed.
   TooBig,
   Invalid, // malformed, or not allowed in the session's present state
 };
 
-constexpr NameTable<FailureCode, 13> kFailureCodeNames{ {
+constexpr NameTable<FailureCode, 15> kFailureCodeNames{ {
   { FailureCode::Busy, "busy" },
   { FailureCode::NoStatement, "no-statement" },
   { FailureCode::Behind, "behind" },
   { FailureCode::ReadOnly, "read-only" },
   { FailureCode::Misrouted, "misrouted" },
   { FailureCode::TooManyConnections, "too-many-connections" },
+  { FailureCode::OverLimit, "over-limit" },
   { FailureCode::Failed, "failed" },
   { FailureCode::Timeout, "timeout" },
   { FailureCode::OutcomeUnknown, "unsure" },
   { FailureCode::Aborted, "aborted" },
   { FailureCode::NoDatabase, "no-database" },
+  { FailureCode::Unauthorized, "unauthorized" },
   { FailureCode::TooBig, "too-big" },
   { FailureCode::Invalid, "bad" },
 } };
--- a/include/marigoldpitch/state/proxy-config.h
+++ b/include/marigoldpitch/state/proxy-config.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_STATE_PROXY_CONFIG_H
 
 #include "marigoldpitch/state/config.h"
+#include "marigoldpitch/state/customer.h"
 #include "marigoldpitch/state/store-position.h"
 #include "marigoldpitch/state/upstream-status.h"
 
@@ -41,6 +42,7 @@
   Duration timeout = Millis(1000);       // of one statement
   Duration latencyObjective = Millis(0); // of a whole operation
   int priority = 0;                      // 0 is the highest
+  bool isOpen = false;                   // to callers without a key
 };
 
 struct ServiceLimits
@@ -55,6 +57,10 @@
   std::map<std::string, DatabaseRoute> routes; // by database
   std::map<std::string, ServiceLimits> services;
   Duration transactionIdleTimeout = Seconds(3);
+  // Whether callers need a customer's key; otherwise there are no customers.
+  bool hasCustomers = false;
+  std::map<std::string, Customer> customers; // by name
+  std::map<KeyHash, std::string> keys;       // the names of their customers
 };
 
 /** An upstream's own registration. */
--- a/src/protocol/wire-decode.cc
+++ b/src/protocol/wire-decode.cc
@@ -248,6 +248,7 @@
   relayed.isContinued = aFrame.continued();
   relayed.spent = Millis(aFrame.spent_ms());
   relayed.transactionSpent = Millis(aFrame.transaction_spent_ms());
+  relayed.customer = StringOrEmpty(aFrame.customer());
   bool isConsistent = state != SessionState::Failed &&
                       relayed.spent >= Millis(0) &&
                       relayed.transactionSpent >= Millis(0) &&
--- a/src/protocol/wire-encode.cc
+++ b/src/protocol/wire-encode.cc
@@ -203,6 +203,7 @@
   auto preparedText = aBuilder.CreateString(statement.preparedText);
   auto database = aBuilder.CreateString(relayed.route.database);
   auto service = aBuilder.CreateString(relayed.route.service);
+  auto customer = aBuilder.CreateString(relayed.customer);
   auto freshness =
     aBuilder.CreateString(kFreshnessNames.TextOf(relayed.route.freshness));
   std::vector<flatbuffers::Offset<wire::Setting>> settings;
@@ -237,6 +238,7 @@
   frame.add_continued(relayed.isContinued);
   frame.add_spent_ms(relayed.spent.ms);
   frame.add_transaction_spent_ms(relayed.transactionSpent.ms);
+  frame.add_customer(customer);
   return { wire::Body_RelayedStatementFrame, frame.Finish().Union() };
 }
 
