Divide a service's upstreams fairly among customers whose statements wait

Cause: waiting statements were ordered by the priority of their route and their deadline alone, so a customer that sends many delays all others. Change: the queue of a service is a module of its own. Within one priority of routes, customers get turns in proportion to their weights (start-time fair queueing); an idle customer's share is lent, and nothing is saved up. Admission counts what is ahead in that order. Statements without a customer are ordered as before.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -6,10 +6,10 @@
 #include "marigoldpitch/coordination/proxy/group-recorder.h"
 #include "marigoldpitch/coordination/proxy/promotion.h"
 #include "marigoldpitch/coordination/proxy/proxy-session.h"
+#include "marigoldpitch/coordination/proxy/statement-queue.h"
 
 #include <memory>
 #include <set>
-#include <tuple>
 #include <unordered_map>
 
 /**
@@ -47,16 +47,13 @@
   {
   }
 
-  // Priority, deadline, caller: the most urgent statement sorts first.
-  using QueueKey = std::tuple<int, int64_t, CallerId>;
-
   std::string name;
   ServiceLimits config;
   ServiceView view;
   ConnectionTable connections;
   Promotion promotion;
   GroupRecorder recorder;
-  std::set<QueueKey> queue;
+  StatementQueue queue;
   uint32_t share = 1; // this host's even share of an upstream's connections
   ServingHosts serving;
   std::vector<std::string> rankedHosts; // of this host's zone
@@ -152,7 +149,10 @@
   // proxy-dispatch.cc: admission, the queue and the choice of an upstream.
   void Submit(CallerSession& aSession, const StatementArrived& aEvent);
   bool Admits(const ProxyService& aService,
-              const PendingStatement& aPending) const;
+              const PendingStatement& aPending,
+              const QueuedStatement& aQueued) const;
+  QueuedStatement DescribeQueued(const CallerSession& aSession) const;
+  double CustomerWeight(const std::string& aCustomer) const;
   void Enqueue(CallerSession& aSession);
   void Dequeue(CallerSession& aSession);
   void Requeue(CallerSession& aSession, Duration aPause);
--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -72,7 +72,8 @@
   // The host that serves the service decides about a relayed statement.
   bool isServedHere = service.isServedHere || aSession.origin.has_value();
   bool isPlaced = aSession.pinned != 0 || !aSession.relayHost.empty();
-  if (isServedHere && !isPlaced && !this->Admits(service, pending)) {
+  if (isServedHere && !isPlaced &&
+      !this->Admits(service, pending, this->DescribeQueued(aSession))) {
     if (inTransaction) {
       this->FailTransaction(aSession);
     }
@@ -90,15 +91,11 @@
  */
 bool
 ProxyEngine::Admits(const ProxyService& aService,
-                    const PendingStatement& aPending) const
+                    const PendingStatement& aPending,
+                    const QueuedStatement& aQueued) const
 {
   QueueLoad load;
-  auto position =
-    aService.queue.upper_bound({ aPending.route.priority,
-                                 aPending.deadline.ms,
-                                 std::numeric_limits<CallerId>::max() });
-  load.ahead =
-    static_cast<size_t>(std::distance(aService.queue.begin(), position));
+  load.ahead = aService.queue.CountAhead(aQueued);
   if (load.ahead == 0) {
     return true;
   }
@@ -124,22 +121,39 @@
   return this->options.admission->Admits(load, left);
 }
 
+QueuedStatement
+ProxyEngine::DescribeQueued(const CallerSession& aSession) const
+{
+  const PendingStatement& pending = *aSession.pending;
+  return { pending.route.priority,
+           pending.customer,
+           this->CustomerWeight(pending.customer),
+           pending.deadline.ms,
+           aSession.id };
+}
+
+double
+ProxyEngine::CustomerWeight(const std::string& aCustomer) const
+{
+  auto found = this->config.customers.find(aCustomer);
+  return found == this->config.customers.end()
+           ? 1
+           : WeightOf(found->second.priority);
+}
+
 void
 ProxyEngine::Enqueue(CallerSession& aSession)
 {
-  const PendingStatement& pending = *aSession.pending;
-  this->ServiceOf(pending.route.service)
-    .queue.insert({ pending.route.priority, pending.deadline.ms, aSession.id });
+  this->ServiceOf(aSession.pending->route.service)
+    .queue.Insert(this->DescribeQueued(aSession));
 }
 
 void
 ProxyEngine::Dequeue(CallerSession& aSession)
 {
   if (aSession.pending) {
-    const PendingStatement& pending = *aSession.pending;
-    this->ServiceOf(pending.route.service)
-      .queue.erase(
-        { pending.route.priority, pending.deadline.ms, aSession.id });
+    this->ServiceOf(aSession.pending->route.service)
+      .queue.Erase(this->DescribeQueued(aSession));
   }
 }
 
@@ -168,20 +182,17 @@
 void
 ProxyEngine::Dispatch(ProxyService& aService)
 {
-  std::vector<CallerId> head;
-  for (const ProxyService::QueueKey& key : aService.queue) {
-    if (head.size() == detail::kDispatchWindow) {
-      break;
-    }
-    head.push_back(std::get<2>(key));
-  }
-  for (CallerId caller : head) {
+  for (CallerId caller : aService.queue.Head(detail::kDispatchWindow)) {
     auto found = this->sessions.find(caller);
     bool isDue = found != this->sessions.end() && found->second.pending &&
                  found->second.pending->phase == StatementPhase::Queued &&
                  found->second.pending->notBefore <= this->now;
-    if (isDue && this->Place(aService, found->second)) {
-      this->Dequeue(found->second);
+    if (!isDue) {
+      continue;
+    }
+    QueuedStatement queued = this->DescribeQueued(found->second);
+    if (this->Place(aService, found->second)) {
+      aService.queue.TakePlaced(queued);
     }
   }
 }
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -24,7 +24,7 @@
   this->now = std::max(this->now, aNow);
   std::visit([&](const auto& aOne) { this->On(aOne); }, aEvent);
   for (auto& [name, service] : this->services) {
-    if (!service.queue.empty()) {
+    if (!service.queue.IsEmpty()) {
       this->Dispatch(service);
       this->RequestProof(service);
     }
--- a/src/coordination/proxy/proxy-placing.cc
+++ b/src/coordination/proxy/proxy-placing.cc
@@ -21,7 +21,7 @@
 {
   const ProxyUpstream& upstream = aService.view.At(aUpstream);
   const UpstreamUsage& use = aService.connections.UsageOf(aUpstream);
-  bool isOpening = use.opening > aService.queue.size();
+  bool isOpening = use.opening > aService.queue.Size();
   if (isOpening || upstream.fullUntil > this->now ||
       upstream.avoidUntil > this->now) {
     return;
