Run each statement for the customer that holds its session's key

Change: with customers in the configuration, a session's customer is looked up by its key for each single statement and each BEGIN and compared again inside a transaction; unknown and withdrawn keys are refused. A pooled connection belongs to one customer; when the host's share is used up, connection-choice says whose idle one makes room. A customer's statements go to one serving host of the zone. Without customers nothing changes.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -149,6 +149,36 @@
   void ExpireTransactions();
   const DatabaseRoute* RouteOf(const std::string& aDatabase) const;
 
+  // proxy-customers.cc: whose statement it is, and the connections of
+  // customers.
+  std::optional<std::string> CustomerOf(const KeyHash& aKey,
+                                        const DatabaseRoute& aRoute) const;
+  bool KnowsCustomer(const std::string& aCustomer,
+                     const DatabaseRoute& aRoute) const;
+  bool MayContinue(const CallerSession& aSession) const;
+  void LogRefusedKey(const CallerSession& aSession,
+                     const std::string& aRequestId);
+  bool JudgeKey(CallerSession& aSession,
+                const DatabaseRoute& aRoute,
+                const std::string& aRequestId);
+  void RefuseKey(CallerSession& aSession, const std::string& aRequestId);
+  bool MayStillRun(CallerSession& aSession);
+  void JudgeSessions();
+  void WithdrawKey(CallerSession& aSession);
+  uint32_t KeptConnections(const ProxyService& aService) const;
+  static Duration UnusedTimeout(const ProxyLink& aLink, bool aIsWithinKept);
+  bool IsOfRemovedCustomer(const ProxyLink& aLink) const;
+  std::optional<ConnectionId> FindReplaceable(
+    const ProxyService& aService,
+    UpstreamIndex aUpstream,
+    const PendingStatement& aPending) const;
+  bool AwaitsOpening(const ProxyService& aService,
+                     UpstreamIndex aUpstream,
+                     CallerSession& aSession);
+  void OpenFor(ProxyService& aService,
+               UpstreamIndex aUpstream,
+               CallerSession& aSession);
+
   // proxy-dispatch.cc: admission, the queue and the choice of an upstream.
   void Submit(CallerSession& aSession, const StatementArrived& aEvent);
   bool Admits(const ProxyService& aService,
@@ -192,6 +222,11 @@
   bool Relay(ProxyService& aService, CallerSession& aSession);
   std::string ChooseRelayHost(const ProxyService& aService,
                               const CallerSession& aSession) const;
+  std::vector<std::string> RelayOrder(const ProxyService& aService,
+                                      const CallerSession& aSession) const;
+  bool IsDecidedHere(const ProxyService& aService,
+                     const CallerSession& aSession) const;
+  void AvoidRelayHost(const std::string& aHost, const std::string& aCustomer);
   void SendToHost(CallerSession& aSession, const std::string& aHost);
   void HandleLostRelay(CallerSession& aSession);
   void EndRelayedWork(CallerSession& aSession);
@@ -208,6 +243,9 @@
 
   // proxy-placing.cc: sending a statement over a connection.
   void Open(ProxyService& aService, UpstreamIndex aUpstream);
+  ConnectionId StartOpening(ProxyService& aService,
+                            UpstreamIndex aUpstream,
+                            const std::string& aCustomer);
   void Assign(ProxyService& aService,
               CallerSession& aSession,
               ConnectionId aConnection);
@@ -325,7 +363,8 @@
   Time configuredSince = kInfiniteFuture;
   // Hosts to which a link is up, and since when.
   std::map<std::string, Time> relayHosts;
-  std::map<std::string, Time> relayAvoidUntil;
+  // By host and customer.
+  std::map<std::pair<std::string, std::string>, Time> relayAvoidUntil;
   // Until then links to serving hosts are expected to come up.
   Time relayExpectedUntil = kInfinitePast;
   // By link and the sender's session: the session that serves it here.
--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -63,6 +63,7 @@
   Time notBefore = kInfinitePast;
   Time sent = kInfinitePast;
   ConnectionId connection = 0;
+  ConnectionId opening = 0; // the connection that was last opened for it
   bool onReplica = false;
   std::optional<FreshnessSample> after; // the replica's log must reach it
   uint32_t tries = 0;
@@ -140,7 +141,8 @@
   ConnectionId id = 0;
   std::string service;
   UpstreamIndex upstream = 0;
-  std::string customer; // whose statements it carries; empty: nobody's
+  std::string customer;   // whose statements it carries; empty: nobody's
+  CallerId openedFor = 0; // the session whose statement waits for it
   LinkUse use = LinkUse::None;
   CallerId caller = 0;
   StatementKind commandKind = StatementKind::Status; // if `use` is a report
--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -47,6 +47,10 @@
     this->AnswerFailure(aSession, FailureCode::NoDatabase, "no such database");
     return;
   }
+  if (!this->JudgeKey(aSession, *route, aEvent.requestId)) {
+    return;
+  }
+  pending.customer = aSession.customer;
   if (aEvent.statement.kind == StatementKind::Execute) {
     auto found = aSession.prepared.find(aEvent.statement.name);
     if (found == aSession.prepared.end()) {
@@ -70,9 +74,9 @@
   aSession.pending = pending;
   ProxyService& service = this->ServiceOf(route->service);
   // The host that serves the service decides about a relayed statement.
-  bool isServedHere = service.isServedHere || aSession.origin.has_value();
+  bool isDecidedHere = this->IsDecidedHere(service, aSession);
   bool isPlaced = aSession.pinned != 0 || !aSession.relayHost.empty();
-  if (isServedHere && !isPlaced && !this->Admits(service, pending)) {
+  if (isDecidedHere && !isPlaced && !this->Admits(service, pending)) {
     if (inTransaction) {
       this->FailTransaction(aSession);
     }
@@ -162,6 +166,10 @@
     this->AnswerFailure(aSession, code, "no upstream accepted the statement");
     return;
   }
+  if (!this->MayStillRun(aSession)) {
+    this->WithdrawKey(aSession);
+    return;
+  }
   this->Enqueue(aSession);
 }
 
@@ -214,7 +222,7 @@
   }
   auto link = this->FindLink(aService, *upstream, aSession);
   if (!link) {
-    this->Open(aService, *upstream);
+    this->OpenFor(aService, *upstream, aSession);
     return false;
   }
   // Decided once, here: the primary may change before the statement is sent.
@@ -404,7 +412,9 @@
       continue;
     }
     bool isIdle = this->FindLink(aService, i, aSession).has_value();
-    bool isReachable = isIdle || this->MayOpen(aService, i);
+    bool mayOpen = isIdle || this->MayOpen(aService, i);
+    bool isReachable =
+      mayOpen || this->FindReplaceable(aService, i, pending).has_value();
     if (!isReachable || !this->HasCapacity(aService, i)) {
       if (this->now - pending.arrived >= detail::kBorrowDelay) {
         this->RequestCensus(aService, i);
@@ -414,6 +424,7 @@
     double wait = this->EstimateWait(aService, i, aAfter);
     double cost = this->CostOf(aService, i) + wait;
     cost += isIdle ? 0 : detail::kOpeningCostMs;
+    cost += mayOpen ? 0 : detail::kOpeningCostMs; // for its owner, later
     cost += pending.failedAt.count(i) != 0 ? detail::kFailedCostMs : 0;
     if (cost < bestCost) {
       best = i;
@@ -428,8 +439,8 @@
 }
 
 /**
- * An idle connection to the upstream: one with the session's settings if there
- * is any, else the one that was answered last.
+ * An idle connection of the customer to the upstream: one with the session's
+ * settings if there is any, else the one that was answered last.
  */
 std::optional<ConnectionId>
 ProxyEngine::FindLink(const ProxyService& aService,
@@ -440,7 +451,8 @@
   Time bestAnswer = kInfinitePast;
   for (ConnectionId id : aService.connections.ConnectionsOf(aUpstream)) {
     const ProxyLink& link = this->links.at(id);
-    if (link.isOpening || link.use != LinkUse::None) {
+    if (link.isOpening || link.use != LinkUse::None ||
+        link.customer != aSession.pending->customer) {
       continue;
     }
     if (link.values == aSession.values) {
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -65,8 +65,10 @@
   CallerSession session;
   session.id = aEvent.caller;
   session.database = aEvent.database;
+  session.key = aEvent.key;
   session.lastActive = this->now;
-  if (this->RouteOf(aEvent.database) == nullptr) {
+  const DatabaseRoute* route = this->RouteOf(aEvent.database);
+  if (route == nullptr) {
     this->AddDecision(LogEvent::DatabaseUnknown,
                       "",
                       { { "database", aEvent.database },
@@ -75,6 +77,12 @@
                            { FailureCode::NoDatabase, "no such database" } });
     return;
   }
+  if (!this->CustomerOf(aEvent.key, *route)) {
+    this->LogRefusedKey(session, "");
+    this->Emit(EndSession{
+      aEvent.caller, { FailureCode::Unauthorized, "the key is not known" } });
+    return;
+  }
   this->sessions[aEvent.caller] = session;
   this->Emit(ConfirmSession{ aEvent.caller });
 }
@@ -201,7 +209,9 @@
     LogEvent::ConfigurationInForce,
     "",
     { { "version", std::to_string(this->config.version) },
-      { "routes", std::to_string(this->config.routes.size()) } });
+      { "routes", std::to_string(this->config.routes.size()) },
+      { "customers", std::to_string(this->config.customers.size()) } });
+  this->JudgeSessions();
   this->OpenAwaitingSessions();
 }
 
--- a/src/coordination/proxy/proxy-placing.cc
+++ b/src/coordination/proxy/proxy-placing.cc
@@ -19,18 +19,29 @@
 void
 ProxyEngine::Open(ProxyService& aService, UpstreamIndex aUpstream)
 {
-  const ProxyUpstream& upstream = aService.view.At(aUpstream);
   const UpstreamUsage& use = aService.connections.UsageOf(aUpstream);
   bool isOpening = use.opening > aService.queue.size();
-  if (isOpening || upstream.fullUntil > this->now ||
-      upstream.avoidUntil > this->now) {
-    return;
+  if (!isOpening) {
+    this->StartOpening(aService, aUpstream, {});
+  }
+}
+
+/** Returns the connection, or 0 if the upstream is not to get one now. */
+ConnectionId
+ProxyEngine::StartOpening(ProxyService& aService,
+                          UpstreamIndex aUpstream,
+                          const std::string& aCustomer)
+{
+  const ProxyUpstream& upstream = aService.view.At(aUpstream);
+  if (upstream.fullUntil > this->now || upstream.avoidUntil > this->now) {
+    return 0;
   }
   ConnectionId id = aService.connections.Open(aUpstream, this->now);
   ProxyLink& link = this->links[id];
   link.id = id;
   link.service = aService.name;
   link.upstream = aUpstream;
+  link.customer = aCustomer;
   link.asked = this->now;
   link.limit = this->now + detail::kOpenTimeout;
   aService.view.NoteAttempt(aUpstream, this->now);
@@ -38,7 +49,9 @@
   this->Emit(OpenLink{ id,
                        aService.name,
                        upstream.registration.id,
-                       upstream.registration.endpoint });
+                       upstream.registration.endpoint,
+                       aCustomer });
+  return id;
 }
 
 void
--- a/src/coordination/proxy/proxy-relay-serving.cc
+++ b/src/coordination/proxy/proxy-relay-serving.cc
@@ -55,6 +55,7 @@
   const DatabaseRoute* own = this->RouteOf(aRelayed.route.database);
   return !this->IsDraining() && own != nullptr &&
          own->service == aRelayed.route.service &&
+         this->KnowsCustomer(aRelayed.customer, *own) &&
          this->relayedSessions.size() < detail::kMaxRelayedSessions;
 }
 
@@ -70,6 +71,7 @@
     created.id = id;
     created.database = relayed.route.database;
     created.route = relayed.route;
+    created.customer = relayed.customer;
     created.state = relayed.state;
     created.readOnly = relayed.readOnly;
     created.transactionArrived = this->now - relayed.transactionSpent;
--- a/src/coordination/proxy/proxy-relay.cc
+++ b/src/coordination/proxy/proxy-relay.cc
@@ -1,3 +1,4 @@
+#include "marigoldpitch/coordination/common/ownership.h"
 #include "marigoldpitch/coordination/proxy/proxy-engine.h"
 
 #include <algorithm>
@@ -75,11 +76,12 @@
 {
   std::set<std::string> wanted;
   for (const auto& [name, service] : this->services) {
-    if (service.isServedHere) {
+    if (service.isServedHere && !this->config.hasCustomers) {
       continue;
     }
-    size_t count = std::min(service.serving.perZone + detail::kSpareHosts,
-                            service.rankedHosts.size());
+    size_t spare = service.isServedHere ? 0 : detail::kSpareHosts;
+    size_t count =
+      std::min(service.serving.perZone + spare, service.rankedHosts.size());
     for (size_t i = 0; i < count; ++i) {
       wanted.insert(service.rankedHosts[i]);
     }
@@ -96,7 +98,8 @@
     return false;
   }
   std::string host = aSession.relayHost;
-  if (host.empty() && !aService.isServedHere) {
+  bool mayRelay = !aService.isServedHere || !aSession.pending->customer.empty();
+  if (host.empty() && mayRelay) {
     host = this->ChooseRelayHost(aService, aSession);
   }
   if (host.empty()) {
@@ -107,8 +110,53 @@
 }
 
 /**
- * The first usable host by rank, or nothing if this host comes before it. The
- * sessions are spread over the hosts that serve the service. A host whose link
+ * The hosts of the zone to which the session's statement may be relayed: those
+ * that serve the service, then spare ones. A customer's statements go to one
+ * serving host, so that few connections serve them; without customers, the
+ * sessions are spread over the serving hosts.
+ */
+std::vector<std::string>
+ProxyEngine::RelayOrder(const ProxyService& aService,
+                        const CallerSession& aSession) const
+{
+  const auto& ranked = aService.rankedHosts;
+  const std::string& customer = aSession.pending->customer;
+  size_t serving = std::min(aService.serving.perZone, ranked.size());
+  size_t count = std::min(serving + detail::kSpareHosts, ranked.size());
+  std::vector<std::string> order(
+    ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(count));
+  auto end = order.begin() + static_cast<ptrdiff_t>(serving);
+  if (customer.empty()) {
+    auto first = serving == 0 ? 0 : aSession.id % serving;
+    std::rotate(
+      order.begin(), order.begin() + static_cast<ptrdiff_t>(first), end);
+    return order;
+  }
+  std::string key = "serve " + aService.name + "\n" + customer;
+  std::sort(order.begin(), end, [&](const auto& aOne, const auto& aTwo) {
+    return RendezvousWeight(key, aOne) > RendezvousWeight(key, aTwo);
+  });
+  return order;
+}
+
+/**
+ * Whether this host admits the session's statement, which otherwise is decided
+ * by the host that it is relayed to.
+ */
+bool
+ProxyEngine::IsDecidedHere(const ProxyService& aService,
+                           const CallerSession& aSession) const
+{
+  if (aSession.origin || !aService.isServedHere) {
+    return aSession.origin.has_value();
+  }
+  return aSession.pending->customer.empty() ||
+         this->ChooseRelayHost(aService, aSession).empty();
+}
+
+/**
+ * The first usable host of `RelayOrder`, or nothing if this host comes before
+ * it. A host whose link
  * has just come up may have started anew and not know the primary yet, so
  * another one is preferred.
  */
@@ -116,18 +164,16 @@
 ProxyEngine::ChooseRelayHost(const ProxyService& aService,
                              const CallerSession& aSession) const
 {
-  const auto& ranked = aService.rankedHosts;
-  size_t serving = std::min(aService.serving.perZone, ranked.size());
-  size_t count = std::min(serving + detail::kSpareHosts, ranked.size());
   std::string young;
-  for (size_t i = 0; i < count; ++i) {
-    const std::string& host =
-      ranked[i < serving ? (aSession.id + i) % serving : i];
+  const std::string& customer = aSession.pending->customer;
+  auto order = this->RelayOrder(aService, aSession);
+  for (size_t i = 0; i < order.size(); ++i) {
+    const std::string& host = order[i];
     if (host == this->options.host) {
       break;
     }
     auto link = this->relayHosts.find(host);
-    auto avoided = this->relayAvoidUntil.find(host);
+    auto avoided = this->relayAvoidUntil.find({ host, customer });
     bool isAvoided =
       avoided != this->relayAvoidUntil.end() && avoided->second > this->now;
     bool isUsable = link != this->relayHosts.end() && !isAvoided &&
@@ -136,12 +182,13 @@
       return host;
     }
     // A serving host's link may come up a moment later than another's.
-    bool isAwaited = i >= serving && this->IsRelayAwaited(aService);
+    bool isAwaited =
+      i >= aService.serving.perZone && this->IsRelayAwaited(aService);
     if (isUsable && !isAwaited && young.empty()) {
       young = host;
     }
   }
-  return young;
+  return aService.isServedHere ? std::string() : young;
 }
 
 void
@@ -155,6 +202,7 @@
   relayed.requestId = pending.requestId;
   relayed.statement = pending.statement;
   relayed.route = pending.route;
+  relayed.customer = pending.customer;
   relayed.values = aSession.values;
   relayed.lastCommit = aSession.lastCommit;
   relayed.state = aSession.state;
@@ -180,6 +228,23 @@
   this->Emit(RelayStatement{ aHost, std::move(relayed) });
 }
 
+/**
+ * The host has declined a customer's statement. It may serve others: it may
+ * only have another version of the configuration.
+ */
+void
+ProxyEngine::AvoidRelayHost(const std::string& aHost,
+                            const std::string& aCustomer)
+{
+  for (auto it = this->relayAvoidUntil.begin();
+       it != this->relayAvoidUntil.end();) {
+    it =
+      it->second <= this->now ? this->relayAvoidUntil.erase(it) : std::next(it);
+  }
+  this->relayAvoidUntil[{ aHost, aCustomer }] =
+    this->now + detail::kDeclinedPause;
+}
+
 void
 ProxyEngine::On(const RelayedReplyArrived& aEvent)
 {
@@ -196,7 +261,7 @@
   PendingStatement& pending = *session.pending;
   bool inTransaction = session.state == SessionState::InTransaction;
   if (relayed.isDeclined) {
-    this->relayAvoidUntil[aEvent.host] = this->now + detail::kDeclinedPause;
+    this->AvoidRelayHost(aEvent.host, pending.customer);
     pending.failedRelays.insert(aEvent.host);
     session.relayHost.clear();
     this->Requeue(session, Millis(0));
--- a/src/coordination/proxy/proxy-sessions.cc
+++ b/src/coordination/proxy/proxy-sessions.cc
@@ -159,12 +159,18 @@
     this->AnswerFailure(aSession, FailureCode::NoDatabase, "no such database");
     return;
   }
+  auto customer = this->CustomerOf(aSession.key, *route);
+  if (!customer) {
+    this->RefuseKey(aSession, "");
+    return;
+  }
   // The transaction is started at an upstream with its first statement.
   aSession.state = SessionState::InTransaction;
   aSession.readOnly = aReadOnly;
   aSession.transactionWrote = false;
   aSession.transactionArrived = this->now;
   aSession.route = *route;
+  aSession.customer = *customer;
   this->Answer(aSession, {});
 }
 
--- a/src/coordination/proxy/proxy-watch.cc
+++ b/src/coordination/proxy/proxy-watch.cc
@@ -18,7 +18,6 @@
 // `kUnusedLinkTimeout`, so that its connection stays open.
 constexpr Duration kStandbyInterval = Millis(600);
 constexpr Duration kProofInterval = Millis(30);
-constexpr Duration kUnusedLinkTimeout = Millis(700);
 constexpr Duration kBorrowedLinkTimeout = Millis(200);
 // For this long after a replica read had no log point to wait for, reports are
 // requested to get one.
@@ -228,6 +227,7 @@
     bool mayNotConfirm = !aService.view.Members().MayConfirm(i, this->now);
     uint32_t open = aService.connections.UsageOf(i).open;
     bool isOverShare = open > aService.share;
+    bool isWithinKept = open <= this->KeptConnections(aService);
     for (ConnectionId id : aService.connections.ConnectionsOf(i)) {
       const ProxyLink& link = this->links.at(id);
       bool isIdle = !link.isOpening && link.use == LinkUse::None;
@@ -235,7 +235,8 @@
       bool isUnneeded =
         (isOverShare && unused >= detail::kBorrowedLinkTimeout) ||
         ((open > 1 || !aService.isServedHere) &&
-         unused >= detail::kUnusedLinkTimeout);
+         unused >= this->UnusedTimeout(link, isWithinKept)) ||
+        this->IsOfRemovedCustomer(link);
       if (isIdle && (mayNotConfirm || isUnneeded)) {
         this->Close(id, false);
         break;
--- a/src/transport/json-log.cc
+++ b/src/transport/json-log.cc
@@ -30,7 +30,8 @@
          aEvent == LogEvent::StatementRefused ||
          aEvent == LogEvent::SetupRefused ||
          aEvent == LogEvent::CallerRefused ||
-         aEvent == LogEvent::RequestRefused ||
+         aEvent == LogEvent::RequestRefused || aEvent == LogEvent::KeyRefused ||
+         aEvent == LogEvent::ConnectionReplaced ||
          aEvent == LogEvent::DatabaseUnknown;
 }
 
