Test customers, withdrawn keys and the choice of connections

The proxy simulation gets customers with a key each, and checks that a statement runs on a connection of its own customer and with no key that its host knows to be withdrawn.

--- /dev/null
+++ b/test/customers-test.cc
@@ -0,0 +1,276 @@
+#include "fakes/proxy-simulation.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+// Whose statement it is, and what each customer's callers get over connections
+// that belong to one customer each.
+
+using namespace marigoldpitch;
+using namespace marigoldpitch::fakes;
+
+namespace {
+
+constexpr size_t kCustomers = 20;
+constexpr size_t kHosts = 12;
+constexpr size_t kZones = 2;
+constexpr Duration kObjective = Millis(300);
+constexpr Duration kStep = Millis(10);
+
+using Requests = std::vector<std::shared_ptr<FakeRequest>>;
+
+ProxySimulationOptions
+Options(size_t aHosts = 1, uint32_t aSeed = 1)
+{
+  ProxySimulationOptions options;
+  options.seed = aSeed;
+  options.hosts = aHosts;
+  options.customers = kCustomers;
+  options.freshness = Freshness::Bounded;
+  return options;
+}
+
+/** Hosts of which one in each zone serves, with two connections an upstream. */
+ProxySimulationOptions
+DividedOptions(uint32_t aSeed = 1)
+{
+  ProxySimulationOptions options = Options(kHosts, aSeed);
+  options.zones = kZones;
+  options.connections = 12;
+  options.jitter = Millis(2);
+  options.registryInterval = Millis(1000);
+  options.lingerTime = Seconds(3);
+  return options;
+}
+
+void
+WarmUp(ProxySimulation& aSimulation)
+{
+  aSimulation.SetPromoterLease(0, true);
+  aSimulation.RunFor(Millis(1500));
+}
+
+CallerId
+OpenFor(ProxySimulation& aSimulation, size_t aCustomer, size_t aHost = 0)
+{
+  return aSimulation.OpenSession(
+    aHost, "db", ProxySimulation::KeyOf(aCustomer));
+}
+
+FailureCode
+CodeOf(const std::shared_ptr<FakeRequest>& aRequest)
+{
+  cr_assert(aRequest->reply && aRequest->reply->failure,
+            "the statement was not refused");
+  return aRequest->reply->failure->code;
+}
+
+double
+ServedShare(const Requests& aRequests)
+{
+  double served = 0;
+  for (const auto& request : aRequests) {
+    bool isInTime =
+      IsOk(request) && request->answered - request->sent <= kObjective;
+    served += isInTime ? 1 : 0;
+  }
+  return aRequests.empty() ? 1 : served / static_cast<double>(aRequests.size());
+}
+
+/** One read of a session of its own. */
+std::shared_ptr<FakeRequest>
+Read(ProxySimulation& aSimulation, size_t aCustomer, size_t aHost)
+{
+  return aSimulation.SubmitStatement(
+    aHost, OpenFor(aSimulation, aCustomer, aHost), ReadStatement("a"));
+}
+
+} // namespace
+
+Test(customers, unknown_key_opens_no_session)
+{
+  ProxySimulation simulation(Options());
+  WarmUp(simulation);
+  CallerId unknown = OpenFor(simulation, kCustomers);
+  cr_assert(simulation.endedSessions[unknown]->code ==
+            FailureCode::Unauthorized);
+  CallerId lost =
+    simulation.OpenSession(0, "nothing", ProxySimulation::KeyOf(kCustomers));
+  cr_assert(simulation.endedSessions[lost]->code == FailureCode::NoDatabase);
+}
+
+Test(customers, statements_run_for_the_customer_of_the_key)
+{
+  ProxySimulation simulation(Options());
+  WarmUp(simulation);
+  for (size_t i = 0; i < 3; ++i) {
+    CallerId caller = OpenFor(simulation, i);
+    for (size_t n = 0; n < 2; ++n) {
+      cr_assert(
+        IsOk(simulation.SubmitAndWait(0, caller, WriteStatement("a", "v"))));
+    }
+    cr_assert_geq(simulation.LinksOf(0, "c" + std::to_string(i)), 1);
+  }
+  cr_assert_eq(simulation.Violations(), "");
+}
+
+Test(customers, withdrawn_key_is_refused_until_it_is_back)
+{
+  ProxySimulation simulation(Options());
+  WarmUp(simulation);
+  CallerId caller = OpenFor(simulation, 0);
+  CallerId other = OpenFor(simulation, 1);
+  simulation.WithdrawKeys(2, { 0 });
+  auto refused = simulation.SubmitAndWait(0, caller, ReadStatement("a"));
+  cr_assert(CodeOf(refused) == FailureCode::Unauthorized);
+  cr_assert(CodeOf(simulation.SubmitAndWait(
+              0, caller, StatementOf(StatementKind::Begin))) ==
+            FailureCode::Unauthorized);
+  cr_assert(IsOk(simulation.SubmitAndWait(0, other, ReadStatement("a"))));
+  simulation.WithdrawKeys(3, {});
+  cr_assert(IsOk(simulation.SubmitAndWait(0, caller, ReadStatement("a"))));
+  // An older version does not take it away again.
+  simulation.WithdrawKeys(1, { 0 });
+  cr_assert(IsOk(simulation.SubmitAndWait(0, caller, ReadStatement("a"))));
+  cr_assert_eq(refused->runs, 0);
+}
+
+Test(customers, transaction_of_a_withdrawn_key_is_rolled_back)
+{
+  ProxySimulation simulation(Options());
+  WarmUp(simulation);
+  CallerId idle = OpenFor(simulation, 0);
+  CallerId running = OpenFor(simulation, 0);
+  for (CallerId caller : { idle, running }) {
+    cr_assert(IsOk(
+      simulation.SubmitAndWait(0, caller, StatementOf(StatementKind::Begin))));
+    cr_assert(
+      IsOk(simulation.SubmitAndWait(0, caller, WriteStatement("a", "v"))));
+  }
+  auto open = simulation.SubmitStatement(0, running, ReadStatement("a"));
+  simulation.WithdrawKeys(2, { 0 });
+  simulation.RunFor(Millis(100));
+  cr_assert(IsOk(open), "what runs is answered");
+  auto commit =
+    simulation.SubmitAndWait(0, running, StatementOf(StatementKind::Commit));
+  cr_assert(CodeOf(commit) == FailureCode::Unauthorized);
+  cr_assert(CodeOf(simulation.SubmitAndWait(0, idle, ReadStatement("a"))) ==
+            FailureCode::Aborted);
+  simulation.RunFor(Seconds(1));
+  cr_assert(simulation.Acknowledged().empty());
+  cr_assert_eq(commit->effects, 0);
+  cr_assert_eq(simulation.Violations(), "");
+}
+
+Test(customers, waiting_statement_of_a_withdrawn_key_does_not_run)
+{
+  ProxySimulation simulation(Options());
+  WarmUp(simulation);
+  Requests requests;
+  for (size_t i = 0; i < 60; ++i) {
+    requests.push_back(simulation.SubmitStatement(
+      0, OpenFor(simulation, i % 2), WriteStatement("a", "v")));
+  }
+  simulation.RunFor(Millis(5));
+  simulation.WithdrawKeys(2, { 0 });
+  simulation.RunFor(Seconds(2));
+  size_t refused = 0;
+  for (const auto& request : requests) {
+    bool isRefused =
+      !IsOk(request) && CodeOf(request) == FailureCode::Unauthorized;
+    refused += isRefused ? 1 : 0;
+    cr_assert(!isRefused || request->runs == 0);
+  }
+  cr_assert_gt(refused, 10);
+  cr_assert_eq(simulation.Violations(), "");
+}
+
+Test(customers, connections_of_a_removed_customer_are_closed)
+{
+  ProxySimulation simulation(Options());
+  WarmUp(simulation);
+  CallerId caller = OpenFor(simulation, 3);
+  cr_assert(
+    IsOk(simulation.SubmitAndWait(0, caller, WriteStatement("a", "v"))));
+  simulation.RunFor(Seconds(3));
+  cr_assert_eq(simulation.LinksOf(0, "c3"), 1);
+  simulation.WithdrawKeys(2, {}, { 3 });
+  simulation.RunFor(Millis(100));
+  cr_assert_eq(simulation.LinksOf(0, "c3"), 0);
+}
+
+// A host that has an older configuration declines what it does not know; the
+// caller is served all the same.
+Test(customers, serving_host_judges_by_its_own_configuration)
+{
+  ProxySimulation simulation(DividedOptions());
+  simulation.WithdrawKeys(2, {}, { 5 });
+  WarmUp(simulation);
+  simulation.RunFor(Seconds(2));
+  for (size_t host = 0; host < kHosts; ++host) {
+    const auto& services = simulation.Host(host).Services();
+    if (services.at("service").isServedHere) {
+      simulation.withoutConfig.insert(host);
+    }
+  }
+  simulation.WithdrawKeys(3, {});
+  for (size_t host = 0; host < kHosts; ++host) {
+    if (simulation.withoutConfig.count(host) == 0) {
+      auto request = Read(simulation, 5, host);
+      auto other = Read(simulation, 6, host);
+      simulation.RunFor(Millis(400));
+      cr_assert(IsOk(request));
+      cr_assert(IsOk(other));
+    }
+  }
+  cr_assert_eq(simulation.Violations(), "");
+}
+
+// Under load: many customers, few connections.
+Test(customers, all_customers_are_served_over_few_connections)
+{
+  for (uint32_t seed : { 1, 2, 3 }) {
+    ProxySimulation simulation(DividedOptions(seed));
+    WarmUp(simulation);
+    simulation.RunFor(Seconds(2));
+    Requests requests;
+    for (size_t n = 0; n < 500; ++n) {
+      requests.push_back(Read(simulation, n * 7 % kCustomers, n % kHosts));
+      simulation.RunFor(kStep);
+    }
+    simulation.RunFor(Seconds(2));
+    cr_assert_geq(ServedShare(requests), 0.99);
+    cr_assert_eq(simulation.ExcessLinks(), 0);
+    cr_assert_eq(simulation.Violations(), "");
+  }
+}
+
+// One customer sends more than its connections carry; the others do not feel
+// it.
+Test(customers, large_customer_does_not_push_the_others_out)
+{
+  for (uint32_t seed : { 1, 2, 3 }) {
+    ProxySimulation simulation(DividedOptions(seed));
+    WarmUp(simulation);
+    simulation.RunFor(Seconds(2));
+    Requests large;
+    Requests others;
+    for (size_t n = 0; n < 500; ++n) {
+      for (size_t i = 0; i < 6; ++i) {
+        large.push_back(Read(simulation, 0, (n + i) % kHosts));
+      }
+      if (n % 5 == 0) {
+        others.push_back(
+          Read(simulation, 1 + n / 5 % (kCustomers - 1), n % kHosts));
+      }
+      simulation.RunFor(kStep);
+    }
+    simulation.RunFor(Seconds(2));
+    cr_log_warn("large %f others %f opened %zu",
+                ServedShare(large),
+                ServedShare(others),
+                simulation.OpenedLinks());
+    cr_assert_geq(ServedShare(others), 0.95);
+    cr_assert_eq(simulation.Violations(), "");
+  }
+}
--- a/test/fakes/proxy-simulation-store.cc
+++ b/test/fakes/proxy-simulation-store.cc
@@ -150,6 +150,7 @@
     route.latencyObjective = Millis(300);
     event.config.routes[database] = route;
   }
+  this->AddCustomers(event.config);
   this->config = event;
   for (size_t i = 0; i < this->hosts.size(); ++i) {
     this->Send(i, event);
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -200,6 +200,9 @@
     this->SendOnceResumed(aHost, aEvent);
     return;
   }
+  if (const auto* configured = std::get_if<ConfigArrived>(&aEvent)) {
+    this->configs[aHost] = configured->config;
+  }
   for (const ProxyAction& action :
        this->hosts[aHost]->Handle(this->queue.Now(), aEvent)) {
     this->Perform(aHost, action);
@@ -207,10 +210,13 @@
 }
 
 CallerId
-ProxySimulation::OpenSession(size_t aHost, const std::string& aDatabase)
+ProxySimulation::OpenSession(size_t aHost,
+                             const std::string& aDatabase,
+                             const KeyHash& aKey)
 {
   CallerId caller = ++this->lastCaller;
-  this->Send(aHost, SessionOpened{ caller, aDatabase });
+  this->keys[caller] = aKey;
+  this->Send(aHost, SessionOpened{ caller, aDatabase, aKey });
   return caller;
 }
 
@@ -238,6 +244,7 @@
   for (Time at : this->acknowledgedAt) {
     request->requiredEntries += at < from ? 1 : 0;
   }
+  request->isUnauthorized = !this->IsAuthorized(aHost, this->keys[aCaller]);
   request->settings = this->settings[{ aHost, aCaller }];
   const auto& named = this->prepared[{ aHost, aCaller }];
   auto found = named.find(aStatement.name);
@@ -398,6 +405,7 @@
   FakeLink link;
   link.host = aHost;
   link.upstream = upstream;
+  link.customer = aAction.customer;
   this->links[key] = link;
   ++this->openedLinks;
   std::string expected = aAction.upstream;
@@ -439,6 +447,7 @@
   FakeLink& link = found->second;
   if (FakeRequest* request = this->Find(aAction.requestId)) {
     this->CheckDeparture(link, *request);
+    this->CheckCustomer(link, *request);
   }
   bool takesTime = aAction.requestId.empty()
                      ? false
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -56,6 +56,7 @@
 {
   size_t host = 0;
   size_t upstream = 0;
+  std::string customer; // for whom it was opened
   bool isOpen = false;
   bool isSilent = false; // open, but carries no messages any more
   std::map<std::string, std::string> settings; // of settings, by name
@@ -86,8 +87,9 @@
     settings; // the session's settings when sent
   // Of an execution: what the session had prepared under the name when sent.
   std::optional<PreparedStatement> prepared;
-  bool isInvalid = false; // it must not run
-  std::string violation;  // the violated guarantee, if any
+  bool isInvalid = false;      // it must not run
+  bool isUnauthorized = false; // its key was withdrawn when it was sent
+  std::string violation;       // the violated guarantee, if any
 };
 
 /**
@@ -135,6 +137,7 @@
   size_t zones = 0;
   // How long upstreams keep the connections of a process that was replaced.
   Duration lingerTime = Millis(0);
+  size_t customers = 0;        // each with a key; 0: none are configured
   MessagePath* path = nullptr; // outlives the simulation
 };
 
@@ -157,7 +160,24 @@
   size_t PrimaryIndex() const;
 
   /** Opens a session at the host and returns its caller's id. */
-  CallerId OpenSession(size_t aHost, const std::string& aDatabase = "db");
+  CallerId OpenSession(size_t aHost,
+                       const std::string& aDatabase = "db",
+                       const KeyHash& aKey = {});
+
+  /** The key of a customer, counted from 0. */
+  static KeyHash KeyOf(size_t aCustomer);
+
+  /** Sends a configuration without the keys, and the customers, to hosts. */
+  void WithdrawKeys(uint64_t aVersion,
+                    const std::set<size_t>& aKeys,
+                    const std::set<size_t>& aCustomers = {});
+
+  /** Hosts that get no configuration. */
+  std::set<size_t> withoutConfig;
+
+  /** How many connections the upstream has that were opened for the customer.
+   */
+  size_t LinksOf(size_t aUpstream, const std::string& aCustomer) const;
   void CloseSession(size_t aHost, CallerId aCaller);
 
   /** Sends a statement; the returned request has a `reply` once answered. */
@@ -320,6 +340,9 @@
   void CheckText(const FakeLink& aLink,
                  const SessionStatement& aStatement,
                  FakeRequest& aRequest) const;
+  void AddCustomers(ProxyConfig& aConfig) const;
+  bool IsAuthorized(size_t aHost, const KeyHash& aKey) const;
+  void CheckCustomer(const FakeLink& aLink, FakeRequest& aRequest) const;
   std::string ZoneOf(size_t aHost) const;
   HostsCounted MakeHostsCounted() const;
   size_t HostNamed(const std::string& aName) const;
@@ -376,6 +399,8 @@
   std::map<size_t, size_t> processes; // by host: its process's serial number
   size_t lastProcess = 0;
   ConfigArrived config;
+  std::map<size_t, ProxyConfig> configs; // by host: the last one that it got
+  std::map<CallerId, KeyHash> keys;      // of sessions
   std::map<size_t, RegistryRead> registries; // by host: the last one sent
   uint64_t storeEra = 0;
   GroupRecord group{ "service", {}, {} };
