--- a/test/customers-test.cc
+++ b/test/customers-test.cc
@@ -226,6 +226,34 @@
   cr_assert_eq(simulation.Violations(), "");
 }
 
+// With its share of connections idle in the hands of others, a customer waits
+// for no time limit of theirs.
+Test(customers, no_customer_waits_while_others_hold_idle_connections)
+{
+  constexpr Duration kMostWaited = Millis(100);
+  ProxySimulationOptions options = Options();
+  options.freshness = Freshness::Newest;
+  options.connections = 3;
+  ProxySimulation simulation(options);
+  WarmUp(simulation);
+  for (size_t i = 0; i < 3; ++i) {
+    cr_assert(IsOk(simulation.SubmitAndWait(
+      0, OpenFor(simulation, i), WriteStatement("a", "v"))));
+  }
+  CallerId inTransaction = OpenFor(simulation, 3);
+  cr_assert(IsOk(simulation.SubmitAndWait(
+    0, inTransaction, StatementOf(StatementKind::Begin))));
+  for (CallerId caller : { inTransaction, OpenFor(simulation, 3) }) {
+    auto request =
+      simulation.SubmitAndWait(0, caller, WriteStatement("a", "v"));
+    cr_assert(IsOk(request));
+    cr_assert_leq((request->answered - request->sent).ms, kMostWaited.ms);
+  }
+  cr_assert_eq(simulation.LinksOf(0, "c3"), 2);
+  cr_assert_eq(simulation.OpenLinks(0), 3);
+  cr_assert_eq(simulation.Violations(), "");
+}
+
 // Under load: many customers, few connections.
 Test(customers, all_customers_are_served_over_few_connections)
 {
--- a/test/relay-codec-test.cc
+++ b/test/relay-codec-test.cc
@@ -31,6 +31,7 @@
   relayed.route.timeout = Millis(*rc::gen::inRange(0, 5000));
   relayed.route.priority = *rc::gen::inRange(0, 3);
   relayed.values[text()] = text();
+  relayed.customer = text();
   relayed.lastCommit.term = *rc::gen::inRange<Term>(0, 9);
   relayed.lastCommit.position = *rc::gen::inRange<Position>(0, 1000);
   relayed.state =
