--- a/src/coordination/proxy/proxy-placing.cc
+++ b/src/coordination/proxy/proxy-placing.cc
@@ -189,20 +189,24 @@
                        std::to_string(fresh.origin.members);
     age = std::to_string((this->now - fresh.asked).ms);
   }
+  std::vector<std::pair<const char*, std::string>> fields{
+    { "upstream", view.At(aLink.upstream).registration.id },
+    { "as", aPending.onReplica ? "replica" : "primary" },
+    { "after", after },
+    { "after_from", from },
+    { "after_heard", reportingMembers },
+    { "after_age_ms", age },
+    { "proof_age_ms",
+      std::to_string((this->now - view.NewestProofAsked()).ms) },
+    { "waited_ms", std::to_string((this->now - aPending.arrived).ms) },
+    { "prepared_as", isExecution ? aPending.preparedAs : "none" },
+    { "try", std::to_string(aPending.tries) }
+  };
+  if (!aPending.customer.empty()) {
+    fields.emplace_back("customer", aPending.customer);
+  }
   this->AddDecision(
-    LogEvent::StatementPlaced,
-    aPending.requestId,
-    { { "upstream", view.At(aLink.upstream).registration.id },
-      { "as", aPending.onReplica ? "replica" : "primary" },
-      { "after", after },
-      { "after_from", from },
-      { "after_heard", reportingMembers },
-      { "after_age_ms", age },
-      { "proof_age_ms",
-        std::to_string((this->now - view.NewestProofAsked()).ms) },
-      { "waited_ms", std::to_string((this->now - aPending.arrived).ms) },
-      { "prepared_as", isExecution ? aPending.preparedAs : "none" },
-      { "try", std::to_string(aPending.tries) } });
+    LogEvent::StatementPlaced, aPending.requestId, std::move(fields));
 }
 
 } // namespace marigoldpitch
