Rank the serving hosts of a zone by what they can carry

Cause: a hash that knew no capacities chose which hosts of a zone serve a service, so on hosts of unequal parts of a core the weakest served most.

Change: settings `cpu_share`, `cores` and `link_mbps` (filled by the template; absent: as before) give a capacity, which a host publishes in its registration. `RankPlaces` weights rendezvous hashing with it; where all capacities are equal the order is that of the hash alone, as before.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -59,11 +59,11 @@
   std::set<QueueKey> queue;
   uint32_t share = 1; // this host's even share of an upstream's connections
   ServingHosts serving;
-  std::vector<std::string> rankedHosts; // of this host's zone
-  bool isServedHere = true;             // by this host
-  bool isStandbyHere = false;           // this host serves it next
-  Time lastLocalUse = kInfinitePast;    // when a statement was last queued here
-  bool wasFollowed = true;              // as of the last update
+  std::vector<HostPlace> rankedHosts; // of this host's zone
+  bool isServedHere = true;           // by this host
+  bool isStandbyHere = false;         // this host serves it next
+  Time lastLocalUse = kInfinitePast;  // when a statement was last queued here
+  bool wasFollowed = true;            // as of the last update
   // By database: a decaying maximum of the response times, in milliseconds.
   std::map<std::string, double> maxLatencyMs;
   // A statement waits for a newer proof that the primary is still the primary.
--- a/include/marigoldpitch/coordination/proxy/service-placement.h
+++ b/include/marigoldpitch/coordination/proxy/service-placement.h
@@ -16,10 +16,12 @@
 {
   std::string host;
   std::string zone;
+  double capacity = 1; // as `CapacityOf` gives it
 
   bool operator==(const HostPlace& aOther) const
   {
-    return this->host == aOther.host && this->zone == aOther.zone;
+    return this->host == aOther.host && this->zone == aOther.zone &&
+           this->capacity == aOther.capacity;
   }
 };
 
@@ -42,9 +44,17 @@
 
 /**
  * The hosts of the zone in the order in which they serve the service, by
- * rendezvous hashing: the first `ServingHosts::perZone` of them serve it, and
- * the next ones take over from those that are lost.
+ * rendezvous hashing that is weighted by their capacity: the first
+ * `ServingHosts::perZone` of them serve it, and the next ones take over from
+ * those that are lost. A host that comes, leaves or changes moves only itself:
+ * the others keep their order.
  */
+std::vector<HostPlace>
+RankPlaces(const std::string& aService,
+           const std::string& aZone,
+           const std::vector<HostPlace>& aHosts);
+
+/** The names of the hosts that `RankPlaces` returns, in its order. */
 std::vector<std::string>
 RankHosts(const std::string& aService,
           const std::string& aZone,
--- a/include/marigoldpitch/protocol/proxy-settings.h
+++ b/include/marigoldpitch/protocol/proxy-settings.h
@@ -4,6 +4,7 @@
 #include "marigoldpitch/state/config.h"
 #include "marigoldpitch/state/error.h"
 
+#include <optional>
 #include <string>
 
 /** A proxy's settings file. */
@@ -25,6 +26,10 @@
   Duration gracePeriod;      // from SIGTERM to the end of the process
   // How long upstreams serve after they have announced that they leave.
   Duration upstreamDrainTime;
+  // Of this host; unset: it counts as one with a whole core.
+  std::optional<double> cpuShare; // of a core
+  std::optional<double> cores;    // how many cores that share is of
+  std::optional<double> linkMbps;
 };
 
 /** A failure is one error that lists every finding in the text. */
--- a/include/marigoldpitch/state/proxy-config.h
+++ b/include/marigoldpitch/state/proxy-config.h
@@ -79,6 +79,8 @@
   Endpoint peers;  // for connections from other proxies
   // For statements that other proxies relay; port 0: it takes none.
   Endpoint relays = {};
+  // What it can carry, relative to a host with a whole core.
+  double capacity = 1;
 };
 
 /** The proxies' own keys in the store: hosts and the promoter's lease. */
--- a/src/coordination/proxy/proxy-relay.cc
+++ b/src/coordination/proxy/proxy-relay.cc
@@ -41,9 +41,12 @@
     return;
   }
   aService.rankedHosts =
-    RankHosts(aService.name, this->options.zone, this->places);
+    RankPlaces(aService.name, this->options.zone, this->places);
   const auto& ranked = aService.rankedHosts;
-  auto own = std::find(ranked.begin(), ranked.end(), this->options.host);
+  auto isOwn = [&](const HostPlace& aPlace) {
+    return aPlace.host == this->options.host;
+  };
+  auto own = std::find_if(ranked.begin(), ranked.end(), isOwn);
   auto rank = static_cast<size_t>(own - ranked.begin());
   aService.isServedHere = ranked.empty() || rank < aService.serving.perZone;
   aService.isStandbyHere =
@@ -81,7 +84,7 @@
     size_t count = std::min(service.serving.perZone + detail::kSpareHosts,
                             service.rankedHosts.size());
     for (size_t i = 0; i < count; ++i) {
-      wanted.insert(service.rankedHosts[i]);
+      wanted.insert(service.rankedHosts[i].host);
     }
   }
   wanted.erase(this->options.host);
@@ -122,7 +125,7 @@
   std::string young;
   for (size_t i = 0; i < count; ++i) {
     const std::string& host =
-      ranked[i < serving ? (aSession.id + i) % serving : i];
+      ranked[i < serving ? (aSession.id + i) % serving : i].host;
     if (host == this->options.host) {
       break;
     }
--- a/src/coordination/proxy/service-placement.cc
+++ b/src/coordination/proxy/service-placement.cc
@@ -2,9 +2,11 @@
 
 #include "marigoldpitch/coordination/common/ownership.h"
 #include "marigoldpitch/coordination/proxy/connection-budget.h"
+#include "marigoldpitch/coordination/proxy/host-capacity.h"
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace marigoldpitch {
 
@@ -40,26 +42,49 @@
   return { isEveryHost ? 0 : perZone, total, hostsByZone.size() };
 }
 
-std::vector<std::string>
-RankHosts(const std::string& aService,
-          const std::string& aZone,
-          const std::vector<HostPlace>& aHosts)
+std::vector<HostPlace>
+RankPlaces(const std::string& aService,
+           const std::string& aZone,
+           const std::vector<HostPlace>& aHosts)
 {
-  std::vector<std::string> ranked;
+  struct Candidate
+  {
+    const HostPlace* place;
+    uint64_t hash;
+    double score;
+  };
+  std::string key = "serve " + aService;
+  std::vector<Candidate> candidates;
   for (const HostPlace& host : aHosts) {
     if (host.zone == aZone) {
-      ranked.push_back(host.host);
+      uint64_t hash = RendezvousWeight(key, host.host);
+      double weight = ServingWeight(host.capacity);
+      candidates.push_back({ &host, hash, RendezvousScore(hash, weight) });
     }
   }
-  std::string key = "serve " + aService;
-  std::sort(ranked.begin(),
-            ranked.end(),
-            [&](const std::string& aOne, const std::string& aTwo) {
-              uint64_t one = RendezvousWeight(key, aOne);
-              uint64_t two = RendezvousWeight(key, aTwo);
-              return one != two ? one > two : aOne < aTwo;
-            });
+  auto ranksBefore = [](const Candidate& aOne, const Candidate& aTwo) {
+    return std::tie(aOne.score, aOne.hash, aTwo.place->host) >
+           std::tie(aTwo.score, aTwo.hash, aOne.place->host);
+  };
+  std::sort(candidates.begin(), candidates.end(), ranksBefore);
+  std::vector<HostPlace> ranked;
+  ranked.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    ranked.push_back(*candidate.place);
+  }
   return ranked;
 }
 
+std::vector<std::string>
+RankHosts(const std::string& aService,
+          const std::string& aZone,
+          const std::vector<HostPlace>& aHosts)
+{
+  std::vector<std::string> names;
+  for (const HostPlace& place : RankPlaces(aService, aZone, aHosts)) {
+    names.push_back(place.host);
+  }
+  return names;
+}
+
 } // namespace marigoldpitch
--- a/src/protocol/proxy-documents.cc
+++ b/src/protocol/proxy-documents.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <set>
 
 namespace marigoldpitch {
@@ -79,6 +80,9 @@
   if (aHost.relays.port != 0) {
     value["relays"] = FormatEndpoint(aHost.relays);
   }
+  if (aHost.capacity != 1) {
+    value["capacity"] = aHost.capacity;
+  }
   return value;
 }
 
@@ -97,6 +101,12 @@
                       ParseEndpoint(aValue.at("relays").get<std::string>()));
     host.relays = relays;
   }
+  host.capacity = aValue.value("capacity", host.capacity);
+  if (!std::isfinite(host.capacity) || host.capacity <= 0) {
+    return Error{ ErrorCode::BadMessage,
+                  "host " + host.name,
+                  "its capacity is not a positive number" };
+  }
   return host;
 }
 
--- a/src/protocol/proxy-settings.cc
+++ b/src/protocol/proxy-settings.cc
@@ -41,6 +41,13 @@
   settings.gracePeriod = Millis(static_cast<int64_t>(gracePeriod));
   settings.upstreamDrainTime =
     Millis(value.at("upstream_drain_ms").get<int64_t>());
+  auto readNumber = [&](const char* aName) -> std::optional<double> {
+    return value.contains(aName) ? std::optional(value.at(aName).get<double>())
+                                 : std::nullopt;
+  };
+  settings.cpuShare = readNumber("cpu_share");
+  settings.cores = readNumber("cores");
+  settings.linkMbps = readNumber("link_mbps");
   if (!findings.Empty()) {
     return findings.ToError(aSource);
   }
