Choose the serving host of a customer by rendezvous hashing

Cause: pooled connections will belong to one customer each, and callers of a customer that are spread over all serving hosts would need one on each.

Change: `RankServingHosts` gives each customer its own order of a zone's serving hosts, and `CustomerSpread` over how many of them its sessions are divided, by its share of the configured rates. `ChooseRelayHost` calls it without a customer, which is the order that it had.

--- a/src/coordination/proxy/proxy-relay.cc
+++ b/src/coordination/proxy/proxy-relay.cc
@@ -1,3 +1,4 @@
+#include "marigoldpitch/coordination/proxy/customer-placement.h"
 #include "marigoldpitch/coordination/proxy/proxy-engine.h"
 
 #include <algorithm>
@@ -122,10 +123,11 @@
   const auto& ranked = aService.rankedHosts;
   size_t serving = std::min(aService.serving.perZone, ranked.size());
   size_t count = std::min(serving + detail::kSpareHosts, ranked.size());
+  auto order =
+    RankServingHosts({ aService.name, "", 1, aSession.id }, ranked, serving);
   std::string young;
   for (size_t i = 0; i < count; ++i) {
-    const std::string& host =
-      ranked[i < serving ? (aSession.id + i) % serving : i].host;
+    const std::string& host = ranked[i < serving ? order[i] : i].host;
     if (host == this->options.host) {
       break;
     }
