Pace new connections to upstreams that have reached their limit

Change: `OpeningPace` lets a host open one connection at a time to an upstream that refused one, after a pause that doubles from 100 to 800 ms and is spread to up to twice that by host and upstream, and none while a report of the last 300 ms shows it full. A host that no other relays to waits for its links until lost processes' connections are gone, and has a share of one. A statement that could not be answered before its deadline is not tried again. E304, E609, `connections_refused_total`, `serving_changes_total`.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -62,6 +62,7 @@
   std::vector<HostPlace> rankedHosts; // of this host's zone
   bool isServedHere = true;           // by this host
   bool isStandbyHere = false;         // this host serves it next
+  bool isSpareHere = true;            // others may relay to this host
   Time lastLocalUse = kInfinitePast;  // when a statement was last queued here
   bool wasFollowed = true;            // as of the last update
   // By database: a decaying maximum of the response times, in milliseconds.
@@ -189,6 +190,7 @@
   void PlaceService(ProxyService& aService);
   bool IsFollowed(const ProxyService& aService) const;
   bool IsRelayAwaited(const ProxyService& aService) const;
+  bool MustAwaitRelay(const ProxyService& aService) const;
   bool Relay(ProxyService& aService, CallerSession& aSession);
   std::string ChooseRelayHost(const ProxyService& aService,
                               const CallerSession& aSession) const;
@@ -218,6 +220,12 @@
   Duration ReadTimeout(const ProxyService& aService,
                        const PendingStatement& aPending) const;
 
+  // proxy-opening.cc: the pace of new connections and of retries.
+  bool IsOpeningPaced(const ProxyService& aService,
+                      UpstreamIndex aUpstream) const;
+  void NoteFull(ProxyService& aService, UpstreamIndex aUpstream);
+  bool IsRetryInTime(const PendingStatement& aPending) const;
+
   // proxy-setup.cc: what a connection gets before a session's statement.
   void SendSetup(ProxyLink& aLink, CallerSession& aSession);
   bool NeedsReset(const ProxyLink& aLink, const CallerSession& aSession) const;
@@ -309,6 +317,8 @@
                     UpstreamIndex aUpstream,
                     const std::string& aPeer);
   void LogFinishedDepartures(ProxyService& aService);
+  void LogServing(const std::set<std::string>& aBefore);
+  std::set<std::string> ServedServices() const;
 
   std::string DescribeAge(Time aTime) const;
   void Emit(ProxyAction aAction);
@@ -328,6 +338,8 @@
   std::map<std::string, Time> relayAvoidUntil;
   // Until then links to serving hosts are expected to come up.
   Time relayExpectedUntil = kInfinitePast;
+  // From then on this host may serve what others should.
+  Time soloFrom = kInfinitePast;
   // By link and the sender's session: the session that serves it here.
   std::map<std::pair<RelayLinkId, uint64_t>, CallerId> relayedSessions;
   CallerId lastRelayedCaller = 0;
--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -22,9 +22,6 @@
 /** How long a statement that an upstream had no capacity for waits. */
 constexpr Duration kBusyRetryDelay = Millis(8);
 
-/** How long to open no connection after an upstream reported its limit. */
-constexpr Duration kFullBackoff = Millis(100);
-
 enum class StatementPhase
 {
   Queued,
--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -3,6 +3,7 @@
 
 #include "marigoldpitch/coordination/proxy/departures.h"
 #include "marigoldpitch/coordination/proxy/group-membership.h"
+#include "marigoldpitch/coordination/proxy/opening-pace.h"
 #include "marigoldpitch/coordination/proxy/statement.h"
 #include "marigoldpitch/state/connection-table.h"
 #include "marigoldpitch/state/freshness.h"
@@ -69,7 +70,7 @@
   // The first attempt that went unanswered while the outbound path worked.
   Time unansweredSince = kInfiniteFuture;
   Time avoidUntil = kInfinitePast;
-  Time fullUntil = kInfinitePast; // accepts no more connections until then
+  OpeningPace pace;               // of this host's new connections
   uint32_t openedSinceReport = 0; // connections of this host
   LogPoint behind;                // a point that its log did not reach
   Time behindUntil = kInfinitePast;
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -72,6 +72,8 @@
   HostRegistered,
   CandidateReleased,
   SetupRefused,
+  ConnectionRefused,
+  ServingChanged,
 };
 
 struct LogEventRow
@@ -82,7 +84,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 47> kLogEvents{ {
+constexpr std::array<LogEventRow, 49> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -139,6 +141,8 @@
   { LogEvent::HostRegistered, 209, Severity::Info, "host-registered" },
   { LogEvent::CandidateReleased, 412, Severity::Warning, "candidate-released" },
   { LogEvent::SetupRefused, 608, Severity::Warning, "setup-refused" },
+  { LogEvent::ConnectionRefused, 609, Severity::Info, "connection-refused" },
+  { LogEvent::ServingChanged, 304, Severity::Info, "serving-changed" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/state/metrics.h
+++ b/include/marigoldpitch/state/metrics.h
@@ -31,9 +31,11 @@
   StatementsToLeaving, // sent to an upstream known to be leaving or unlisted
   StatementsRelayed,   // sent to the host that serves the service
   StoreRestores,       // the store came back from an old copy
+  ConnectionsRefused,  // by upstreams that have reached their limit
+  ServingChanges,      // another list of hosts changed what this host serves
 };
 
-constexpr NameTable<Counter, 15> kCounterNames{ {
+constexpr NameTable<Counter, 17> kCounterNames{ {
   { Counter::ReplicaReads, "replica_reads_total" },
   { Counter::PrimaryReads, "primary_reads_total" },
   { Counter::FallbackReads, "fallback_reads_total" },
@@ -49,6 +51,8 @@
   { Counter::StatementsToLeaving, "statements_to_leaving_total" },
   { Counter::StatementsRelayed, "statements_relayed_total" },
   { Counter::StoreRestores, "store_restores_total" },
+  { Counter::ConnectionsRefused, "connections_refused_total" },
+  { Counter::ServingChanges, "serving_changes_total" },
 } };
 
 enum class Measure
--- a/src/coordination/proxy/proxy-answers.cc
+++ b/src/coordination/proxy/proxy-answers.cc
@@ -53,6 +53,7 @@
   this->NoteAnswer(link);
   link.isOpening = false;
   link.limit = kInfiniteFuture;
+  service.view.At(link.upstream).pace.NoteAccepted();
   this->SendQueuedCommands(service);
 }
 
@@ -71,7 +72,7 @@
   bool isMisrouted =
     aEvent.failure && aEvent.failure->code == FailureCode::Misrouted;
   if (isFull) {
-    upstream.fullUntil = this->now + kFullBackoff;
+    this->NoteFull(this->ServiceOf(link.service), link.upstream);
   }
   this->RemoveLink(aEvent.connection, !isFull);
   if (isMisrouted) {
--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -151,7 +151,7 @@
   pending.connection = 0;
   pending.startedTransaction = false;
   pending.notBefore = this->now + aPause;
-  if (pending.tries >= detail::kMaxTries) {
+  if (pending.tries >= detail::kMaxTries || !this->IsRetryInTime(pending)) {
     bool inTransaction = aSession.state == SessionState::InTransaction;
     FailureCode code =
       pending.mayHaveRun ? FailureCode::Timeout : FailureCode::Busy;
@@ -203,7 +203,7 @@
   if (this->Relay(aService, aSession)) {
     return true;
   }
-  if (!aSession.origin && this->IsRelayAwaited(aService)) {
+  if (!aSession.origin && this->MustAwaitRelay(aService)) {
     return false;
   }
   aService.lastLocalUse = this->now;
@@ -310,7 +310,7 @@
   return !awaitsHosts &&
          aService.connections.UsageOf(aUpstream).open <
            this->ConnectionLimit(aService, aUpstream) &&
-         aService.view.At(aUpstream).fullUntil <= this->now;
+         this->IsOpeningPaced(aService, aUpstream);
 }
 
 /**
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -274,23 +274,29 @@
   if (counted > this->hosts || isSettled || isReplaced) {
     if (this->places.empty()) {
       this->relayExpectedUntil = this->now + detail::kRelayConnectTime;
+      this->soloFrom = this->now + kLingerTime;
     }
+    std::set<std::string> before = this->ServedServices();
     this->hosts = counted;
     this->places = aEvent.places;
     this->fewerHostsSince = kInfiniteFuture;
     for (auto& [name, service] : this->services) {
       this->ShareConnections(service);
     }
+    this->LogServing(before);
   }
 }
 
-/** Until the hosts are counted, this host opens one connection. */
+/**
+ * Until the hosts are counted, this host opens one connection; likewise if
+ * neither it nor a host that others relay to is to serve the service.
+ */
 void
 ProxyEngine::ShareConnections(ProxyService& aService)
 {
   this->PlaceService(aService);
   uint32_t limit = aService.config.connections;
-  if (this->hosts == 0) {
+  if (this->hosts == 0 || !aService.isSpareHere) {
     aService.share = 1;
   } else if (aService.serving.perZone == 0) {
     aService.share = EvenShare(limit, this->hosts);
--- a/src/coordination/proxy/proxy-losses.cc
+++ b/src/coordination/proxy/proxy-losses.cc
@@ -78,7 +78,7 @@
                  this->now - upstream.lastAnswer <= detail::kRecentAnswerSpan;
   if (isAlive) {
     // The upstream answers on other connections, so it has reached its limit.
-    upstream.fullUntil = this->now + kFullBackoff;
+    this->NoteFull(service, link.upstream);
   } else if (aIsUpstreamAtFault) {
     service.view.Failed(link.upstream, this->now);
     this->AddDecision(LogEvent::ConnectionLost,
--- a/src/coordination/proxy/proxy-placing.cc
+++ b/src/coordination/proxy/proxy-placing.cc
@@ -22,7 +22,7 @@
   const ProxyUpstream& upstream = aService.view.At(aUpstream);
   const UpstreamUsage& use = aService.connections.UsageOf(aUpstream);
   bool isOpening = use.opening > aService.queue.size();
-  if (isOpening || upstream.fullUntil > this->now ||
+  if (isOpening || !this->IsOpeningPaced(aService, aUpstream) ||
       upstream.avoidUntil > this->now) {
     return;
   }
--- a/src/coordination/proxy/proxy-relay.cc
+++ b/src/coordination/proxy/proxy-relay.cc
@@ -32,6 +32,7 @@
   aService.serving = { 0, this->hosts, 0 };
   aService.rankedHosts.clear();
   aService.isServedHere = true;
+  aService.isSpareHere = true;
   aService.isStandbyHere = false;
   if (this->places.empty()) {
     return;
@@ -50,6 +51,8 @@
   auto own = std::find_if(ranked.begin(), ranked.end(), isOwn);
   auto rank = static_cast<size_t>(own - ranked.begin());
   aService.isServedHere = ranked.empty() || rank < aService.serving.perZone;
+  aService.isSpareHere = aService.isServedHere ||
+                         rank < aService.serving.perZone + detail::kSpareHosts;
   aService.isStandbyHere =
     own != ranked.end() && rank == aService.serving.perZone;
 }
@@ -74,6 +77,19 @@
   return !aService.isServedHere && this->now < this->relayExpectedUntil;
 }
 
+/**
+ * Whether the host's own callers wait for a link rather than being served here.
+ * After a start that may have been every host's, a host that others do not
+ * relay to waits until the connections of lost processes are gone: so many
+ * hosts with a connection each would fill the upstreams.
+ */
+bool
+ProxyEngine::MustAwaitRelay(const ProxyService& aService) const
+{
+  return this->IsRelayAwaited(aService) ||
+         (!aService.isSpareHere && this->now < this->soloFrom);
+}
+
 std::set<std::string>
 ProxyEngine::RelayHosts() const
 {
--- a/src/coordination/proxy/proxy-watch-log.cc
+++ b/src/coordination/proxy/proxy-watch-log.cc
@@ -131,4 +131,37 @@
       { "members", this->DescribeMembers(aService) } });
 }
 
+std::set<std::string>
+ProxyEngine::ServedServices() const
+{
+  std::set<std::string> served;
+  for (const auto& [name, service] : this->services) {
+    if (service.isServedHere) {
+      served.insert(name);
+    }
+  }
+  return served;
+}
+
+/** Logs what another list of hosts has changed in what this host serves. */
+void
+ProxyEngine::LogServing(const std::set<std::string>& aBefore)
+{
+  std::set<std::string> after = this->ServedServices();
+  if (after == aBefore) {
+    return;
+  }
+  size_t kept = 0;
+  for (const std::string& name : after) {
+    kept += aBefore.count(name);
+  }
+  this->AddDecision(LogEvent::ServingChanged,
+                    "",
+                    { { "hosts", std::to_string(this->hosts) },
+                      { "services", std::to_string(this->services.size()) },
+                      { "served", std::to_string(after.size()) },
+                      { "begun", std::to_string(after.size() - kept) },
+                      { "ended", std::to_string(aBefore.size() - kept) } });
+}
+
 } // namespace marigoldpitch
