--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -56,11 +56,12 @@
   StatementQueue queue;
   uint32_t share = 1; // this host's even share of an upstream's connections
   ServingHosts serving;
-  std::vector<std::string> rankedHosts; // of this host's zone
-  bool isServedHere = true;             // by this host
-  bool isStandbyHere = false;           // this host serves it next
-  Time lastLocalUse = kInfinitePast;    // when a statement was last queued here
-  bool wasFollowed = true;              // as of the last update
+  std::vector<HostPlace> rankedHosts; // of this host's zone
+  bool isServedHere = true;           // by this host
+  bool isStandbyHere = false;         // this host serves it next
+  bool isSpareHere = true;            // others may relay to this host
+  Time lastLocalUse = kInfinitePast;  // when a statement was last queued here
+  bool wasFollowed = true;            // as of the last update
   // By database: a decaying maximum of the response times, in milliseconds.
   std::map<std::string, double> maxLatencyMs;
   // A statement waits for a newer proof that the primary is still the primary.
@@ -163,6 +164,8 @@
   void JudgeSessions();
   void WithdrawKey(CallerSession& aSession);
   uint32_t KeptConnections(const ProxyService& aService) const;
+  double ShareOf(const std::string& aCustomer) const;
+  void SumCustomerRates();
   static Time LastUse(const ProxyLink& aLink);
   static Duration UnusedTimeout(const ProxyLink& aLink, bool aIsWithinKept);
   bool IsOfRemovedCustomer(const ProxyLink& aLink) const;
@@ -220,6 +223,7 @@
   void PlaceService(ProxyService& aService);
   bool IsFollowed(const ProxyService& aService) const;
   bool IsRelayAwaited(const ProxyService& aService) const;
+  bool MustAwaitRelay(const ProxyService& aService) const;
   bool Relay(ProxyService& aService, CallerSession& aSession);
   std::string ChooseRelayHost(const ProxyService& aService,
                               const CallerSession& aSession) const;
@@ -257,6 +261,12 @@
   Duration ReadTimeout(const ProxyService& aService,
                        const PendingStatement& aPending) const;
 
+  // proxy-opening.cc: the pace of new connections and of retries.
+  bool IsOpeningPaced(const ProxyService& aService,
+                      UpstreamIndex aUpstream) const;
+  void NoteFull(ProxyService& aService, UpstreamIndex aUpstream);
+  bool IsRetryInTime(const PendingStatement& aPending) const;
+
   // proxy-setup.cc: what a connection gets before a session's statement.
   void SendSetup(ProxyLink& aLink, CallerSession& aSession);
   bool NeedsReset(const ProxyLink& aLink, const CallerSession& aSession) const;
@@ -348,6 +358,8 @@
                     UpstreamIndex aUpstream,
                     const std::string& aPeer);
   void LogFinishedDepartures(ProxyService& aService);
+  void LogServing(const std::set<std::string>& aBefore);
+  std::set<std::string> ServedServices() const;
 
   std::string DescribeAge(Time aTime) const;
   void Emit(ProxyAction aAction);
@@ -357,6 +369,7 @@
 
   ProxyOptions options;
   ProxyConfig config;
+  double allCustomersRate = 0; // the sum of their limits, a second
   uint64_t groupsEra = 0; // of the store, as of the last read of the groups
   bool hasRegistry = false;
   size_t hosts = 0; // 0: not counted yet
@@ -368,6 +381,8 @@
   std::map<std::pair<std::string, std::string>, Time> relayAvoidUntil;
   // Until then links to serving hosts are expected to come up.
   Time relayExpectedUntil = kInfinitePast;
+  // From then on this host may serve what others should.
+  Time soloFrom = kInfinitePast;
   // By link and the sender's session: the session that serves it here.
   std::map<std::pair<RelayLinkId, uint64_t>, CallerId> relayedSessions;
   CallerId lastRelayedCaller = 0;
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -74,6 +74,8 @@
   SetupRefused,
   KeyRefused,
   ConnectionReplaced,
+  ConnectionRefused,
+  ServingChanged,
 };
 
 struct LogEventRow
@@ -84,7 +86,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 49> kLogEvents{ {
+constexpr std::array<LogEventRow, 51> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -143,6 +145,8 @@
   { LogEvent::SetupRefused, 608, Severity::Warning, "setup-refused" },
   { LogEvent::KeyRefused, 609, Severity::Warning, "key-refused" },
   { LogEvent::ConnectionReplaced, 610, Severity::Info, "connection-replaced" },
+  { LogEvent::ConnectionRefused, 611, Severity::Info, "connection-refused" },
+  { LogEvent::ServingChanged, 304, Severity::Info, "serving-changed" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/state/metrics.h
+++ b/include/marigoldpitch/state/metrics.h
@@ -33,9 +33,11 @@
   StoreRestores,       // the store came back from an old copy
   KeysRefused,         // sessions and statements without a known key
   ConnectionsReplaced, // closed for another customer's statement
+  ConnectionsRefused,  // by upstreams that have reached their limit
+  ServingChanges,      // another list of hosts changed what this host serves
 };
 
-constexpr NameTable<Counter, 17> kCounterNames{ {
+constexpr NameTable<Counter, 19> kCounterNames{ {
   { Counter::ReplicaReads, "replica_reads_total" },
   { Counter::PrimaryReads, "primary_reads_total" },
   { Counter::FallbackReads, "fallback_reads_total" },
@@ -53,6 +55,8 @@
   { Counter::StoreRestores, "store_restores_total" },
   { Counter::KeysRefused, "keys_refused_total" },
   { Counter::ConnectionsReplaced, "connections_replaced_total" },
+  { Counter::ConnectionsRefused, "connections_refused_total" },
+  { Counter::ServingChanges, "serving_changes_total" },
 } };
 
 enum class Measure
--- a/src/coordination/proxy/proxy-customers.cc
+++ b/src/coordination/proxy/proxy-customers.cc
@@ -189,6 +189,28 @@
     aService.config.connections, serving.total, serving.zones);
 }
 
+/**
+ * The customer's part of what all may ask by their limits; 1 without a limit.
+ */
+double
+ProxyEngine::ShareOf(const std::string& aCustomer) const
+{
+  auto found = this->config.customers.find(aCustomer);
+  if (found == this->config.customers.end() || !found->second.IsLimited()) {
+    return 1;
+  }
+  return found->second.operationsPerSecond / this->allCustomersRate;
+}
+
+void
+ProxyEngine::SumCustomerRates()
+{
+  this->allCustomersRate = 0;
+  for (const auto& [name, customer] : this->config.customers) {
+    this->allCustomersRate += customer.operationsPerSecond;
+  }
+}
+
 /**
  * When the connection was last of use. Reports do not count for that of a
  * customer: it would be kept, although the customer sends nothing.
@@ -221,7 +243,7 @@
                              const PendingStatement& aPending) const
 {
   if (!this->config.hasCustomers ||
-      aService.view.At(aUpstream).fullUntil > this->now) {
+      !this->IsOpeningPaced(aService, aUpstream)) {
     return std::nullopt;
   }
   std::vector<CustomerConnection> open;
--- a/src/coordination/proxy/proxy-placing.cc
+++ b/src/coordination/proxy/proxy-placing.cc
@@ -33,7 +33,8 @@
                           const std::string& aCustomer)
 {
   const ProxyUpstream& upstream = aService.view.At(aUpstream);
-  if (upstream.fullUntil > this->now || upstream.avoidUntil > this->now) {
+  if (!this->IsOpeningPaced(aService, aUpstream) ||
+      upstream.avoidUntil > this->now) {
     return 0;
   }
   ConnectionId id = aService.connections.Open(aUpstream, this->now);
--- a/src/coordination/proxy/proxy-relay.cc
+++ b/src/coordination/proxy/proxy-relay.cc
@@ -1,4 +1,4 @@
-#include "marigoldpitch/coordination/common/ownership.h"
+#include "marigoldpitch/coordination/proxy/customer-placement.h"
 #include "marigoldpitch/coordination/proxy/proxy-engine.h"
 
 #include <algorithm>
@@ -32,6 +32,7 @@
   aService.serving = { 0, this->hosts, 0 };
   aService.rankedHosts.clear();
   aService.isServedHere = true;
+  aService.isSpareHere = true;
   aService.isStandbyHere = false;
   if (this->places.empty()) {
     return;
@@ -42,11 +43,16 @@
     return;
   }
   aService.rankedHosts =
-    RankHosts(aService.name, this->options.zone, this->places);
+    RankPlaces(aService.name, this->options.zone, this->places);
   const auto& ranked = aService.rankedHosts;
-  auto own = std::find(ranked.begin(), ranked.end(), this->options.host);
+  auto isOwn = [&](const HostPlace& aPlace) {
+    return aPlace.host == this->options.host;
+  };
+  auto own = std::find_if(ranked.begin(), ranked.end(), isOwn);
   auto rank = static_cast<size_t>(own - ranked.begin());
   aService.isServedHere = ranked.empty() || rank < aService.serving.perZone;
+  aService.isSpareHere = aService.isServedHere ||
+                         rank < aService.serving.perZone + detail::kSpareHosts;
   aService.isStandbyHere =
     own != ranked.end() && rank == aService.serving.perZone;
 }
@@ -71,6 +77,19 @@
   return !aService.isServedHere && this->now < this->relayExpectedUntil;
 }
 
+/**
+ * Whether the host's own callers wait for a link rather than being served here.
+ * After a start that may have been every host's, a host that others do not
+ * relay to waits until the connections of lost processes are gone: so many
+ * hosts with a connection each would fill the upstreams.
+ */
+bool
+ProxyEngine::MustAwaitRelay(const ProxyService& aService) const
+{
+  return this->IsRelayAwaited(aService) ||
+         (!aService.isSpareHere && this->now < this->soloFrom);
+}
+
 std::set<std::string>
 ProxyEngine::RelayHosts() const
 {
@@ -83,7 +102,7 @@
     size_t count =
       std::min(service.serving.perZone + spare, service.rankedHosts.size());
     for (size_t i = 0; i < count; ++i) {
-      wanted.insert(service.rankedHosts[i]);
+      wanted.insert(service.rankedHosts[i].host);
     }
   }
   wanted.erase(this->options.host);
@@ -111,8 +130,8 @@
 
 /**
  * The hosts of the zone to which the session's statement may be relayed: those
- * that serve the service, then spare ones. A customer's statements go to one
- * serving host, so that few connections serve them; without customers, the
+ * that serve the service, then spare ones. A small customer's statements go to
+ * one serving host, so that few connections serve them; without customers, the
  * sessions are spread over the serving hosts.
  */
 std::vector<std::string>
@@ -123,19 +142,15 @@
   const std::string& customer = aSession.pending->customer;
   size_t serving = std::min(aService.serving.perZone, ranked.size());
   size_t count = std::min(serving + detail::kSpareHosts, ranked.size());
-  std::vector<std::string> order(
-    ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(count));
-  auto end = order.begin() + static_cast<ptrdiff_t>(serving);
-  if (customer.empty()) {
-    auto first = serving == 0 ? 0 : aSession.id % serving;
-    std::rotate(
-      order.begin(), order.begin() + static_cast<ptrdiff_t>(first), end);
-    return order;
+  size_t spread = CustomerSpread(this->ShareOf(customer), serving);
+  ServedCaller caller{ aService.name, customer, spread, aSession.id };
+  std::vector<std::string> order;
+  for (size_t index : RankServingHosts(caller, ranked, serving)) {
+    order.push_back(ranked[index].host);
+  }
+  for (size_t i = serving; i < count; ++i) {
+    order.push_back(ranked[i].host);
   }
-  std::string key = "serve " + aService.name + "\n" + customer;
-  std::sort(order.begin(), end, [&](const auto& aOne, const auto& aTwo) {
-    return RendezvousWeight(key, aOne) > RendezvousWeight(key, aTwo);
-  });
   return order;
 }
 
@@ -156,9 +171,8 @@
 
 /**
  * The first usable host of `RelayOrder`, or nothing if this host comes before
- * it. A host whose link
- * has just come up may have started anew and not know the primary yet, so
- * another one is preferred.
+ * it. A host whose link has just come up may have started anew and not know the
+ * primary yet, so another one is preferred.
  */
 std::string
 ProxyEngine::ChooseRelayHost(const ProxyService& aService,
