Keep customers' rate limits over all hosts

Cause: a customer's operations were not limited, on one host or on all. Change: for each customer one host keeps a token bucket, and the others ask it for permits in datagrams. A bucket is refilled only for the time in which its host reached a majority of its witnesses, hosts that stand in charge the ones before them, and permits expire. An operation takes its permit where its session lives.

--- /dev/null
+++ b/include/marigoldpitch/coordination/proxy/limit-counter.h
@@ -0,0 +1,111 @@
+#ifndef MARIGOLDPITCH_COORDINATION_PROXY_LIMIT_COUNTER_H
+#define MARIGOLDPITCH_COORDINATION_PROXY_LIMIT_COUNTER_H
+
+#include "marigoldpitch/coordination/proxy/limit-io.h"
+#include "marigoldpitch/coordination/proxy/limit-placement.h"
+#include "marigoldpitch/coordination/proxy/limit-policy.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+/** Counts the operations of the customers that this host is asked about. */
+namespace marigoldpitch {
+
+/** A charge for a host that ranks before this one. */
+struct ChargeFor
+{
+  std::string host;
+  PermitCharge charge;
+};
+
+/**
+ * Keeps a token bucket for each customer. A bucket is refilled at the
+ * customer's rate, but only for the time in which this host is known to have
+ * reached a majority of the customer's witnesses, itself among them. So of two
+ * sides that are cut off from each other at most one refills a bucket, and what
+ * all counters permit together stays inside what one bucket would permit.
+ */
+class LimitCounter
+{
+public:
+  LimitCounter(std::string aOwnHost,
+               const LimitTolerance& aTolerance,
+               const LimitPolicy& aPolicy)
+    : ownHost(std::move(aOwnHost))
+    , window(aTolerance.window)
+    , policy(aPolicy)
+  {
+  }
+
+  /** To be called when the limited customers or the hosts have changed. */
+  void Update(Time aNow,
+              const std::map<std::string, Customer>& aCustomers,
+              CounterRanks& aRanks);
+
+  /** Refills buckets; to be called every few milliseconds. */
+  void OnTick(Time aNow);
+
+  /** Grants permits, as far as there are tokens. */
+  PermitGrant Grant(Time aNow, const PermitWish& aWish);
+
+  /** Another host has permitted operations in place of this one. */
+  void Accept(Time aNow, const PermitCharge& aCharge);
+
+  /** The host has replied to a request that was sent then. */
+  void NoteReached(const std::string& aHost, Time aSent);
+
+  /** Hosts that this one must reach regularly to refill its buckets. */
+  std::set<std::string> Witnesses(Time aNow);
+
+  /** Whether this host has begun to stand in for another since the last call.
+   */
+  bool TakeHasBegun() { return std::exchange(this->hasBegun, false); }
+
+  /** The charges since the last call. */
+  std::vector<ChargeFor> TakeCharges() { return std::exchange(this->charges, {}); }
+
+private:
+  struct Bucket
+  {
+    Customer customer;
+    std::vector<std::string> ranked; // the hosts that may count, and witnesses
+    size_t rank = 0;                 // of this host; their number: not ranked
+    Time countsFrom = kInfinitePast; // as the first host
+    double tokens = 0;
+    Time refilledUntil = kInfinitePast;
+    // What was not refilled while this host did not count; charges for that
+    // time are taken from here.
+    double forgone = 0;
+    Time forgoneAt = kInfinitePast;
+    Time askedAt = kInfinitePast;
+    Time activeSince = kInfinitePast; // as a host that stands in
+    Time promisedUntil = kInfinitePast; // until when refused ones come back
+
+    bool IsFirst() const { return this->rank == 0; }
+  };
+
+  void Rank(Time aNow, Bucket& aBucket, const std::vector<std::string>& aRanked);
+  void UpdateWitnesses();
+  Time ReachedMajorityAt(Time aNow, const Bucket& aBucket) const;
+  void Refill(Time aNow, Bucket& aBucket);
+  void Forgo(Time aNow, Bucket& aBucket, Duration aSpan);
+  bool MayRefillSoon(Time aNow, const Bucket& aBucket) const;
+  uint32_t TakeTokens(Bucket& aBucket, const PermitWish& aWish) const;
+  void Refuse(Time aNow, Bucket& aBucket, uint32_t aCount, PermitGrant& aGrant);
+
+  std::string ownHost;
+  Duration window;
+  const LimitPolicy& policy;
+  std::map<std::string, Bucket> buckets; // by customer
+  std::map<std::string, Time> reachedAt; // by host
+  std::set<std::string> firstWitnesses;  // of the buckets that rank first
+  std::set<std::string> standIns;        // customers that it stands in for
+  bool hasBegun = false;
+  std::vector<ChargeFor> charges;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -25,6 +25,7 @@
   // How long upstreams serve after they have announced that they leave.
   Duration upstreamDrainTime = Millis(0);
   std::unique_ptr<AdmissionPolicy> admission = MakeDeadlineAdmission();
+  LimitTolerance limitTolerance = {};
 };
 
 /**
@@ -86,6 +87,9 @@
 public:
   explicit ProxyEngine(ProxyOptions aOptions)
     : options(std::move(aOptions))
+    , limits(this->options.host,
+             this->options.limitTolerance,
+             MakeLimitPolicy(this->options.limitTolerance))
   {
   }
 
@@ -112,6 +116,7 @@
 
 private:
   // proxy-engine.cc: events of the operator, the registry and callers.
+  void DispatchAll();
   void On(const SessionOpened& aEvent);
   void OpenAwaitingSessions();
   void On(const SessionClosed& aEvent);
@@ -151,6 +156,7 @@
 
   // proxy-dispatch.cc: admission, the queue and the choice of an upstream.
   void Submit(CallerSession& aSession, const StatementArrived& aEvent);
+  void Admit(CallerSession& aSession);
   bool Admits(const ProxyService& aService,
               const PendingStatement& aPending) const;
   void Enqueue(CallerSession& aSession);
@@ -183,6 +189,16 @@
                                        UpstreamIndex aUpstream,
                                        const CallerSession& aSession) const;
 
+  // proxy-limits.cc: rate limits of customers.
+  void On(const LimitRequestArrived& aEvent);
+  void On(const LimitReplyArrived& aEvent);
+  void UpdateLimitedHosts();
+  std::string CustomerOf(const CallerSession& aSession) const;
+  bool AwaitsPermit(CallerSession& aSession);
+  void CancelPermit(const CallerSession& aSession);
+  void HandlePermits(const std::vector<PermitOutcome>& aOutcomes);
+  void RefusePermit(CallerSession& aSession, const PermitOutcome& aOutcome);
+
   // proxy-relay.cc: statements for services that other hosts serve.
   void On(const RelayHostChanged& aEvent);
   void On(const RelayedReplyArrived& aEvent);
@@ -317,6 +333,7 @@
                    std::vector<std::pair<const char*, std::string>> aFields);
 
   ProxyOptions options;
+  CustomerLimits limits;
   ProxyConfig config;
   uint64_t groupsEra = 0; // of the store, as of the last read of the groups
   bool hasRegistry = false;
--- a/include/marigoldpitch/coordination/proxy/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-io.h
@@ -1,6 +1,7 @@
 #ifndef MARIGOLDPITCH_COORDINATION_PROXY_PROXY_IO_H
 #define MARIGOLDPITCH_COORDINATION_PROXY_PROXY_IO_H
 
+#include "marigoldpitch/coordination/proxy/customer-limits.h"
 #include "marigoldpitch/coordination/proxy/relay-io.h"
 #include "marigoldpitch/coordination/proxy/service-placement.h"
 #include "marigoldpitch/coordination/proxy/statement.h"
@@ -17,8 +18,6 @@
 /** The events that a proxy's engine takes and the actions that it returns. */
 namespace marigoldpitch {
 
-using CallerId = uint64_t;
-
 // Events.
 
 /** A caller asks to open a session on a database. */
@@ -171,6 +170,19 @@
   std::optional<bool> accepted;
 };
 
+/** Another host asks for permits, or whether this host is there. */
+struct LimitRequestArrived
+{
+  std::string host;
+  LimitRequest request;
+};
+
+struct LimitReplyArrived
+{
+  std::string host;
+  LimitReply reply;
+};
+
 struct ProxyDrainRequested
 {
   Duration grace; // time until the process is killed
@@ -200,6 +212,8 @@
                                 RelayedEndArrived,
                                 RelayLinkLost,
                                 RelayedReplyArrived,
+                                LimitRequestArrived,
+                                LimitReplyArrived,
                                 ProxyTick>;
 
 // Actions.
@@ -310,6 +324,26 @@
   RelayedReply reply;
 };
 
+/** Sends another host a request about customers' limits; it may be lost. */
+struct SendLimitRequest
+{
+  std::string host;
+  LimitRequest request;
+};
+
+struct SendLimitReply
+{
+  std::string host;
+  LimitReply reply;
+};
+
+/** Adds to the metrics what became of an operation of a limited customer. */
+struct ObservePermit
+{
+  PermitResult result = PermitResult::Granted;
+  bool hasWaited = false; // for a reply of the host that counts
+};
+
 using ProxyAction = std::variant<ConfirmSession,
                                  AnswerCaller,
                                  EndSession,
@@ -323,7 +357,10 @@
                                  ObserveLatency,
                                  RelayStatement,
                                  EndRelay,
-                                 AnswerRelay>;
+                                 AnswerRelay,
+                                 SendLimitRequest,
+                                 SendLimitReply,
+                                 ObservePermit>;
 
 using ProxyActions = std::vector<ProxyAction>;
 
--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -28,14 +28,16 @@
 enum class StatementPhase
 {
   Queued,
+  AwaitingPermit, // its customer's rate limit is being checked
   Preparing, // the session's settings are being set on the connection
   Beginning, // its transaction is being started there
   Running,   // the statement itself was sent
   Relayed,   // it was sent to the host that serves the service
 };
 
-constexpr NameTable<StatementPhase, 5> kStatementPhaseNames{ {
+constexpr NameTable<StatementPhase, 6> kStatementPhaseNames{ {
   { StatementPhase::Queued, "queued" },
+  { StatementPhase::AwaitingPermit, "awaiting-permit" },
   { StatementPhase::Preparing, "preparing" },
   { StatementPhase::Beginning, "beginning" },
   { StatementPhase::Running, "running" },
@@ -93,6 +95,7 @@
   SessionState state = SessionState::Idle;
   bool readOnly = false; // whether the open transaction is
   bool transactionWrote = false;
+  bool hasPermit = false; // the open transaction has
   // The transaction was rolled back and the caller does not know it yet.
   bool abortUnreported = false;
   Time transactionArrived = kInfinitePast;
--- a/include/marigoldpitch/protocol/proxy-settings.h
+++ b/include/marigoldpitch/protocol/proxy-settings.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_PROTOCOL_PROXY_SETTINGS_H
 
 #include "marigoldpitch/state/config.h"
+#include "marigoldpitch/state/customer.h"
 #include "marigoldpitch/state/error.h"
 
 #include <string>
@@ -25,6 +26,7 @@
   Duration gracePeriod;      // from SIGTERM to the end of the process
   // How long upstreams serve after they have announced that they leave.
   Duration upstreamDrainTime;
+  LimitTolerance limitTolerance; // of customers' rate limits
 };
 
 /** A failure is one error that lists every finding in the text. */
--- a/include/marigoldpitch/protocol/wire.h
+++ b/include/marigoldpitch/protocol/wire.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_PROTOCOL_WIRE_H
 
 #include "marigoldpitch/coordination/common/gossip.h"
+#include "marigoldpitch/coordination/proxy/limit-io.h"
 #include "marigoldpitch/coordination/proxy/relay-io.h"
 #include "marigoldpitch/state/error.h"
 #include "marigoldpitch/state/request.h"
@@ -73,6 +74,16 @@
   RelayedEnd end;
 };
 
+struct LimitRequestFrame
+{
+  LimitRequest request;
+};
+
+struct LimitReplyFrame
+{
+  LimitReply reply;
+};
+
 using Frame = std::variant<RequestFrame,
                            AnswerFrame,
                            CancelFrame,
@@ -83,7 +94,9 @@
                            PongFrame,
                            RelayedStatementFrame,
                            RelayedReplyFrame,
-                           RelayedEndFrame>;
+                           RelayedEndFrame,
+                           LimitRequestFrame,
+                           LimitReplyFrame>;
 
 /** Encodes the frame without the size prefix. */
 std::string
--- a/include/marigoldpitch/state/customer.h
+++ b/include/marigoldpitch/state/customer.h
@@ -1,6 +1,8 @@
 #ifndef MARIGOLDPITCH_STATE_CUSTOMER_H
 #define MARIGOLDPITCH_STATE_CUSTOMER_H
 
+#include "marigoldpitch/state/time.h"
+
 #include <array>
 #include <cstdint>
 #include <string>
@@ -43,6 +45,18 @@
   bool IsLimited() const { return this->operationsPerSecond > 0; }
 };
 
+/**
+ * How closely limits hold: in any span of the window, a customer's operations
+ * on all hosts together are at most
+ * (rate * window + burst) * (1 + excess) + slack.
+ */
+struct LimitTolerance
+{
+  Duration window = Seconds(5);
+  double excess = 0.1;
+  double slack = 20; // operations
+};
+
 } // namespace marigoldpitch
 
 #endif
--- a/include/marigoldpitch/state/metrics.h
+++ b/include/marigoldpitch/state/metrics.h
@@ -31,9 +31,15 @@
   StatementsToLeaving, // sent to an upstream known to be leaving or unlisted
   StatementsRelayed,   // sent to the host that serves the service
   StoreRestores,       // the store came back from an old copy
+  PermitsGranted,      // to operations of customers with a rate limit
+  PermitsAwaited,      // of these, after waiting for a reply
+  OverLimit,           // operations refused over their customer's limit
+  NoCounter,           // refused: no host that counts was reached
+  LimitRequests,       // sent to other hosts about limits
+  LimitMessagesUnsent, // about limits: the host is not listed, or no room
 };
 
-constexpr NameTable<Counter, 15> kCounterNames{ {
+constexpr NameTable<Counter, 21> kCounterNames{ {
   { Counter::ReplicaReads, "replica_reads_total" },
   { Counter::PrimaryReads, "primary_reads_total" },
   { Counter::FallbackReads, "fallback_reads_total" },
@@ -49,6 +55,12 @@
   { Counter::StatementsToLeaving, "statements_to_leaving_total" },
   { Counter::StatementsRelayed, "statements_relayed_total" },
   { Counter::StoreRestores, "store_restores_total" },
+  { Counter::PermitsGranted, "permits_granted_total" },
+  { Counter::PermitsAwaited, "permits_awaited_total" },
+  { Counter::OverLimit, "over_limit_total" },
+  { Counter::NoCounter, "limit_unchecked_total" },
+  { Counter::LimitRequests, "limit_requests_total" },
+  { Counter::LimitMessagesUnsent, "limit_messages_unsent_total" },
 } };
 
 enum class Measure
--- /dev/null
+++ b/src/coordination/proxy/limit-counter.cc
@@ -0,0 +1,296 @@
+#include "marigoldpitch/coordination/proxy/limit-counter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marigoldpitch {
+
+namespace detail {
+
+// A host that stands in stops when nobody has asked it for this long.
+constexpr Duration kStandInIdleTime = Millis(500);
+// Witnesses that were reached further apart leave a gap in which this host may
+// have been cut off or paused, and others may have counted.
+constexpr Duration kMaxReachGap = Millis(350);
+// The most that charges may take from the time to come.
+constexpr Duration kMaxDebt = Seconds(1);
+
+double
+TokensIn(const Customer& aCustomer, Duration aSpan)
+{
+  return aCustomer.operationsPerSecond * static_cast<double>(aSpan.ms) /
+         static_cast<double>(Seconds(1).ms);
+}
+
+/** How long it takes until so many tokens come in: 1 ms to the longest time. */
+Duration
+TimeFor(const Customer& aCustomer, double aTokens)
+{
+  double ms = aTokens * static_cast<double>(Seconds(1).ms) /
+              aCustomer.operationsPerSecond;
+  double most = static_cast<double>(kMaxPermitDelay.ms);
+  return Millis(static_cast<int64_t>(std::clamp(std::ceil(ms), 1.0, most)));
+}
+
+} // namespace detail
+
+void
+LimitCounter::Update(Time aNow,
+                     const std::map<std::string, Customer>& aCustomers,
+                     CounterRanks& aRanks)
+{
+  std::map<std::string, Bucket> before = std::exchange(this->buckets, {});
+  for (const auto& [name, customer] : aCustomers) {
+    const std::vector<std::string>& ranked = aRanks.Of(name);
+    if (std::find(ranked.begin(), ranked.end(), this->ownHost) ==
+        ranked.end()) {
+      continue;
+    }
+    auto known = before.find(name);
+    Bucket& bucket = this->buckets[name];
+    if (known != before.end()) {
+      bucket = std::move(known->second);
+      this->Refill(aNow, bucket);
+      bucket.customer = customer;
+    } else {
+      bucket.customer = customer;
+      bucket.tokens = this->policy.InitialTokens(customer);
+      bucket.refilledUntil = aNow;
+      bucket.rank = ranked.size();
+    }
+    this->Rank(aNow, bucket, ranked);
+  }
+  this->UpdateWitnesses();
+}
+
+void
+LimitCounter::UpdateWitnesses()
+{
+  std::set<std::string> ranked;
+  this->firstWitnesses.clear();
+  for (const auto& [name, bucket] : this->buckets) {
+    ranked.insert(bucket.ranked.begin(), bucket.ranked.end());
+    if (bucket.IsFirst()) {
+      this->firstWitnesses.insert(bucket.ranked.begin(), bucket.ranked.end());
+    }
+  }
+  this->firstWitnesses.erase(this->ownHost);
+  std::map<std::string, Time> reached = std::exchange(this->reachedAt, {});
+  for (const auto& [host, time] : reached) {
+    if (ranked.count(host) != 0) {
+      this->reachedAt[host] = time;
+    }
+  }
+}
+
+/** A lower limit and a lower rank both cut what the bucket holds. */
+void
+LimitCounter::Rank(Time aNow,
+                   Bucket& aBucket,
+                   const std::vector<std::string>& aRanked)
+{
+  bool wasFirst = aBucket.IsFirst();
+  auto own = std::find(aRanked.begin(), aRanked.end(), this->ownHost);
+  aBucket.ranked = aRanked;
+  aBucket.rank = static_cast<size_t>(own - aRanked.begin());
+  if (aBucket.IsFirst() && !wasFirst) {
+    Duration delay = this->policy.TakeoverDelay();
+    aBucket.countsFrom = aNow + delay;
+    aBucket.refilledUntil = aBucket.countsFrom;
+    this->Forgo(aNow, aBucket, delay);
+  }
+  aBucket.tokens =
+    std::min(aBucket.tokens,
+             this->policy.MaxTokens(aBucket.customer, aBucket.IsFirst()));
+}
+
+/**
+ * When the newest request was sent that so many witnesses have replied to that
+ * they are a majority together with this host.
+ */
+Time
+LimitCounter::ReachedMajorityAt(Time aNow, const Bucket& aBucket) const
+{
+  size_t needed = aBucket.ranked.size() / 2;
+  if (needed == 0 || !this->policy.NeedsMajority()) {
+    return aNow;
+  }
+  std::vector<int64_t> reached;
+  for (const std::string& host : aBucket.ranked) {
+    auto found = this->reachedAt.find(host);
+    if (host != this->ownHost && found != this->reachedAt.end()) {
+      reached.push_back(found->second.ms);
+    }
+  }
+  if (reached.size() < needed) {
+    return kInfinitePast;
+  }
+  std::sort(reached.rbegin(), reached.rend());
+  return { reached[needed - 1] };
+}
+
+void
+LimitCounter::Forgo(Time aNow, Bucket& aBucket, Duration aSpan)
+{
+  double most = detail::TokensIn(aBucket.customer, this->window);
+  aBucket.forgone = std::min(
+    aBucket.forgone + detail::TokensIn(aBucket.customer, aSpan), most);
+  aBucket.forgoneAt = aNow;
+}
+
+void
+LimitCounter::Refill(Time aNow, Bucket& aBucket)
+{
+  Time until = std::min(this->ReachedMajorityAt(aNow, aBucket), aNow);
+  if (until <= aBucket.refilledUntil) {
+    return;
+  }
+  Duration span = until - std::exchange(aBucket.refilledUntil, until);
+  if (span > detail::kMaxReachGap && this->policy.NeedsMajority()) {
+    this->Forgo(aNow, aBucket, span);
+    return;
+  }
+  aBucket.tokens =
+    std::min(aBucket.tokens + detail::TokensIn(aBucket.customer, span),
+             this->policy.MaxTokens(aBucket.customer, aBucket.IsFirst()));
+}
+
+void
+LimitCounter::OnTick(Time aNow)
+{
+  for (auto& [name, bucket] : this->buckets) {
+    if (bucket.IsFirst()) {
+      this->Refill(aNow, bucket);
+    }
+  }
+}
+
+PermitGrant
+LimitCounter::Grant(Time aNow, const PermitWish& aWish)
+{
+  PermitGrant grant{ aWish.customer };
+  auto found = this->buckets.find(aWish.customer);
+  if (found == this->buckets.end()) {
+    return grant;
+  }
+  Bucket& bucket = found->second;
+  if (aNow < bucket.countsFrom) {
+    return grant;
+  }
+  if (!bucket.IsFirst() && aNow - bucket.askedAt > detail::kStandInIdleTime) {
+    bucket.refilledUntil = aNow;
+    bucket.activeSince = aNow;
+    this->standIns.insert(aWish.customer);
+    this->hasBegun = true;
+  }
+  bucket.askedAt = aNow;
+  this->Refill(aNow, bucket);
+  if (bucket.tokens < 1 && !this->MayRefillSoon(aNow, bucket)) {
+    return grant; // the next host by rank may reach a majority
+  }
+  grant.counts = true;
+  grant.granted = this->TakeTokens(bucket, aWish);
+  if (grant.granted != 0 && this->policy.ChargesHostsBefore()) {
+    for (size_t i = 0; i < bucket.rank; ++i) {
+      this->charges.push_back(
+        { bucket.ranked[i], { aWish.customer, grant.granted } });
+    }
+  }
+  if (grant.granted < aWish.needed) {
+    this->Refuse(aNow, bucket, aWish.needed - grant.granted, grant);
+  }
+  return grant;
+}
+
+/** Whether this host has reached a majority lately, or has only begun to ask.
+ */
+bool
+LimitCounter::MayRefillSoon(Time aNow, const Bucket& aBucket) const
+{
+  Time lately = aNow - detail::kMaxReachGap;
+  return this->ReachedMajorityAt(aNow, aBucket) >= lately ||
+         aBucket.activeSince >= lately;
+}
+
+uint32_t
+LimitCounter::TakeTokens(Bucket& aBucket, const PermitWish& aWish) const
+{
+  double whole = std::floor(std::max(aBucket.tokens, 0.0));
+  double granted = std::min<double>(aWish.needed, whole);
+  double half =
+    this->policy.MaxTokens(aBucket.customer, aBucket.IsFirst()) / 2;
+  double left = std::floor(aBucket.tokens - granted - half);
+  if (left > 0) {
+    granted += std::min<double>(aWish.spare, left);
+  }
+  aBucket.tokens -= granted;
+  return static_cast<uint32_t>(granted);
+}
+
+/**
+ * Tells refused operations when to come back, one after the other at the
+ * customer's rate, whichever hosts they are on.
+ */
+void
+LimitCounter::Refuse(Time aNow,
+                     Bucket& aBucket,
+                     uint32_t aCount,
+                     PermitGrant& aGrant)
+{
+  const Customer& customer = aBucket.customer;
+  Time first =
+    std::max(aNow + detail::TimeFor(customer, 1 - aBucket.tokens),
+             std::min(aBucket.promisedUntil, aNow + this->window));
+  aGrant.retryAfter = std::min(first - aNow, kMaxPermitDelay);
+  aGrant.spacing = detail::TimeFor(customer, 1);
+  aBucket.promisedUntil = first + detail::TimeFor(customer, aCount);
+}
+
+void
+LimitCounter::Accept(Time aNow, const PermitCharge& aCharge)
+{
+  auto found = this->buckets.find(aCharge.customer);
+  if (found == this->buckets.end()) {
+    return;
+  }
+  Bucket& bucket = found->second;
+  this->Refill(aNow, bucket);
+  double operations = aCharge.operations;
+  if (aNow - bucket.forgoneAt <= this->window) {
+    double paid = std::min(bucket.forgone, operations);
+    bucket.forgone -= paid;
+    operations -= paid;
+  }
+  double lowest = -detail::TokensIn(bucket.customer, detail::kMaxDebt);
+  bucket.tokens = std::max(bucket.tokens - operations, lowest);
+}
+
+void
+LimitCounter::NoteReached(const std::string& aHost, Time aSent)
+{
+  Time& reached =
+    this->reachedAt.emplace(aHost, kInfinitePast).first->second;
+  reached = std::max(reached, aSent);
+}
+
+std::set<std::string>
+LimitCounter::Witnesses(Time aNow)
+{
+  std::set<std::string> witnesses = this->firstWitnesses;
+  for (auto it = this->standIns.begin(); it != this->standIns.end();) {
+    auto found = this->buckets.find(*it);
+    bool isActive = found != this->buckets.end() &&
+                    aNow - found->second.askedAt <= detail::kStandInIdleTime;
+    if (isActive) {
+      const auto& ranked = found->second.ranked;
+      witnesses.insert(ranked.begin(), ranked.end());
+      ++it;
+    } else {
+      it = this->standIns.erase(it);
+    }
+  }
+  witnesses.erase(this->ownHost);
+  return witnesses;
+}
+
+} // namespace marigoldpitch
--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -58,6 +58,7 @@
     pending.statement.preparedText = found->second.preparedText;
   }
   pending.route = *route;
+  pending.customer = this->CustomerOf(aSession);
   pending.writes = pending.statement.writes;
   bool readsOnly = inTransaction ? aSession.readOnly : !pending.writes;
   pending.needsPrimary = !readsOnly || route->freshness == Freshness::Newest;
@@ -68,12 +69,22 @@
     pending.deadline = pending.deadline - detail::kRelayMargin;
   }
   aSession.pending = pending;
-  ProxyService& service = this->ServiceOf(route->service);
+  if (!this->AwaitsPermit(aSession)) {
+    this->Admit(aSession);
+  }
+}
+
+/** Queues the statement, or refuses it if it could not finish in time. */
+void
+ProxyEngine::Admit(CallerSession& aSession)
+{
+  const PendingStatement& pending = *aSession.pending;
+  ProxyService& service = this->ServiceOf(pending.route.service);
   // The host that serves the service decides about a relayed statement.
   bool isServedHere = service.isServedHere || aSession.origin.has_value();
   bool isPlaced = aSession.pinned != 0 || !aSession.relayHost.empty();
   if (isServedHere && !isPlaced && !this->Admits(service, pending)) {
-    if (inTransaction) {
+    if (aSession.state == SessionState::InTransaction) {
       this->FailTransaction(aSession);
     }
     this->AnswerFailure(
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -23,14 +23,33 @@
 {
   this->now = std::max(this->now, aNow);
   std::visit([&](const auto& aOne) { this->On(aOne); }, aEvent);
+  LimitActions limitActions;
+  do {
+    this->limits.MoveActions(limitActions);
+    this->HandlePermits(std::exchange(limitActions.outcomes, {}));
+    this->DispatchAll();
+    // Answers may have let further statements of their sessions begin.
+    this->limits.MoveActions(limitActions);
+  } while (!limitActions.outcomes.empty());
+  for (SentLimitRequest& sent : limitActions.requests) {
+    this->Emit(SendLimitRequest{ sent.host, std::move(sent.request) });
+  }
+  for (AddressedReply& addressed : limitActions.replies) {
+    this->Emit(SendLimitReply{ addressed.host, std::move(addressed.reply) });
+  }
+  this->RemoveFinishedSessions();
+  return std::exchange(this->actions, {});
+}
+
+void
+ProxyEngine::DispatchAll()
+{
   for (auto& [name, service] : this->services) {
     if (!service.queue.empty()) {
       this->Dispatch(service);
       this->RequestProof(service);
     }
   }
-  this->RemoveFinishedSessions();
-  return std::exchange(this->actions, {});
 }
 
 void
@@ -65,6 +84,7 @@
   CallerSession session;
   session.id = aEvent.caller;
   session.database = aEvent.database;
+  session.key = aEvent.key;
   session.lastActive = this->now;
   if (this->RouteOf(aEvent.database) == nullptr) {
     this->AddDecision(LogEvent::DatabaseUnknown,
@@ -104,6 +124,7 @@
     return;
   }
   CallerSession& session = found->second;
+  this->CancelPermit(session);
   this->Dequeue(session);
   this->LeaveTransaction(session);
   this->EndRelayedWork(session);
@@ -197,6 +218,7 @@
       serviceConfig.confirmedByReplica);
     this->ShareConnections(service);
   }
+  this->limits.SetCustomers(this->now, this->config.customers);
   this->AddDecision(
     LogEvent::ConfigurationInForce,
     "",
@@ -281,6 +303,7 @@
     for (auto& [name, service] : this->services) {
       this->ShareConnections(service);
     }
+    this->UpdateLimitedHosts();
   }
 }
 
@@ -369,6 +392,7 @@
 void
 ProxyEngine::On(const ProxyTick&)
 {
+  this->limits.OnTick(this->now);
   this->CheckDeadlines();
   this->ExpireTransactions();
   for (auto& [name, service] : this->services) {
--- a/src/coordination/proxy/proxy-sessions.cc
+++ b/src/coordination/proxy/proxy-sessions.cc
@@ -163,6 +163,7 @@
   aSession.state = SessionState::InTransaction;
   aSession.readOnly = aReadOnly;
   aSession.transactionWrote = false;
+  aSession.hasPermit = false;
   aSession.transactionArrived = this->now;
   aSession.route = *route;
   this->Answer(aSession, {});
--- a/src/protocol/proxy-settings.cc
+++ b/src/protocol/proxy-settings.cc
@@ -41,6 +41,13 @@
   settings.gracePeriod = Millis(static_cast<int64_t>(gracePeriod));
   settings.upstreamDrainTime =
     Millis(value.at("upstream_drain_ms").get<int64_t>());
+  LimitTolerance& tolerance = settings.limitTolerance;
+  double windowMs = static_cast<double>(tolerance.window.ms);
+  windowMs =
+    value.value("limit_window_seconds", windowMs / kMsPerSecond) * kMsPerSecond;
+  tolerance.window = Millis(static_cast<int64_t>(windowMs));
+  tolerance.excess = value.value("limit_excess", tolerance.excess);
+  tolerance.slack = value.value("limit_slack", tolerance.slack);
   if (!findings.Empty()) {
     return findings.ToError(aSource);
   }
--- a/src/protocol/wire-decode.cc
+++ b/src/protocol/wire-decode.cc
@@ -295,6 +295,53 @@
   return Frame(std::move(frame));
 }
 
+Frame
+DecodeBody(const wire::LimitRequestFrame& aFrame)
+{
+  LimitRequestFrame frame;
+  frame.request.number = aFrame.number();
+  if (aFrame.wishes() != nullptr) {
+    for (const wire::PermitWish* wish : *aFrame.wishes()) {
+      frame.request.wishes.push_back(
+        { StringOrEmpty(wish->customer()), wish->needed(), wish->spare() });
+    }
+  }
+  if (aFrame.charges() != nullptr) {
+    for (const wire::PermitCharge* charge : *aFrame.charges()) {
+      frame.request.charges.push_back(
+        { StringOrEmpty(charge->customer()), charge->operations() });
+    }
+  }
+  return frame;
+}
+
+Result<Frame>
+DecodeBody(const wire::LimitReplyFrame& aFrame)
+{
+  LimitReplyFrame frame;
+  frame.reply.number = aFrame.number();
+  if (aFrame.grants() == nullptr) {
+    return Frame(std::move(frame));
+  }
+  for (const wire::PermitGrant* grant : *aFrame.grants()) {
+    int64_t maxMs = kMaxPermitDelay.ms;
+    bool isInRange =
+      grant->retry_after_ms() >= 0 && grant->retry_after_ms() <= maxMs &&
+      grant->spacing_ms() >= 0 && grant->spacing_ms() <= maxMs;
+    if (!isInRange) {
+      return Error{ ErrorCode::BadFrame,
+                    "grant.retry_after_ms",
+                    "out of range" };
+    }
+    frame.reply.grants.push_back({ StringOrEmpty(grant->customer()),
+                                   grant->counts(),
+                                   grant->granted(),
+                                   Millis(grant->retry_after_ms()),
+                                   Millis(grant->spacing_ms()) });
+  }
+  return Frame(std::move(frame));
+}
+
 } // namespace detail
 
 Result<Frame>
@@ -334,6 +381,10 @@
     case wire::Body_RelayedEndFrame:
       return Frame(
         RelayedEndFrame{ { frame->body_as_RelayedEndFrame()->session() } });
+    case wire::Body_LimitRequestFrame:
+      return detail::DecodeBody(*frame->body_as_LimitRequestFrame());
+    case wire::Body_LimitReplyFrame:
+      return detail::DecodeBody(*frame->body_as_LimitReplyFrame());
     default:
       return Error{ ErrorCode::BadFrame, "frame", "the body type is unknown" };
   }
--- a/src/protocol/wire-encode.cc
+++ b/src/protocol/wire-encode.cc
@@ -280,6 +280,49 @@
            wire::CreateRelayedEndFrame(aBuilder, aFrame.end.session).Union() };
 }
 
+EncodedBody
+EncodeBody(Builder& aBuilder, const LimitRequestFrame& aFrame)
+{
+  std::vector<flatbuffers::Offset<wire::PermitWish>> wishes;
+  for (const PermitWish& wish : aFrame.request.wishes) {
+    auto customer = aBuilder.CreateString(wish.customer);
+    wishes.push_back(
+      wire::CreatePermitWish(aBuilder, customer, wish.needed, wish.spare));
+  }
+  std::vector<flatbuffers::Offset<wire::PermitCharge>> charges;
+  for (const PermitCharge& charge : aFrame.request.charges) {
+    auto customer = aBuilder.CreateString(charge.customer);
+    charges.push_back(
+      wire::CreatePermitCharge(aBuilder, customer, charge.operations));
+  }
+  auto wishVector = aBuilder.CreateVector(wishes);
+  auto chargeVector = aBuilder.CreateVector(charges);
+  return { wire::Body_LimitRequestFrame,
+           wire::CreateLimitRequestFrame(
+             aBuilder, aFrame.request.number, wishVector, chargeVector)
+             .Union() };
+}
+
+EncodedBody
+EncodeBody(Builder& aBuilder, const LimitReplyFrame& aFrame)
+{
+  std::vector<flatbuffers::Offset<wire::PermitGrant>> grants;
+  for (const PermitGrant& grant : aFrame.reply.grants) {
+    auto customer = aBuilder.CreateString(grant.customer);
+    grants.push_back(wire::CreatePermitGrant(aBuilder,
+                                             customer,
+                                             grant.counts,
+                                             grant.granted,
+                                             grant.retryAfter.ms,
+                                             grant.spacing.ms));
+  }
+  auto grantVector = aBuilder.CreateVector(grants);
+  return { wire::Body_LimitReplyFrame,
+           wire::CreateLimitReplyFrame(
+             aBuilder, aFrame.reply.number, grantVector)
+             .Union() };
+}
+
 } // namespace detail
 
 std::string
--- a/src/transport/json-log.cc
+++ b/src/transport/json-log.cc
@@ -31,6 +31,7 @@
          aEvent == LogEvent::SetupRefused ||
          aEvent == LogEvent::CallerRefused ||
          aEvent == LogEvent::RequestRefused ||
+         aEvent == LogEvent::OverLimit ||
          aEvent == LogEvent::DatabaseUnknown;
 }
 
