--- a/include/marigoldpitch/coordination/proxy/limit-counter.h
+++ b/include/marigoldpitch/coordination/proxy/limit-counter.h
@@ -75,10 +75,10 @@
     Time countsFrom = kInfinitePast; // as the first host
     double tokens = 0;
     Time refilledUntil = kInfinitePast;
-    // What was not refilled while this host did not count; charges for that
-    // time are taken from here.
+    // What was not refilled in the last time in which this host did not count;
+    // charges for operations of that time are taken from here.
     double forgone = 0;
-    Time forgoneAt = kInfinitePast;
+    Time forgoneUntil = kInfinitePast;
     Time askedAt = kInfinitePast;
     Time activeSince = kInfinitePast; // as a host that stands in
     Time promisedUntil = kInfinitePast; // until when refused ones come back
@@ -90,7 +90,7 @@
   void UpdateWitnesses();
   Time ReachedMajorityAt(Time aNow, const Bucket& aBucket) const;
   void Refill(Time aNow, Bucket& aBucket);
-  void Forgo(Time aNow, Bucket& aBucket, Duration aSpan);
+  void Forgo(Bucket& aBucket, Time aUntil, Duration aSpan) const;
   bool MayRefillSoon(Time aNow, const Bucket& aBucket) const;
   uint32_t TakeTokens(Bucket& aBucket, const PermitWish& aWish) const;
   void Refuse(Time aNow, Bucket& aBucket, uint32_t aCount, PermitGrant& aGrant);
--- a/include/marigoldpitch/coordination/proxy/limit-io.h
+++ b/include/marigoldpitch/coordination/proxy/limit-io.h
@@ -29,6 +29,7 @@
 {
   std::string customer;
   uint32_t operations = 0;
+  Duration age = {}; // since the first of them was permitted
 };
 
 struct LimitRequest
--- a/src/coordination/proxy/customer-permits.cc
+++ b/src/coordination/proxy/customer-permits.cc
@@ -11,6 +11,8 @@
 constexpr Duration kAvoidFirstTime = Millis(500);
 // How long to wait once no host has counted.
 constexpr Duration kNoCounterPause = Millis(20);
+// How long to wait after a reply that granted too little.
+constexpr Duration kShortPause = Millis(20);
 // Over which operations are counted for the estimate of those to come.
 constexpr Duration kEstimateSpan = Millis(500);
 
@@ -150,8 +152,8 @@
   if (left > 0) {
     line.permits.push_back({ expires, left });
   }
-  line.askAt = aNow + aGrant.retryAfter;
   if (line.isShort) {
+    line.askAt = aNow + detail::kShortPause;
     this->RefuseLate(aNow, aGrant, line);
   }
 }
--- a/src/coordination/proxy/limit-counter.cc
+++ b/src/coordination/proxy/limit-counter.cc
@@ -97,7 +97,7 @@
     Duration delay = this->policy.TakeoverDelay();
     aBucket.countsFrom = aNow + delay;
     aBucket.refilledUntil = aBucket.countsFrom;
-    this->Forgo(aNow, aBucket, delay);
+    this->Forgo(aBucket, aBucket.countsFrom, delay);
   }
   aBucket.tokens =
     std::min(aBucket.tokens,
@@ -130,12 +130,11 @@
 }
 
 void
-LimitCounter::Forgo(Time aNow, Bucket& aBucket, Duration aSpan)
+LimitCounter::Forgo(Bucket& aBucket, Time aUntil, Duration aSpan) const
 {
-  double most = detail::TokensIn(aBucket.customer, this->window);
-  aBucket.forgone = std::min(
-    aBucket.forgone + detail::TokensIn(aBucket.customer, aSpan), most);
-  aBucket.forgoneAt = aNow;
+  aBucket.forgone =
+    detail::TokensIn(aBucket.customer, std::min(aSpan, this->window));
+  aBucket.forgoneUntil = aUntil;
 }
 
 void
@@ -147,7 +146,7 @@
   }
   Duration span = until - std::exchange(aBucket.refilledUntil, until);
   if (span > detail::kMaxReachGap && this->policy.NeedsMajority()) {
-    this->Forgo(aNow, aBucket, span);
+    this->Forgo(aBucket, until, span);
     return;
   }
   aBucket.tokens =
@@ -256,7 +255,7 @@
   Bucket& bucket = found->second;
   this->Refill(aNow, bucket);
   double operations = aCharge.operations;
-  if (aNow - bucket.forgoneAt <= this->window) {
+  if (aNow - aCharge.age <= bucket.forgoneUntil) {
     double paid = std::min(bucket.forgone, operations);
     bucket.forgone -= paid;
     operations -= paid;
--- a/src/coordination/proxy/limit-exchange.cc
+++ b/src/coordination/proxy/limit-exchange.cc
@@ -52,7 +52,9 @@
     auto first = unpaid.begin();
     if (aNow - first->second.since <= this->window) {
       aSent.request.charges.push_back(
-        { first->first, first->second.operations });
+        { first->first,
+          first->second.operations,
+          aNow - first->second.since });
     }
     unpaid.erase(first);
   }
@@ -115,7 +117,7 @@
                          .emplace(charge.customer, Unpaid{ 0, sent.sent })
                          .first->second;
       unpaid.operations += charge.operations;
-      unpaid.since = std::min(unpaid.since, sent.sent);
+      unpaid.since = std::min(unpaid.since, sent.sent - charge.age);
     }
     lost.push_back(std::move(sent));
   }
--- a/src/protocol/wire-decode.cc
+++ b/src/protocol/wire-decode.cc
@@ -295,7 +295,13 @@
   return Frame(std::move(frame));
 }
 
-Frame
+bool
+IsPermitDelay(int64_t aMs)
+{
+  return aMs >= 0 && aMs <= kMaxPermitDelay.ms;
+}
+
+Result<Frame>
 DecodeBody(const wire::LimitRequestFrame& aFrame)
 {
   LimitRequestFrame frame;
@@ -308,11 +314,15 @@
   }
   if (aFrame.charges() != nullptr) {
     for (const wire::PermitCharge* charge : *aFrame.charges()) {
-      frame.request.charges.push_back(
-        { StringOrEmpty(charge->customer()), charge->operations() });
+      if (!IsPermitDelay(charge->age_ms())) {
+        return Error{ ErrorCode::BadFrame, "charge.age_ms", "out of range" };
+      }
+      frame.request.charges.push_back({ StringOrEmpty(charge->customer()),
+                                        charge->operations(),
+                                        Millis(charge->age_ms()) });
     }
   }
-  return frame;
+  return Frame(std::move(frame));
 }
 
 Result<Frame>
@@ -324,10 +334,8 @@
     return Frame(std::move(frame));
   }
   for (const wire::PermitGrant* grant : *aFrame.grants()) {
-    int64_t maxMs = kMaxPermitDelay.ms;
-    bool isInRange =
-      grant->retry_after_ms() >= 0 && grant->retry_after_ms() <= maxMs &&
-      grant->spacing_ms() >= 0 && grant->spacing_ms() <= maxMs;
+    bool isInRange = IsPermitDelay(grant->retry_after_ms()) &&
+                     IsPermitDelay(grant->spacing_ms());
     if (!isInRange) {
       return Error{ ErrorCode::BadFrame,
                     "grant.retry_after_ms",
--- a/src/protocol/wire-encode.cc
+++ b/src/protocol/wire-encode.cc
@@ -293,7 +293,8 @@
   for (const PermitCharge& charge : aFrame.request.charges) {
     auto customer = aBuilder.CreateString(charge.customer);
     charges.push_back(
-      wire::CreatePermitCharge(aBuilder, customer, charge.operations));
+      wire::CreatePermitCharge(
+        aBuilder, customer, charge.operations, charge.age.ms));
   }
   auto wishVector = aBuilder.CreateVector(wishes);
   auto chargeVector = aBuilder.CreateVector(charges);
