--- a/include/marigoldpitch/coordination/proxy/limit-counter.h
+++ b/include/marigoldpitch/coordination/proxy/limit-counter.h
@@ -56,8 +56,8 @@
   /** The host has replied to a request that was sent then. */
   void NoteReached(const std::string& aHost, Time aSent);
 
-  /** Hosts that this one must reach regularly to refill its buckets. */
-  std::set<std::string> Witnesses(Time aNow);
+  /** Hosts that this one must reach to refill its buckets, and how often. */
+  std::map<std::string, Duration> Witnesses(Time aNow);
 
   /** Whether this host has begun to stand in for another since the last call.
    */
@@ -81,6 +81,7 @@
     Time forgoneUntil = kInfinitePast;
     Time askedAt = kInfinitePast;
     Time activeSince = kInfinitePast; // as a host that stands in
+    Time refusedAt = kInfinitePast;
     Time promisedUntil = kInfinitePast; // until when refused ones come back
 
     bool IsFirst() const { return this->rank == 0; }
@@ -93,6 +94,7 @@
   void Forgo(Bucket& aBucket, Time aUntil, Duration aSpan) const;
   bool MayRefillSoon(Time aNow, const Bucket& aBucket) const;
   uint32_t TakeTokens(Bucket& aBucket, const PermitWish& aWish) const;
+  static bool IsUrgent(Time aNow, const Bucket& aBucket);
   void Refuse(Time aNow, Bucket& aBucket, uint32_t aCount, PermitGrant& aGrant);
 
   std::string ownHost;
@@ -101,7 +103,8 @@
   std::map<std::string, Bucket> buckets; // by customer
   std::map<std::string, Time> reachedAt; // by host
   std::set<std::string> firstWitnesses;  // of the buckets that rank first
-  std::set<std::string> standIns;        // customers that it stands in for
+  // Customers whose buckets are nearly empty, or that it stands in for.
+  std::set<std::string> urgent;
   bool hasBegun = false;
   std::vector<ChargeFor> charges;
 };
--- a/include/marigoldpitch/coordination/proxy/limit-exchange.h
+++ b/include/marigoldpitch/coordination/proxy/limit-exchange.h
@@ -42,8 +42,11 @@
   /** Sends the wish, and what is to be charged, to the host. */
   void Send(Time aNow, const std::string& aHost, const RankedWish& aWish);
 
-  /** Sends what is to be charged, or an empty request, if it is time. */
-  void Check(Time aNow, const std::set<std::string>& aWitnesses);
+  /**
+   * Sends what is to be charged, and empty requests to witnesses to which
+   * nothing was sent within their interval.
+   */
+  void Check(Time aNow, const std::map<std::string, Duration>& aWitnesses);
 
   /** The request that the reply belongs to; unset: none, or it is late. */
   std::optional<SentLimitRequest> Match(const std::string& aHost,
--- a/src/coordination/proxy/limit-counter.cc
+++ b/src/coordination/proxy/limit-counter.cc
@@ -7,11 +7,15 @@
 
 namespace detail {
 
-// A host that stands in stops when nobody has asked it for this long.
+// A host that stands in stops when nobody has asked it for this long; so do
+// the more frequent requests to witnesses.
 constexpr Duration kStandInIdleTime = Millis(500);
 // Witnesses that were reached further apart leave a gap in which this host may
 // have been cut off or paused, and others may have counted.
 constexpr Duration kMaxReachGap = Millis(350);
+// How often to reach witnesses, and how often while operations wait for tokens.
+constexpr Duration kReachInterval = Millis(100);
+constexpr Duration kUrgentReachInterval = Millis(20);
 // The most that charges may take from the time to come.
 constexpr Duration kMaxDebt = Seconds(1);
 
@@ -179,7 +183,7 @@
   if (!bucket.IsFirst() && aNow - bucket.askedAt > detail::kStandInIdleTime) {
     bucket.refilledUntil = aNow;
     bucket.activeSince = aNow;
-    this->standIns.insert(aWish.customer);
+    this->urgent.insert(aWish.customer);
     this->hasBegun = true;
   }
   bucket.askedAt = aNow;
@@ -237,6 +241,8 @@
                      PermitGrant& aGrant)
 {
   const Customer& customer = aBucket.customer;
+  aBucket.refusedAt = aNow;
+  this->urgent.insert(customer.name);
   Time first =
     std::max(aNow + detail::TimeFor(customer, 1 - aBucket.tokens),
              std::min(aBucket.promisedUntil, aNow + this->window));
@@ -272,24 +278,34 @@
   reached = std::max(reached, aSent);
 }
 
-std::set<std::string>
+std::map<std::string, Duration>
 LimitCounter::Witnesses(Time aNow)
 {
-  std::set<std::string> witnesses = this->firstWitnesses;
-  for (auto it = this->standIns.begin(); it != this->standIns.end();) {
+  std::map<std::string, Duration> witnesses;
+  for (const std::string& host : this->firstWitnesses) {
+    witnesses[host] = detail::kReachInterval;
+  }
+  for (auto it = this->urgent.begin(); it != this->urgent.end();) {
     auto found = this->buckets.find(*it);
-    bool isActive = found != this->buckets.end() &&
-                    aNow - found->second.askedAt <= detail::kStandInIdleTime;
-    if (isActive) {
-      const auto& ranked = found->second.ranked;
-      witnesses.insert(ranked.begin(), ranked.end());
-      ++it;
-    } else {
-      it = this->standIns.erase(it);
+    if (found == this->buckets.end() || !IsUrgent(aNow, found->second)) {
+      it = this->urgent.erase(it);
+      continue;
+    }
+    for (const std::string& host : found->second.ranked) {
+      witnesses[host] = detail::kUrgentReachInterval;
     }
+    ++it;
   }
   witnesses.erase(this->ownHost);
   return witnesses;
 }
 
+/** Whether operations wait for each token that comes in. */
+bool
+LimitCounter::IsUrgent(Time aNow, const Bucket& aBucket)
+{
+  Time since = aBucket.IsFirst() ? aBucket.refusedAt : aBucket.askedAt;
+  return aNow - since <= detail::kStandInIdleTime;
+}
+
 } // namespace marigoldpitch
--- a/src/coordination/proxy/limit-exchange.cc
+++ b/src/coordination/proxy/limit-exchange.cc
@@ -6,7 +6,6 @@
 
 namespace detail {
 
-constexpr Duration kCheckInterval = Millis(100);
 constexpr Duration kChargeInterval = Millis(20);
 // So that a request fits a datagram of an ordinary network.
 constexpr size_t kMaxCharges = 16;
@@ -67,15 +66,16 @@
 }
 
 void
-LimitExchange::Check(Time aNow, const std::set<std::string>& aWitnesses)
+LimitExchange::Check(Time aNow,
+                     const std::map<std::string, Duration>& aWitnesses)
 {
   std::set<std::string> due;
   auto isDue = [&](const std::string& aHost, Duration aInterval) {
     auto found = this->lastSent.find(aHost);
     return found == this->lastSent.end() || aNow - found->second >= aInterval;
   };
-  for (const std::string& host : aWitnesses) {
-    if (isDue(host, detail::kCheckInterval)) {
+  for (const auto& [host, interval] : aWitnesses) {
+    if (isDue(host, interval)) {
       due.insert(host);
     }
   }
