--- a/include/marigoldpitch/coordination/proxy/limit-counter.h
+++ b/include/marigoldpitch/coordination/proxy/limit-counter.h
@@ -64,7 +64,10 @@
   bool TakeHasBegun() { return std::exchange(this->hasBegun, false); }
 
   /** The charges since the last call. */
-  std::vector<ChargeFor> TakeCharges() { return std::exchange(this->charges, {}); }
+  std::vector<ChargeFor> TakeCharges()
+  {
+    return std::exchange(this->charges, {});
+  }
 
 private:
   struct Bucket
@@ -87,7 +90,9 @@
     bool IsFirst() const { return this->rank == 0; }
   };
 
-  void Rank(Time aNow, Bucket& aBucket, const std::vector<std::string>& aRanked);
+  void Rank(Time aNow,
+            Bucket& aBucket,
+            const std::vector<std::string>& aRanked);
   void UpdateWitnesses();
   Time ReachedMajorityAt(Time aNow, const Bucket& aBucket) const;
   void Refill(Time aNow, Bucket& aBucket);
--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -29,10 +29,10 @@
 {
   Queued,
   AwaitingPermit, // its customer's rate limit is being checked
-  Preparing, // the session's settings are being set on the connection
-  Beginning, // its transaction is being started there
-  Running,   // the statement itself was sent
-  Relayed,   // it was sent to the host that serves the service
+  Preparing,      // the session's settings are being set on the connection
+  Beginning,      // its transaction is being started there
+  Running,        // the statement itself was sent
+  Relayed,        // it was sent to the host that serves the service
 };
 
 constexpr NameTable<StatementPhase, 6> kStatementPhaseNames{ {
--- a/include/marigoldpitch/transport/datagram-socket.h
+++ b/include/marigoldpitch/transport/datagram-socket.h
@@ -24,10 +24,8 @@
 class DatagramSocket
 {
 public:
-  static Result<std::unique_ptr<DatagramSocket>> Create(
-    Loop& aLoop,
-    const Endpoint& aEndpoint,
-    DatagramHandler& aHandler);
+  static Result<std::unique_ptr<DatagramSocket>>
+  Create(Loop& aLoop, const Endpoint& aEndpoint, DatagramHandler& aHandler);
   ~DatagramSocket();
   DatagramSocket(const DatagramSocket&) = delete;
   DatagramSocket& operator=(const DatagramSocket&) = delete;
--- a/src/coordination/proxy/customer-permits.cc
+++ b/src/coordination/proxy/customer-permits.cc
@@ -62,12 +62,11 @@
     return;
   }
   auto& waiting = found->second.waiting;
-  waiting.erase(std::remove_if(waiting.begin(),
-                               waiting.end(),
-                               [&](const Waiting& aOne) {
-                                 return aOne.caller == aCaller;
-                               }),
-                waiting.end());
+  waiting.erase(
+    std::remove_if(waiting.begin(),
+                   waiting.end(),
+                   [&](const Waiting& aOne) { return aOne.caller == aCaller; }),
+    waiting.end());
 }
 
 void
@@ -89,9 +88,8 @@
 CustomerPermits::Expected(Time aNow, const Line& aLine) const
 {
   Duration elapsed = std::max(aNow - aLine.countedSince, this->lifetime);
-  int64_t expected = elapsed.ms == 0
-                       ? 0
-                       : aLine.counted * this->lifetime.ms / elapsed.ms;
+  int64_t expected =
+    elapsed.ms == 0 ? 0 : aLine.counted * this->lifetime.ms / elapsed.ms;
   return static_cast<uint32_t>(expected);
 }
 
--- a/src/coordination/proxy/limit-counter.cc
+++ b/src/coordination/proxy/limit-counter.cc
@@ -220,8 +220,7 @@
 {
   double whole = std::floor(std::max(aBucket.tokens, 0.0));
   double granted = std::min<double>(aWish.needed, whole);
-  double half =
-    this->policy.MaxTokens(aBucket.customer, aBucket.IsFirst()) / 2;
+  double half = this->policy.MaxTokens(aBucket.customer, aBucket.IsFirst()) / 2;
   double left = std::floor(aBucket.tokens - granted - half);
   if (left > 0) {
     granted += std::min<double>(aWish.spare, left);
@@ -243,9 +242,8 @@
   const Customer& customer = aBucket.customer;
   aBucket.refusedAt = aNow;
   this->urgent.insert(customer.name);
-  Time first =
-    std::max(aNow + detail::TimeFor(customer, 1 - aBucket.tokens),
-             std::min(aBucket.promisedUntil, aNow + this->window));
+  Time first = std::max(aNow + detail::TimeFor(customer, 1 - aBucket.tokens),
+                        std::min(aBucket.promisedUntil, aNow + this->window));
   aGrant.retryAfter = std::min(first - aNow, kMaxPermitDelay);
   aGrant.spacing = detail::TimeFor(customer, 1);
   aBucket.promisedUntil = first + detail::TimeFor(customer, aCount);
@@ -273,8 +271,7 @@
 void
 LimitCounter::NoteReached(const std::string& aHost, Time aSent)
 {
-  Time& reached =
-    this->reachedAt.emplace(aHost, kInfinitePast).first->second;
+  Time& reached = this->reachedAt.emplace(aHost, kInfinitePast).first->second;
   reached = std::max(reached, aSent);
 }
 
--- a/src/coordination/proxy/limit-exchange.cc
+++ b/src/coordination/proxy/limit-exchange.cc
@@ -17,10 +17,9 @@
 void
 LimitExchange::Add(Time aNow, const ChargeFor& aCharge)
 {
-  Unpaid& unpaid =
-    this->unpaid[aCharge.host]
-      .emplace(aCharge.charge.customer, Unpaid{ 0, aNow })
-      .first->second;
+  Unpaid& unpaid = this->unpaid[aCharge.host]
+                     .emplace(aCharge.charge.customer, Unpaid{ 0, aNow })
+                     .first->second;
   unpaid.operations += aCharge.charge.operations;
 }
 
@@ -51,9 +50,7 @@
     auto first = unpaid.begin();
     if (aNow - first->second.since <= this->window) {
       aSent.request.charges.push_back(
-        { first->first,
-          first->second.operations,
-          aNow - first->second.since });
+        { first->first, first->second.operations, aNow - first->second.since });
     }
     unpaid.erase(first);
   }
--- a/src/coordination/proxy/proxy-limits.cc
+++ b/src/coordination/proxy/proxy-limits.cc
@@ -52,7 +52,8 @@
 {
   PendingStatement& pending = *aSession.pending;
   bool inTransaction = aSession.state == SessionState::InTransaction;
-  bool needsPermit = !aSession.origin && !(inTransaction && aSession.hasPermit) &&
+  bool needsPermit = !aSession.origin &&
+                     !(inTransaction && aSession.hasPermit) &&
                      this->limits.IsLimited(pending.customer);
   if (!needsPermit) {
     return false;
@@ -62,8 +63,8 @@
   if (objective > Millis(0)) {
     patience = std::min(patience, pending.arrived + objective - this->now);
   }
-  bool isTaken = this->limits.Take(
-    this->now, pending.customer, aSession.id, patience);
+  bool isTaken =
+    this->limits.Take(this->now, pending.customer, aSession.id, patience);
   if (isTaken) {
     aSession.hasPermit = inTransaction;
     this->Emit(ObservePermit{ PermitResult::Granted, false });
--- a/src/protocol/wire-encode.cc
+++ b/src/protocol/wire-encode.cc
@@ -292,9 +292,8 @@
   std::vector<flatbuffers::Offset<wire::PermitCharge>> charges;
   for (const PermitCharge& charge : aFrame.request.charges) {
     auto customer = aBuilder.CreateString(charge.customer);
-    charges.push_back(
-      wire::CreatePermitCharge(
-        aBuilder, customer, charge.operations, charge.age.ms));
+    charges.push_back(wire::CreatePermitCharge(
+      aBuilder, customer, charge.operations, charge.age.ms));
   }
   auto wishVector = aBuilder.CreateVector(wishes);
   auto chargeVector = aBuilder.CreateVector(charges);
--- a/src/transport/json-log.cc
+++ b/src/transport/json-log.cc
@@ -30,8 +30,7 @@
          aEvent == LogEvent::StatementRefused ||
          aEvent == LogEvent::SetupRefused ||
          aEvent == LogEvent::CallerRefused ||
-         aEvent == LogEvent::RequestRefused ||
-         aEvent == LogEvent::OverLimit ||
+         aEvent == LogEvent::RequestRefused || aEvent == LogEvent::OverLimit ||
          aEvent == LogEvent::DatabaseUnknown;
 }
 
--- a/src/transport/limit-links.cc
+++ b/src/transport/limit-links.cc
@@ -44,8 +44,8 @@
 LimitLinks::Send(const std::string& aHost, const std::string& aEncoded)
 {
   auto found = this->hosts.find(aHost);
-  bool isSent = found != this->hosts.end() &&
-                this->socket->Send(found->second, aEncoded);
+  bool isSent =
+    found != this->hosts.end() && this->socket->Send(found->second, aEncoded);
   if (!isSent) {
     this->metrics.Count(Counter::LimitMessagesUnsent);
   }
--- a/test/customer-limits-test.cc
+++ b/test/customer-limits-test.cc
@@ -240,8 +240,8 @@
     simulation.Use("large", 900, { cut }, Seconds(12));
     simulation.Use("large", 900, { counter }, Seconds(12));
     simulation.RunFor(Seconds(13));
-    bool isOver = simulation.MostInWindow("large") >
-                  AllowedBy(customer, options.tolerance);
+    bool isOver =
+      simulation.MostInWindow("large") > AllowedBy(customer, options.tolerance);
     cr_expect_eq(isOver, fault == Fault::NoCharge);
   }
 }
@@ -355,8 +355,8 @@
   Customer lower = MakeCustomer("c", 40, 40);
   simulation.SetCustomer(lower, Seconds(1));
   simulation.RunFor(Seconds(17));
-  Time binds = Time{ kSettled.ms } + Seconds(3) + Seconds(1) +
-               options.tolerance.window;
+  Time binds =
+    Time{ kSettled.ms } + Seconds(3) + Seconds(1) + options.tolerance.window;
   cr_expect_leq(simulation.MostInWindow("c", binds),
                 AllowedBy(lower, options.tolerance));
 }
--- a/test/fakes/limit-simulation.cc
+++ b/test/fakes/limit-simulation.cc
@@ -58,7 +58,9 @@
 
 /** Calls it once the host is not paused, unless its process has changed. */
 void
-LimitSimulation::After(size_t aHost, Duration aSpan, std::function<void()> aCall)
+LimitSimulation::After(size_t aHost,
+                       Duration aSpan,
+                       std::function<void()> aCall)
 {
   uint64_t process = this->hosts[aHost].process;
   this->queue.After(aSpan, [this, aHost, process, aCall] {
@@ -136,8 +138,8 @@
   this->hosts[added].customers = this->hosts[0].customers;
   for (size_t host = 0; host <= added; ++host) {
     std::vector<std::string> listed = this->ListedHosts();
-    Duration delay = Millis(std::uniform_int_distribution<int64_t>(
-      0, aSpread.ms)(this->random));
+    Duration delay = Millis(
+      std::uniform_int_distribution<int64_t>(0, aSpread.ms)(this->random));
     this->hosts[host].known = listed;
     this->After(host, delay, [this, host, listed] {
       this->hosts[host].limits->SetHosts(this->Now(), listed);
@@ -165,8 +167,8 @@
   for (size_t host = 0; host < this->hosts.size(); ++host) {
     this->hosts[host].customers[aCustomer.name] = aCustomer;
     auto customers = this->hosts[host].customers;
-    Duration delay = Millis(std::uniform_int_distribution<int64_t>(
-      0, aSpread.ms)(this->random));
+    Duration delay = Millis(
+      std::uniform_int_distribution<int64_t>(0, aSpread.ms)(this->random));
     this->After(host, delay, [this, host, customers] {
       this->hosts[host].limits->SetCustomers(this->Now(), customers);
     });
@@ -188,8 +190,8 @@
   size_t index = this->operations.size();
   this->operations.push_back({ aCustomer, aHost, this->Now() });
   this->After(aHost, Millis(0), [this, aHost, aCustomer, index] {
-    bool isTaken = this->hosts[aHost].limits->Take(
-      this->Now(), aCustomer, index, kPatience);
+    bool isTaken =
+      this->hosts[aHost].limits->Take(this->Now(), aCustomer, index, kPatience);
     if (isTaken) {
       this->operations[index].result = PermitResult::Granted;
       this->operations[index].answered = this->Now();
@@ -290,13 +292,14 @@
                        PermitResult aResult,
                        Time aFrom) const
 {
-  return static_cast<size_t>(std::count_if(
-    this->operations.begin(),
-    this->operations.end(),
-    [&](const FakeOperation& aOne) {
-      return aOne.customer == aCustomer && aOne.result == aResult &&
-             aOne.sent >= aFrom;
-    }));
+  return static_cast<size_t>(std::count_if(this->operations.begin(),
+                                           this->operations.end(),
+                                           [&](const FakeOperation& aOne) {
+                                             return aOne.customer ==
+                                                      aCustomer &&
+                                                    aOne.result == aResult &&
+                                                    aOne.sent >= aFrom;
+                                           }));
 }
 
 size_t
--- a/test/fakes/limit-simulation.h
+++ b/test/fakes/limit-simulation.h
@@ -22,7 +22,7 @@
   size_t hosts = 7;
   LimitTolerance tolerance;
   std::function<std::unique_ptr<LimitPolicy>()> makePolicy; // unset: the real
-  Duration maxDelay = Millis(4); // of a datagram
+  Duration maxDelay = Millis(4);                            // of a datagram
   double lossShare = 0;
   double repeatShare = 0; // datagrams that arrive twice
   double lateShare = 0;   // datagrams that arrive up to 300 ms late
@@ -101,7 +101,10 @@
     uint64_t process = 0;
   };
 
-  static std::string NameOf(size_t aHost) { return "h" + std::to_string(aHost); }
+  static std::string NameOf(size_t aHost)
+  {
+    return "h" + std::to_string(aHost);
+  }
   static size_t IndexOf(const std::string& aName)
   {
     return std::stoul(aName.substr(1));
--- a/test/fakes/proxy-simulation-relays.cc
+++ b/test/fakes/proxy-simulation-relays.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration kConnectTime = Millis(2);
+constexpr Duration kDatagramTime = Millis(1);
 
 size_t
 BytesOf(const Frame& aFrame)
@@ -143,6 +144,15 @@
   });
 }
 
+/** A datagram about customers' limits. */
+void
+ProxySimulation::Deliver(const std::string& aHost, const ProxyEvent& aEvent)
+{
+  size_t to = this->HostNamed(aHost);
+  this->queue.After(kDatagramTime,
+                    [this, to, aEvent] { this->Send(to, aEvent); });
+}
+
 void
 ProxySimulation::Perform(size_t aHost, const EndRelay& aAction)
 {
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -352,6 +352,14 @@
     this->Perform(aHost, *ended);
   } else if (const auto* relayReply = std::get_if<AnswerRelay>(&aAction)) {
     this->Perform(aHost, *relayReply);
+  } else if (const auto* asked = std::get_if<SendLimitRequest>(&aAction)) {
+    this->Deliver(
+      asked->host,
+      LimitRequestArrived{ "h" + std::to_string(aHost), asked->request });
+  } else if (const auto* granted = std::get_if<SendLimitReply>(&aAction)) {
+    this->Deliver(
+      granted->host,
+      LimitReplyArrived{ "h" + std::to_string(aHost), granted->reply });
   } else if (const auto* order = std::get_if<RequestPromotion>(&aAction)) {
     this->Promote(*order, aHost);
   } else if (const auto* write = std::get_if<RecordGroup>(&aAction)) {
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -329,6 +329,7 @@
   void LoseRelayLinksOf(size_t aHost);
   void Perform(size_t aHost, const RelayStatement& aAction);
   void Perform(size_t aHost, const EndRelay& aAction);
+  void Deliver(const std::string& aHost, const ProxyEvent& aEvent);
   void Perform(size_t aHost, const AnswerRelay& aAction);
   FakeUpstream NewUpstream(size_t aIndex) const;
   std::unique_ptr<ProxyEngine> NewProcess(size_t aHost);
