--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -25,6 +25,7 @@
   // How long upstreams serve after they have announced that they leave.
   Duration upstreamDrainTime = Millis(0);
   std::unique_ptr<AdmissionPolicy> admission = MakeDeadlineAdmission();
+  LimitTolerance limitTolerance = {};
 };
 
 /**
@@ -84,6 +85,9 @@
 public:
   explicit ProxyEngine(ProxyOptions aOptions)
     : options(std::move(aOptions))
+    , limits(this->options.host,
+             this->options.limitTolerance,
+             MakeLimitPolicy(this->options.limitTolerance))
   {
   }
 
@@ -110,6 +114,7 @@
 
 private:
   // proxy-engine.cc: events of the operator, the registry and callers.
+  void DispatchAll();
   void On(const SessionOpened& aEvent);
   void OpenAwaitingSessions();
   void On(const SessionClosed& aEvent);
@@ -182,6 +187,7 @@
 
   // proxy-dispatch.cc: admission, the queue and the choice of an upstream.
   void Submit(CallerSession& aSession, const StatementArrived& aEvent);
+  void Admit(CallerSession& aSession);
   bool Admits(const ProxyService& aService,
               const PendingStatement& aPending,
               const QueuedStatement& aQueued) const;
@@ -217,6 +223,15 @@
                                        UpstreamIndex aUpstream,
                                        const CallerSession& aSession) const;
 
+  // proxy-limits.cc: rate limits of customers.
+  void On(const LimitRequestArrived& aEvent);
+  void On(const LimitReplyArrived& aEvent);
+  void UpdateLimitedHosts();
+  bool AwaitsPermit(CallerSession& aSession);
+  void CancelPermit(const CallerSession& aSession);
+  void HandlePermits(const std::vector<PermitOutcome>& aOutcomes);
+  void RefusePermit(CallerSession& aSession, const PermitOutcome& aOutcome);
+
   // proxy-relay.cc: statements for services that other hosts serve.
   void On(const RelayHostChanged& aEvent);
   void On(const RelayedReplyArrived& aEvent);
@@ -368,6 +383,7 @@
                    std::vector<std::pair<const char*, std::string>> aFields);
 
   ProxyOptions options;
+  CustomerLimits limits;
   ProxyConfig config;
   double allCustomersRate = 0; // the sum of their limits, a second
   uint64_t groupsEra = 0; // of the store, as of the last read of the groups
--- a/include/marigoldpitch/protocol/proxy-settings.h
+++ b/include/marigoldpitch/protocol/proxy-settings.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_PROTOCOL_PROXY_SETTINGS_H
 
 #include "marigoldpitch/state/config.h"
+#include "marigoldpitch/state/customer.h"
 #include "marigoldpitch/state/error.h"
 
 #include <optional>
@@ -30,6 +31,7 @@
   std::optional<double> cpuShare; // of a core
   std::optional<double> cores;    // how many cores that share is of
   std::optional<double> linkMbps;
+  LimitTolerance limitTolerance; // of customers' rate limits
 };
 
 /** A failure is one error that lists every finding in the text. */
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -76,6 +76,7 @@
   ConnectionReplaced,
   ConnectionRefused,
   ServingChanged,
+  OverLimit,
 };
 
 struct LogEventRow
@@ -86,7 +87,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 51> kLogEvents{ {
+constexpr std::array<LogEventRow, 52> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -147,6 +148,7 @@
   { LogEvent::ConnectionReplaced, 610, Severity::Info, "connection-replaced" },
   { LogEvent::ConnectionRefused, 611, Severity::Info, "connection-refused" },
   { LogEvent::ServingChanged, 304, Severity::Info, "serving-changed" },
+  { LogEvent::OverLimit, 620, Severity::Info, "over-limit" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/state/metrics.h
+++ b/include/marigoldpitch/state/metrics.h
@@ -35,9 +35,15 @@
   ConnectionsReplaced, // closed for another customer's statement
   ConnectionsRefused,  // by upstreams that have reached their limit
   ServingChanges,      // another list of hosts changed what this host serves
+  PermitsGranted,      // to operations of customers with a rate limit
+  PermitsAwaited,      // of these, after waiting for a reply
+  OverLimit,           // operations refused over their customer's limit
+  NoCounter,           // refused: no host that counts was reached
+  LimitRequests,       // sent to other hosts about limits
+  LimitMessagesUnsent, // about limits: the host is not listed, or no room
 };
 
-constexpr NameTable<Counter, 19> kCounterNames{ {
+constexpr NameTable<Counter, 25> kCounterNames{ {
   { Counter::ReplicaReads, "replica_reads_total" },
   { Counter::PrimaryReads, "primary_reads_total" },
   { Counter::FallbackReads, "fallback_reads_total" },
@@ -57,6 +63,12 @@
   { Counter::ConnectionsReplaced, "connections_replaced_total" },
   { Counter::ConnectionsRefused, "connections_refused_total" },
   { Counter::ServingChanges, "serving_changes_total" },
+  { Counter::PermitsGranted, "permits_granted_total" },
+  { Counter::PermitsAwaited, "permits_awaited_total" },
+  { Counter::OverLimit, "over_limit_total" },
+  { Counter::NoCounter, "limit_unchecked_total" },
+  { Counter::LimitRequests, "limit_requests_total" },
+  { Counter::LimitMessagesUnsent, "limit_messages_unsent_total" },
 } };
 
 enum class Measure
--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -74,13 +74,23 @@
     pending.deadline = pending.deadline - detail::kRelayMargin;
   }
   aSession.pending = pending;
-  ProxyService& service = this->ServiceOf(route->service);
+  if (!this->AwaitsPermit(aSession)) {
+    this->Admit(aSession);
+  }
+}
+
+/** Queues the statement, or refuses it if it could not finish in time. */
+void
+ProxyEngine::Admit(CallerSession& aSession)
+{
+  const PendingStatement& pending = *aSession.pending;
+  ProxyService& service = this->ServiceOf(pending.route.service);
   // The host that serves the service decides about a relayed statement.
   bool isDecidedHere = this->IsDecidedHere(service, aSession);
   bool isPlaced = aSession.pinned != 0 || !aSession.relayHost.empty();
   if (isDecidedHere && !isPlaced &&
       !this->Admits(service, pending, this->DescribeQueued(aSession))) {
-    if (inTransaction) {
+    if (aSession.state == SessionState::InTransaction) {
       this->FailTransaction(aSession);
     }
     this->AnswerFailure(
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -23,14 +23,33 @@
 {
   this->now = std::max(this->now, aNow);
   std::visit([&](const auto& aOne) { this->On(aOne); }, aEvent);
+  LimitActions limitActions;
+  do {
+    this->limits.MoveActions(limitActions);
+    this->HandlePermits(std::exchange(limitActions.outcomes, {}));
+    this->DispatchAll();
+    // Answers may have let further statements of their sessions begin.
+    this->limits.MoveActions(limitActions);
+  } while (!limitActions.outcomes.empty());
+  for (SentLimitRequest& sent : limitActions.requests) {
+    this->Emit(SendLimitRequest{ sent.host, std::move(sent.request) });
+  }
+  for (AddressedReply& addressed : limitActions.replies) {
+    this->Emit(SendLimitReply{ addressed.host, std::move(addressed.reply) });
+  }
+  this->RemoveFinishedSessions();
+  return std::exchange(this->actions, {});
+}
+
+void
+ProxyEngine::DispatchAll()
+{
   for (auto& [name, service] : this->services) {
     if (!service.queue.IsEmpty()) {
       this->Dispatch(service);
       this->RequestProof(service);
     }
   }
-  this->RemoveFinishedSessions();
-  return std::exchange(this->actions, {});
 }
 
 void
@@ -112,6 +131,7 @@
     return;
   }
   CallerSession& session = found->second;
+  this->CancelPermit(session);
   this->Dequeue(session);
   this->LeaveTransaction(session);
   this->EndRelayedWork(session);
@@ -206,6 +226,7 @@
       serviceConfig.confirmedByReplica);
     this->ShareConnections(service);
   }
+  this->limits.SetCustomers(this->now, this->config.customers);
   this->AddDecision(
     LogEvent::ConfigurationInForce,
     "",
@@ -295,6 +316,7 @@
       this->ShareConnections(service);
     }
     this->LogServing(before);
+    this->UpdateLimitedHosts();
   }
 }
 
@@ -386,6 +408,7 @@
 void
 ProxyEngine::On(const ProxyTick&)
 {
+  this->limits.OnTick(this->now);
   this->CheckDeadlines();
   this->ExpireTransactions();
   for (auto& [name, service] : this->services) {
--- a/src/transport/json-log.cc
+++ b/src/transport/json-log.cc
@@ -32,7 +32,7 @@
          aEvent == LogEvent::CallerRefused ||
          aEvent == LogEvent::RequestRefused || aEvent == LogEvent::KeyRefused ||
          aEvent == LogEvent::ConnectionReplaced ||
-         aEvent == LogEvent::DatabaseUnknown;
+         aEvent == LogEvent::OverLimit || aEvent == LogEvent::DatabaseUnknown;
 }
 
 bool
