--- a/test/opening-pace-test.cc
+++ b/test/opening-pace-test.cc
@@ -123,7 +123,8 @@
   UseFor(simulation, Seconds(2));
   simulation.paused.clear();
   size_t served = UseFor(simulation, Seconds(2));
-  cr_assert_leq(simulation.ExcessLinks(), kUpstreams * kZones);
+  size_t excess = simulation.ExcessLinks();
+  cr_assert_leq(excess, kUpstreams * kZones, "%zu", excess);
   cr_assert_gt(served, 60, "%zu", served);
   cr_assert_gt(UseFor(simulation, Seconds(1)), 98);
   cr_assert_eq(simulation.Violations(), "");
--- a/test/serving-hosts-test.cc
+++ b/test/serving-hosts-test.cc
@@ -2,6 +2,7 @@
 #include "marigoldpitch/coordination/proxy/customer-placement.h"
 #include "marigoldpitch/coordination/proxy/host-capacity.h"
 #include "marigoldpitch/protocol/proxy-documents.h"
+#include "marigoldpitch/protocol/proxy-settings.h"
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
@@ -126,6 +127,20 @@
   cr_assert_gt(CapacityOf({ 0, 0, 0 }), 0);
 }
 
+Test(serving_hosts, settings_may_say_what_a_host_can_carry)
+{
+  std::string text =
+    R"({"host":"h","zone":"z","callers":"10.0.0.1:1","health":"10.0.0.1:2",)"
+    R"("metrics":"10.0.0.1:3","peers":"10.0.0.1:4","store":"10.0.0.2:1",)"
+    R"("duties":"10.0.0.2:2","grace_seconds":6,"upstream_drain_ms":7000)";
+  auto none = ParseProxySettings(text + "}", "file").value();
+  cr_assert_not(none.cpuShare || none.cores || none.linkMbps);
+  text += R"(,"cpu_share":0.12,"cores":1,"link_mbps":)";
+  auto all = ParseProxySettings(text + "10.0}", "file").value();
+  cr_assert_eq(CapacityOf({ all.cpuShare, all.cores, all.linkMbps }), 0.12);
+  cr_assert_not(ParseProxySettings(text + "0}", "file").has_value());
+}
+
 Test(serving_hosts, a_registration_without_a_capacity_has_that_of_a_core)
 {
   ProxyHost host{ "h", kZone, "h/run", { "10.0.0.1", 1 } };
