Let a host stand in only where the witnesses do not hear the one before

Change: a host that stands in names those before it in its requests; a witness that has heard one of them lately counts for the sender only while the sender itself reaches that host, which then takes its charges.

--- a/include/marigoldpitch/coordination/proxy/customer-limits.h
+++ b/include/marigoldpitch/coordination/proxy/customer-limits.h
@@ -64,6 +64,7 @@
 
 private:
   void AskForPermits(Time aNow);
+  void CheckWitnesses(Time aNow);
   bool AskOnce(Time aNow);
 
   std::string ownHost;
--- a/include/marigoldpitch/coordination/proxy/limit-counter.h
+++ b/include/marigoldpitch/coordination/proxy/limit-counter.h
@@ -81,7 +81,24 @@
   void Accept(Time aNow, const PermitCharge& aCharge);
 
   /** The host has replied to a request that was sent then. */
-  void NoteReached(const std::string& aHost, Time aSent);
+  void NoteReached(const std::string& aHost,
+                   Time aSent,
+                   const LimitRequest& aRequest,
+                   const LimitReply& aReply);
+
+  /** The host has sent a request. */
+  void NoteHeard(Time aNow, const std::string& aHost);
+
+  /** Those of the hosts that have sent a request lately. */
+  std::vector<std::string> HeardOf(
+    Time aNow,
+    const std::vector<std::string>& aHosts) const;
+
+  /** The hosts that this one stands in for, as of the last `Witnesses`. */
+  std::vector<std::string> StandsInFor() const
+  {
+    return { this->standsInFor.begin(), this->standsInFor.end() };
+  }
 
   /** Hosts that this one must reach to refill its buckets, and how often. */
   std::map<std::string, Duration> Witnesses(Time aNow);
@@ -127,6 +144,11 @@
             Bucket& aBucket,
             const std::vector<std::string>& aRanked);
   void UpdateWitnesses();
+  Time ReachedAt(const std::string& aHost) const;
+  Time UnheardAt(const std::string& aWitness, const std::string& aHost) const;
+  Time ReachedAlone(Time aNow,
+                    const Bucket& aBucket,
+                    const std::string& aWitness) const;
   Time ReachedMajorityAt(Time aNow, const Bucket& aBucket) const;
   void Refill(Time aNow, Bucket& aBucket);
   void Forgo(Bucket& aBucket, Time aUntil, Duration aSpan) const;
@@ -141,7 +163,11 @@
   const LimitPolicy& policy;
   std::map<std::string, Bucket> buckets; // by customer
   std::map<std::string, Time> reachedAt; // by host
-  std::set<std::string> firstWitnesses;  // of the buckets that rank first
+  std::map<std::string, Time> heardAt;   // by host
+  // By witness and host: when it was asked and had not heard of the host.
+  std::map<std::pair<std::string, std::string>, Time> unheardAt;
+  std::set<std::string> standsInFor;
+  std::set<std::string> firstWitnesses; // of the buckets that rank first
   // Customers whose buckets are nearly empty, or that it stands in for.
   std::set<std::string> urgent;
   bool hasBegun = false;
--- a/include/marigoldpitch/coordination/proxy/limit-exchange.h
+++ b/include/marigoldpitch/coordination/proxy/limit-exchange.h
@@ -46,7 +46,9 @@
    * Sends what is to be charged, and empty requests to witnesses to which
    * nothing was sent within their interval.
    */
-  void Check(Time aNow, const std::map<std::string, Duration>& aWitnesses);
+  void Check(Time aNow,
+             const std::map<std::string, Duration>& aWitnesses,
+             const std::vector<std::string>& aStandsInFor);
 
   /** The request that the reply belongs to; unset: none, or it is late. */
   std::optional<SentLimitRequest> Match(const std::string& aHost,
--- a/include/marigoldpitch/coordination/proxy/limit-io.h
+++ b/include/marigoldpitch/coordination/proxy/limit-io.h
@@ -37,6 +37,8 @@
   uint64_t number = 0; // of the sender, rising
   std::vector<PermitWish> wishes;
   std::vector<PermitCharge> charges;
+  // Hosts that the sender stands in for.
+  std::vector<std::string> standsInFor;
 };
 
 /** The reply to one wish. */
@@ -56,6 +58,8 @@
 {
   uint64_t number = 0;
   std::vector<PermitGrant> grants;
+  // Of the hosts that the sender stands in for, those that were heard lately.
+  std::vector<std::string> heard;
 };
 
 } // namespace marigoldpitch
--- a/src/coordination/proxy/customer-limits.cc
+++ b/src/coordination/proxy/customer-limits.cc
@@ -112,7 +112,9 @@
   if (this->hosts.count(aHost) == 0) {
     return;
   }
+  this->counter.NoteHeard(aNow, aHost);
   LimitReply reply{ aRequest.number, {} };
+  reply.heard = this->counter.HeardOf(aNow, aRequest.standsInFor);
   for (const PermitCharge& charge : aRequest.charges) {
     this->counter.Accept(aNow, charge);
   }
@@ -125,10 +127,17 @@
   }
   if (this->counter.TakeHasBegun()) {
     // It must reach its witnesses before it can grant more.
-    this->exchange.Check(aNow, this->counter.Witnesses(aNow));
+    this->CheckWitnesses(aNow);
   }
 }
 
+void
+CustomerLimits::CheckWitnesses(Time aNow)
+{
+  auto witnesses = this->counter.Witnesses(aNow);
+  this->exchange.Check(aNow, witnesses, this->counter.StandsInFor());
+}
+
 void
 CustomerLimits::OnReply(Time aNow,
                         const std::string& aHost,
@@ -138,7 +147,7 @@
   if (!sent) {
     return;
   }
-  this->counter.NoteReached(aHost, sent->sent);
+  this->counter.NoteReached(aHost, sent->sent, sent->request, aReply);
   for (const PermitWish& wish : sent->request.wishes) {
     auto found = std::find_if(aReply.grants.begin(),
                               aReply.grants.end(),
@@ -168,7 +177,7 @@
   }
   this->permits.Expire(aNow);
   this->AskForPermits(aNow);
-  this->exchange.Check(aNow, this->counter.Witnesses(aNow));
+  this->CheckWitnesses(aNow);
 }
 
 void
--- a/src/coordination/proxy/limit-counter.cc
+++ b/src/coordination/proxy/limit-counter.cc
@@ -12,7 +12,7 @@
 constexpr Duration kStandInIdleTime = Millis(500);
 // Witnesses that were reached further apart leave a gap in which this host may
 // have been cut off or paused, and others may have counted.
-constexpr Duration kMaxReachGap = Millis(350);
+constexpr Duration kMaxReachGap = Millis(250);
 // How often to reach witnesses, and how often while operations wait for tokens.
 constexpr Duration kReachInterval = Millis(100);
 constexpr Duration kUrgentReachInterval = Millis(20);
@@ -79,6 +79,7 @@
     }
   }
   this->firstWitnesses.erase(this->ownHost);
+  this->unheardAt.clear(); // known again with the next replies
   std::map<std::string, Time> reached = std::exchange(this->reachedAt, {});
   for (const auto& [host, time] : reached) {
     if (ranked.count(host) != 0) {
@@ -108,29 +109,65 @@
              this->policy.MaxTokens(aBucket.customer, aBucket.IsFirst()));
 }
 
+Time
+LimitCounter::ReachedAt(const std::string& aHost) const
+{
+  auto found = this->reachedAt.find(aHost);
+  return found == this->reachedAt.end() ? kInfinitePast : found->second;
+}
+
+Time
+LimitCounter::UnheardAt(const std::string& aWitness,
+                        const std::string& aHost) const
+{
+  auto found = this->unheardAt.find({ aWitness, aHost });
+  return found == this->unheardAt.end() ? kInfinitePast : found->second;
+}
+
+/**
+ * When the witness was last known to count for this host alone. For a host that
+ * stands in, it counts only if each host before it either accepts charges from
+ * this one, or has not been heard by the witness.
+ */
+Time
+LimitCounter::ReachedAlone(Time aNow,
+                           const Bucket& aBucket,
+                           const std::string& aWitness) const
+{
+  bool isSelf = aWitness == this->ownHost;
+  Time reached = isSelf ? aNow : this->ReachedAt(aWitness);
+  for (size_t i = 0; i < aBucket.rank && i < aBucket.ranked.size(); ++i) {
+    const std::string& before = aBucket.ranked[i];
+    Time unheard = this->UnheardAt(aWitness, before);
+    if (isSelf) {
+      auto heard = this->heardAt.find(before);
+      bool isHeard = heard != this->heardAt.end() &&
+                     aNow - heard->second <= detail::kMaxReachGap;
+      unheard = isHeard ? kInfinitePast : aNow;
+    }
+    reached = std::min(reached, std::max(unheard, this->ReachedAt(before)));
+  }
+  return reached;
+}
+
 /**
  * When the newest request was sent that so many witnesses have replied to that
- * they are a majority together with this host.
+ * they are a majority together with this host. A witness that hears a host
+ * counts for no other, so no two hosts have a majority at once unless one is
+ * charged for what the other grants.
  */
 Time
 LimitCounter::ReachedMajorityAt(Time aNow, const Bucket& aBucket) const
 {
-  size_t needed = aBucket.ranked.size() / 2;
-  if (needed == 0 || !this->policy.NeedsMajority()) {
+  if (!this->policy.NeedsMajority()) {
     return aNow;
   }
   std::vector<int64_t> reached;
   for (const std::string& host : aBucket.ranked) {
-    auto found = this->reachedAt.find(host);
-    if (host != this->ownHost && found != this->reachedAt.end()) {
-      reached.push_back(found->second.ms);
-    }
-  }
-  if (reached.size() < needed) {
-    return kInfinitePast;
+    reached.push_back(this->ReachedAlone(aNow, aBucket, host).ms);
   }
   std::sort(reached.rbegin(), reached.rend());
-  return { reached[needed - 1] };
+  return { reached[aBucket.ranked.size() / 2] };
 }
 
 void
@@ -283,16 +320,51 @@
 }
 
 void
-LimitCounter::NoteReached(const std::string& aHost, Time aSent)
+LimitCounter::NoteReached(const std::string& aHost,
+                          Time aSent,
+                          const LimitRequest& aRequest,
+                          const LimitReply& aReply)
 {
   Time& reached = this->reachedAt.emplace(aHost, kInfinitePast).first->second;
   reached = std::max(reached, aSent);
+  for (const std::string& before : aRequest.standsInFor) {
+    bool isHeard =
+      std::find(aReply.heard.begin(), aReply.heard.end(), before) !=
+      aReply.heard.end();
+    if (!isHeard) {
+      Time& unheard =
+        this->unheardAt.emplace(std::pair(aHost, before), kInfinitePast)
+          .first->second;
+      unheard = std::max(unheard, aSent);
+    }
+  }
+}
+
+void
+LimitCounter::NoteHeard(Time aNow, const std::string& aHost)
+{
+  this->heardAt[aHost] = aNow;
+}
+
+std::vector<std::string>
+LimitCounter::HeardOf(Time aNow, const std::vector<std::string>& aHosts) const
+{
+  std::vector<std::string> heard;
+  for (const std::string& host : aHosts) {
+    auto found = this->heardAt.find(host);
+    if (found != this->heardAt.end() &&
+        aNow - found->second <= detail::kMaxReachGap) {
+      heard.push_back(host);
+    }
+  }
+  return heard;
 }
 
 std::map<std::string, Duration>
 LimitCounter::Witnesses(Time aNow)
 {
   std::map<std::string, Duration> witnesses;
+  this->standsInFor.clear();
   for (const std::string& host : this->firstWitnesses) {
     witnesses[host] = detail::kReachInterval;
   }
@@ -305,6 +377,10 @@
     for (const std::string& host : found->second.ranked) {
       witnesses[host] = detail::kUrgentReachInterval;
     }
+    const Bucket& bucket = found->second;
+    this->standsInFor.insert(bucket.ranked.begin(),
+                             bucket.ranked.begin() +
+                               static_cast<std::ptrdiff_t>(bucket.rank));
     ++it;
   }
   witnesses.erase(this->ownHost);
--- a/src/coordination/proxy/limit-exchange.cc
+++ b/src/coordination/proxy/limit-exchange.cc
@@ -64,7 +64,8 @@
 
 void
 LimitExchange::Check(Time aNow,
-                     const std::map<std::string, Duration>& aWitnesses)
+                     const std::map<std::string, Duration>& aWitnesses,
+                     const std::vector<std::string>& aStandsInFor)
 {
   std::set<std::string> due;
   auto isDue = [&](const std::string& aHost, Duration aInterval) {
@@ -84,6 +85,7 @@
   for (const std::string& host : due) {
     SentLimitRequest sent;
     sent.host = host;
+    sent.request.standsInFor = aStandsInFor;
     this->Emit(aNow, std::move(sent));
   }
 }
--- a/src/protocol/wire-decode.cc
+++ b/src/protocol/wire-decode.cc
@@ -295,6 +295,19 @@
   return Frame(std::move(frame));
 }
 
+std::vector<std::string>
+DecodeNames(
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>* aNames)
+{
+  std::vector<std::string> names;
+  if (aNames != nullptr) {
+    for (const flatbuffers::String* name : *aNames) {
+      names.push_back(StringOrEmpty(name));
+    }
+  }
+  return names;
+}
+
 bool
 IsPermitDelay(int64_t aMs)
 {
@@ -306,6 +319,7 @@
 {
   LimitRequestFrame frame;
   frame.request.number = aFrame.number();
+  frame.request.standsInFor = DecodeNames(aFrame.stands_in_for());
   if (aFrame.wishes() != nullptr) {
     for (const wire::PermitWish* wish : *aFrame.wishes()) {
       frame.request.wishes.push_back(
@@ -330,6 +344,7 @@
 {
   LimitReplyFrame frame;
   frame.reply.number = aFrame.number();
+  frame.reply.heard = DecodeNames(aFrame.heard());
   if (aFrame.grants() == nullptr) {
     return Frame(std::move(frame));
   }
--- a/src/protocol/wire-encode.cc
+++ b/src/protocol/wire-encode.cc
@@ -297,10 +297,13 @@
   }
   auto wishVector = aBuilder.CreateVector(wishes);
   auto chargeVector = aBuilder.CreateVector(charges);
-  return { wire::Body_LimitRequestFrame,
-           wire::CreateLimitRequestFrame(
-             aBuilder, aFrame.request.number, wishVector, chargeVector)
-             .Union() };
+  auto standsInFor = aBuilder.CreateVectorOfStrings(aFrame.request.standsInFor);
+  return {
+    wire::Body_LimitRequestFrame,
+    wire::CreateLimitRequestFrame(
+      aBuilder, aFrame.request.number, wishVector, chargeVector, standsInFor)
+      .Union()
+  };
 }
 
 EncodedBody
@@ -317,9 +320,10 @@
                                              grant.spacing.ms));
   }
   auto grantVector = aBuilder.CreateVector(grants);
+  auto heard = aBuilder.CreateVectorOfStrings(aFrame.reply.heard);
   return { wire::Body_LimitReplyFrame,
            wire::CreateLimitReplyFrame(
-             aBuilder, aFrame.reply.number, grantVector)
+             aBuilder, aFrame.reply.number, grantVector, heard)
              .Union() };
 }
 
