--- a/include/marigoldpitch/coordination/proxy/customer-limits.h
+++ b/include/marigoldpitch/coordination/proxy/customer-limits.h
@@ -21,6 +21,7 @@
   std::vector<PermitOutcome> outcomes;
   std::vector<SentLimitRequest> requests;
   std::vector<AddressedReply> replies;
+  std::vector<CounterChange> changes; // to be logged
 };
 
 /**
@@ -63,6 +64,7 @@
 
 private:
   void AskForPermits(Time aNow);
+  void CheckWitnesses(Time aNow);
   bool AskOnce(Time aNow);
 
   std::string ownHost;
--- a/include/marigoldpitch/coordination/proxy/limit-counter.h
+++ b/include/marigoldpitch/coordination/proxy/limit-counter.h
@@ -4,6 +4,7 @@
 #include "marigoldpitch/coordination/proxy/limit-io.h"
 #include "marigoldpitch/coordination/proxy/limit-placement.h"
 #include "marigoldpitch/coordination/proxy/limit-policy.h"
+#include "marigoldpitch/state/names.h"
 
 #include <map>
 #include <set>
@@ -20,6 +21,32 @@
   PermitCharge charge;
 };
 
+/** What this host does for a customer that it is asked about. */
+enum class CounterState
+{
+  Idle,
+  Waits, // it has become the first host, and the former one still counts
+  Counts,
+  StandsIn, // for a host that ranks before it
+  CutOff,   // it reaches no majority of witnesses and has no tokens
+};
+
+constexpr NameTable<CounterState, 5> kCounterStateNames{ {
+  { CounterState::Idle, "idle" },
+  { CounterState::Waits, "waits" },
+  { CounterState::Counts, "counts" },
+  { CounterState::StandsIn, "stands-in" },
+  { CounterState::CutOff, "cut-off" },
+} };
+
+/** What this host does for the customer has changed. */
+struct CounterChange
+{
+  std::string customer;
+  CounterState state = CounterState::Idle;
+  double tokens = 0;
+};
+
 /**
  * Keeps a token bucket for each customer. A bucket is refilled at the
  * customer's rate, but only for the time in which this host is known to have
@@ -54,7 +81,24 @@
   void Accept(Time aNow, const PermitCharge& aCharge);
 
   /** The host has replied to a request that was sent then. */
-  void NoteReached(const std::string& aHost, Time aSent);
+  void NoteReached(const std::string& aHost,
+                   Time aSent,
+                   const LimitRequest& aRequest,
+                   const LimitReply& aReply);
+
+  /** The host has sent a request. */
+  void NoteHeard(Time aNow, const std::string& aHost);
+
+  /** Those of the hosts that have sent a request lately. */
+  std::vector<std::string> HeardOf(
+    Time aNow,
+    const std::vector<std::string>& aHosts) const;
+
+  /** The hosts that this one stands in for, as of the last `Witnesses`. */
+  std::vector<std::string> StandsInFor() const
+  {
+    return { this->standsInFor.begin(), this->standsInFor.end() };
+  }
 
   /** Hosts that this one must reach to refill its buckets, and how often. */
   std::map<std::string, Duration> Witnesses(Time aNow);
@@ -69,9 +113,15 @@
     return std::exchange(this->charges, {});
   }
 
+  std::vector<CounterChange> TakeChanges()
+  {
+    return std::exchange(this->changes, {});
+  }
+
 private:
   struct Bucket
   {
+    CounterState state = CounterState::Idle;
     Customer customer;
     std::vector<std::string> ranked; // the hosts that may count, and witnesses
     size_t rank = 0;                 // of this host; their number: not ranked
@@ -94,11 +144,17 @@
             Bucket& aBucket,
             const std::vector<std::string>& aRanked);
   void UpdateWitnesses();
+  Time ReachedAt(const std::string& aHost) const;
+  Time UnheardAt(const std::string& aWitness, const std::string& aHost) const;
+  Time ReachedAlone(Time aNow,
+                    const Bucket& aBucket,
+                    const std::string& aWitness) const;
   Time ReachedMajorityAt(Time aNow, const Bucket& aBucket) const;
   void Refill(Time aNow, Bucket& aBucket);
   void Forgo(Bucket& aBucket, Time aUntil, Duration aSpan) const;
   bool MayRefillSoon(Time aNow, const Bucket& aBucket) const;
   uint32_t TakeTokens(Bucket& aBucket, const PermitWish& aWish) const;
+  void SetState(Bucket& aBucket, CounterState aState);
   static bool IsUrgent(Time aNow, const Bucket& aBucket);
   void Refuse(Time aNow, Bucket& aBucket, uint32_t aCount, PermitGrant& aGrant);
 
@@ -107,11 +163,16 @@
   const LimitPolicy& policy;
   std::map<std::string, Bucket> buckets; // by customer
   std::map<std::string, Time> reachedAt; // by host
-  std::set<std::string> firstWitnesses;  // of the buckets that rank first
+  std::map<std::string, Time> heardAt;   // by host
+  // By witness and host: when it was asked and had not heard of the host.
+  std::map<std::pair<std::string, std::string>, Time> unheardAt;
+  std::set<std::string> standsInFor;
+  std::set<std::string> firstWitnesses; // of the buckets that rank first
   // Customers whose buckets are nearly empty, or that it stands in for.
   std::set<std::string> urgent;
   bool hasBegun = false;
   std::vector<ChargeFor> charges;
+  std::vector<CounterChange> changes;
 };
 
 } // namespace marigoldpitch
--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -226,6 +226,7 @@
   // proxy-limits.cc: rate limits of customers.
   void On(const LimitRequestArrived& aEvent);
   void On(const LimitReplyArrived& aEvent);
+  void PerformLimits(LimitActions aActions);
   void UpdateLimitedHosts();
   bool AwaitsPermit(CallerSession& aSession);
   void CancelPermit(const CallerSession& aSession);
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -77,6 +77,7 @@
   ConnectionRefused,
   ServingChanged,
   OverLimit,
+  LimitCounterChanged,
 };
 
 struct LogEventRow
@@ -87,7 +88,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 52> kLogEvents{ {
+constexpr std::array<LogEventRow, 53> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -149,6 +150,10 @@
   { LogEvent::ConnectionRefused, 611, Severity::Info, "connection-refused" },
   { LogEvent::ServingChanged, 304, Severity::Info, "serving-changed" },
   { LogEvent::OverLimit, 620, Severity::Info, "over-limit" },
+  { LogEvent::LimitCounterChanged,
+    621,
+    Severity::Info,
+    "limit-counter-changed" },
 } };
 
 constexpr const LogEventRow&
