Let customers use their burst spread over the windows, and keep unlisted hosts

Change: a second bucket that brings the burst in over each window; an operation takes a token of both and needs one in either. A host that is listed no more counts as there for 30 s. A fleet of up to 128 hosts has 32 slots of customers in place of 512, so a host asks few witnesses.

--- a/include/marigoldpitch/coordination/proxy/customer-limits.h
+++ b/include/marigoldpitch/coordination/proxy/customer-limits.h
@@ -9,6 +9,9 @@
 /** The rate limits of customers over all hosts, as one host keeps them. */
 namespace marigoldpitch {
 
+/** How long a host that is listed no more still counts as there. */
+constexpr Duration kUnlistedHostTime = Seconds(30);
+
 struct AddressedReply
 {
   std::string host;
@@ -37,6 +40,12 @@
                  std::unique_ptr<LimitPolicy> aPolicy);
 
   void SetCustomers(Time aNow, const std::map<std::string, Customer>& aAll);
+
+  /**
+   * The hosts that are listed now. One that is listed no more still counts as
+   * there for a while: its entry may be missing although it runs, and each
+   * change moves counters.
+   */
   void SetHosts(Time aNow, const std::vector<std::string>& aHosts);
 
   bool IsLimited(const std::string& aCustomer) const
@@ -63,6 +72,7 @@
   std::string CounterOf(const std::string& aCustomer);
 
 private:
+  void UpdateRanks(Time aNow);
   void AskForPermits(Time aNow);
   void CheckWitnesses(Time aNow);
   bool AskOnce(Time aNow);
@@ -71,7 +81,7 @@
   std::unique_ptr<LimitPolicy> policy;
   std::map<std::string, Customer> customers; // those with a limit
   CounterRanks ranks;
-  std::set<std::string> hosts;
+  std::map<std::string, Time> hosts; // until when each counts as there
   CustomerPermits permits;
   LimitCounter counter;
   LimitExchange exchange;
--- a/include/marigoldpitch/coordination/proxy/limit-counter.h
+++ b/include/marigoldpitch/coordination/proxy/limit-counter.h
@@ -6,6 +6,7 @@
 #include "marigoldpitch/coordination/proxy/limit-policy.h"
 #include "marigoldpitch/state/names.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -127,6 +128,10 @@
     size_t rank = 0;                 // of this host; their number: not ranked
     Time countsFrom = kInfinitePast; // as the first host
     double tokens = 0;
+    // Of a second bucket, as `LimitPolicy::Steady` gives it. An operation takes
+    // a token of each and needs one in either, so that a customer may use its
+    // burst at once or spread over the windows.
+    double steadyTokens = 0;
     Time refilledUntil = kInfinitePast;
     // What was not refilled in the last time in which this host did not count;
     // charges for operations of that time are taken from here.
@@ -137,6 +142,11 @@
     Time refusedAt = kInfinitePast;
     Time promisedUntil = kInfinitePast; // until when refused ones come back
 
+    double Available() const
+    {
+      return this->IsFirst() ? std::max(this->tokens, this->steadyTokens)
+                             : this->tokens;
+    }
     bool IsFirst() const { return this->rank == 0; }
   };
 
@@ -153,6 +163,7 @@
   void Refill(Time aNow, Bucket& aBucket);
   void Forgo(Bucket& aBucket, Time aUntil, Duration aSpan) const;
   bool MayRefillSoon(Time aNow, const Bucket& aBucket) const;
+  void Deduct(Bucket& aBucket, double aOperations) const;
   uint32_t TakeTokens(Bucket& aBucket, const PermitWish& aWish) const;
   void SetState(Bucket& aBucket, CounterState aState);
   static bool IsUrgent(Time aNow, const Bucket& aBucket);
--- a/include/marigoldpitch/coordination/proxy/limit-policy.h
+++ b/include/marigoldpitch/coordination/proxy/limit-policy.h
@@ -22,6 +22,13 @@
   /** The most that a bucket holds. */
   virtual double MaxTokens(const Customer& aCustomer, bool aIsFirst) const = 0;
 
+  /**
+   * The limit as a customer uses it that sends steadily: the burst comes in
+   * over each window, and little of it at once. It allows no more in a window
+   * than the limit itself, but the same in the next one.
+   */
+  virtual Customer Steady(const Customer& aCustomer) const = 0;
+
   /** Whether a host that stands in reports to the ones before it. */
   virtual bool ChargesHostsBefore() const = 0;
 
--- a/include/marigoldpitch/transport/limit-links.h
+++ b/include/marigoldpitch/transport/limit-links.h
@@ -1,6 +1,7 @@
 #ifndef MARIGOLDPITCH_TRANSPORT_LIMIT_LINKS_H
 #define MARIGOLDPITCH_TRANSPORT_LIMIT_LINKS_H
 
+#include "marigoldpitch/coordination/proxy/customer-limits.h"
 #include "marigoldpitch/coordination/proxy/proxy-io.h"
 #include "marigoldpitch/state/metrics.h"
 #include "marigoldpitch/transport/datagram-socket.h"
@@ -29,8 +30,11 @@
                                                     Metrics& aMetrics,
                                                     EventSink aSink);
 
-  /** Sets where the hosts are, by name. */
-  void SetHosts(std::map<std::string, Endpoint> aHosts);
+  /**
+   * Sets where the listed hosts are, by name. One that is listed no more is
+   * still heard for `kUnlistedHostTime`.
+   */
+  void SetHosts(const std::map<std::string, Endpoint>& aHosts, Time aNow);
 
   void Perform(const SendLimitRequest& aAction);
   void Perform(const SendLimitReply& aAction);
@@ -44,12 +48,18 @@
   {
   }
 
+  struct Host
+  {
+    Endpoint endpoint;
+    Time until; // heard until then
+  };
+
   void Send(const std::string& aHost, const std::string& aEncoded);
 
   Metrics& metrics;
   EventSink sink;
   std::unique_ptr<DatagramSocket> socket;
-  std::map<std::string, Endpoint> hosts;
+  std::map<std::string, Host> hosts;
   std::map<std::pair<std::string, uint16_t>, std::string> names; // by endpoint
 };
 
--- a/src/coordination/proxy/customer-limits.cc
+++ b/src/coordination/proxy/customer-limits.cc
@@ -44,8 +44,28 @@
 void
 CustomerLimits::SetHosts(Time aNow, const std::vector<std::string>& aHosts)
 {
-  this->hosts = { aHosts.begin(), aHosts.end() };
-  if (this->ranks.SetHosts(aHosts)) {
+  for (auto& [host, until] : this->hosts) {
+    until = std::min(until, aNow + kUnlistedHostTime);
+  }
+  for (const std::string& host : aHosts) {
+    this->hosts[host] = kInfiniteFuture;
+  }
+  this->UpdateRanks(aNow);
+}
+
+void
+CustomerLimits::UpdateRanks(Time aNow)
+{
+  std::vector<std::string> present;
+  for (auto it = this->hosts.begin(); it != this->hosts.end();) {
+    if (it->second <= aNow) {
+      it = this->hosts.erase(it);
+    } else {
+      present.push_back(it->first);
+      ++it;
+    }
+  }
+  if (this->ranks.SetHosts(present)) {
     this->counter.Update(aNow, this->customers, this->ranks);
   }
 }
@@ -169,6 +189,7 @@
   if (this->customers.empty()) {
     return;
   }
+  this->UpdateRanks(aNow);
   this->counter.OnTick(aNow);
   for (const SentLimitRequest& lost : this->exchange.TakeLost(aNow)) {
     for (const PermitWish& wish : lost.request.wishes) {
--- a/src/coordination/proxy/limit-counter.cc
+++ b/src/coordination/proxy/limit-counter.cc
@@ -104,6 +104,8 @@
     aBucket.refilledUntil = aBucket.countsFrom;
     this->Forgo(aBucket, aBucket.countsFrom, delay);
   }
+  aBucket.steadyTokens =
+    std::min(aBucket.steadyTokens, this->policy.Steady(aBucket.customer).burst);
   aBucket.tokens =
     std::min(aBucket.tokens,
              this->policy.MaxTokens(aBucket.customer, aBucket.IsFirst()));
@@ -193,6 +195,11 @@
   aBucket.tokens =
     std::min(aBucket.tokens + detail::TokensIn(aBucket.customer, span),
              this->policy.MaxTokens(aBucket.customer, aBucket.IsFirst()));
+  if (aBucket.IsFirst()) {
+    Customer steady = this->policy.Steady(aBucket.customer);
+    aBucket.steadyTokens = std::min(
+      aBucket.steadyTokens + detail::TokensIn(steady, span), steady.burst);
+  }
 }
 
 void
@@ -227,7 +234,7 @@
   }
   bucket.askedAt = aNow;
   this->Refill(aNow, bucket);
-  if (bucket.tokens < 1 && !this->MayRefillSoon(aNow, bucket)) {
+  if (bucket.Available() < 1 && !this->MayRefillSoon(aNow, bucket)) {
     this->SetState(bucket, CounterState::CutOff);
     return grant; // the next host by rank may reach a majority
   }
@@ -269,17 +276,27 @@
 uint32_t
 LimitCounter::TakeTokens(Bucket& aBucket, const PermitWish& aWish) const
 {
-  double whole = std::floor(std::max(aBucket.tokens, 0.0));
+  double whole = std::floor(std::max(aBucket.Available(), 0.0));
   double granted = std::min<double>(aWish.needed, whole);
   double half = this->policy.MaxTokens(aBucket.customer, aBucket.IsFirst()) / 2;
   double left = std::floor(aBucket.tokens - granted - half);
   if (left > 0) {
     granted += std::min<double>(aWish.spare, left);
   }
-  aBucket.tokens -= granted;
+  this->Deduct(aBucket, granted);
   return static_cast<uint32_t>(granted);
 }
 
+/** What a whole window allows is the most that a bucket owes. */
+void
+LimitCounter::Deduct(Bucket& aBucket, double aOperations) const
+{
+  const Customer& customer = aBucket.customer;
+  double lowest = -detail::TokensIn(customer, this->window) - customer.burst;
+  aBucket.tokens = std::max(aBucket.tokens - aOperations, lowest);
+  aBucket.steadyTokens = std::max(aBucket.steadyTokens - aOperations, lowest);
+}
+
 /**
  * Tells refused operations when to come back, one after the other at the
  * customer's rate, whichever hosts they are on.
@@ -290,11 +307,13 @@
                      uint32_t aCount,
                      PermitGrant& aGrant)
 {
-  const Customer& customer = aBucket.customer;
+  Customer customer = aBucket.IsFirst() ? this->policy.Steady(aBucket.customer)
+                                        : aBucket.customer;
   aBucket.refusedAt = aNow;
   this->urgent.insert(customer.name);
-  Time first = std::max(aNow + detail::TimeFor(customer, 1 - aBucket.tokens),
-                        std::min(aBucket.promisedUntil, aNow + this->window));
+  Time first =
+    std::max(aNow + detail::TimeFor(customer, 1 - aBucket.Available()),
+             std::min(aBucket.promisedUntil, aNow + this->window));
   aGrant.retryAfter = std::min(first - aNow, kMaxPermitDelay);
   aGrant.spacing = detail::TimeFor(customer, 1);
   aBucket.promisedUntil = first + detail::TimeFor(customer, aCount);
@@ -317,6 +336,7 @@
   }
   double lowest = -detail::TokensIn(bucket.customer, detail::kMaxDebt);
   bucket.tokens = std::max(bucket.tokens - operations, lowest);
+  bucket.steadyTokens = std::max(bucket.steadyTokens - operations, lowest);
 }
 
 void
--- a/src/coordination/proxy/limit-placement.cc
+++ b/src/coordination/proxy/limit-placement.cc
@@ -9,6 +9,10 @@
 
 namespace detail {
 
+// The hosts of a slot ask each other all the time, so a small fleet has few
+// slots; a large one has many, to divide the counting among its hosts.
+constexpr size_t kSmallFleet = 128; // hosts
+constexpr size_t kSmallFleetSlots = 32;
 constexpr size_t kLimitSlots = 512;
 // A majority of so many is reached while any two of them are lost.
 constexpr size_t kRankedHosts = 5;
@@ -55,8 +59,10 @@
 const std::vector<std::string>&
 CounterRanks::Of(const std::string& aCustomer)
 {
-  size_t slot =
-    XXH64(aCustomer.data(), aCustomer.size(), 0) % detail::kLimitSlots;
+  size_t count = this->hosts.size() <= detail::kSmallFleet
+                   ? detail::kSmallFleetSlots
+                   : detail::kLimitSlots;
+  size_t slot = XXH64(aCustomer.data(), aCustomer.size(), 0) % count;
   auto found = this->slots.find(slot);
   if (found == this->slots.end()) {
     found =
--- a/src/coordination/proxy/limit-policy.cc
+++ b/src/coordination/proxy/limit-policy.cc
@@ -12,6 +12,8 @@
 constexpr double kStandInShare = 0.2;
 // Part of the slack that one counter may start with.
 constexpr double kInitialShare = 0.1;
+// Part of excess and slack that a steady customer may have at once.
+constexpr double kSteadyShare = 0.25;
 // A changed list of hosts reaches all of them within this time, unless calls of
 // the store fail.
 constexpr Duration kListSpreadTime = Millis(2500);
@@ -45,6 +47,19 @@
              static_cast<double>(Seconds(1).ms);
   }
 
+  Customer Steady(const Customer& aCustomer) const override
+  {
+    double seconds = static_cast<double>(this->tolerance.window.ms) /
+                     static_cast<double>(Seconds(1).ms);
+    double inWindow = aCustomer.operationsPerSecond * seconds + aCustomer.burst;
+    double tolerated =
+      inWindow * this->tolerance.excess + this->tolerance.slack;
+    Customer steady = aCustomer;
+    steady.operationsPerSecond = inWindow / seconds;
+    steady.burst = std::min(aCustomer.burst, tolerated * kSteadyShare);
+    return steady;
+  }
+
   bool ChargesHostsBefore() const override { return true; }
   bool NeedsMajority() const override { return true; }
   Duration TakeoverDelay() const override { return kListSpreadTime; }
--- a/src/transport/limit-links.cc
+++ b/src/transport/limit-links.cc
@@ -2,6 +2,8 @@
 
 #include "marigoldpitch/protocol/wire.h"
 
+#include <algorithm>
+
 namespace marigoldpitch {
 
 Result<std::unique_ptr<LimitLinks>>
@@ -17,12 +19,26 @@
 }
 
 void
-LimitLinks::SetHosts(std::map<std::string, Endpoint> aHosts)
+LimitLinks::SetHosts(const std::map<std::string, Endpoint>& aHosts, Time aNow)
 {
-  this->hosts = std::move(aHosts);
+  for (auto& [name, host] : this->hosts) {
+    host.until = std::min(host.until, aNow + kUnlistedHostTime);
+  }
+  for (const auto& [name, endpoint] : aHosts) {
+    this->hosts[name] = { endpoint, kInfiniteFuture };
+  }
   this->names.clear();
-  for (const auto& [name, endpoint] : this->hosts) {
-    this->names[{ endpoint.address, endpoint.port }] = name;
+  for (auto it = this->hosts.begin(); it != this->hosts.end();) {
+    if (it->second.until <= aNow) {
+      it = this->hosts.erase(it);
+      continue;
+    }
+    // A listed host goes before one that had its address.
+    const Endpoint& endpoint = it->second.endpoint;
+    std::string& name = this->names[{ endpoint.address, endpoint.port }];
+    bool isListed = it->second.until == kInfiniteFuture;
+    name = name.empty() || isListed ? it->first : name;
+    ++it;
   }
 }
 
@@ -44,8 +60,8 @@
 LimitLinks::Send(const std::string& aHost, const std::string& aEncoded)
 {
   auto found = this->hosts.find(aHost);
-  bool isSent =
-    found != this->hosts.end() && this->socket->Send(found->second, aEncoded);
+  bool isSent = found != this->hosts.end() &&
+                this->socket->Send(found->second.endpoint, aEncoded);
   if (!isSent) {
     this->metrics.Count(Counter::LimitMessagesUnsent);
   }
--- a/test/customer-limits-test.cc
+++ b/test/customer-limits-test.cc
@@ -58,6 +58,10 @@
     bool isFull = this->fault == Fault::FullBucketOnTakeover;
     return this->real->MaxTokens(aCustomer, aIsFirst || isFull);
   }
+  Customer Steady(const Customer& aCustomer) const override
+  {
+    return this->real->Steady(aCustomer);
+  }
   bool ChargesHostsBefore() const override
   {
     return this->fault != Fault::NoCharge;
--- a/test/limit-links-test.cc
+++ b/test/limit-links-test.cc
@@ -86,9 +86,9 @@
   auto one = open(0);
   auto two = open(1);
   auto stranger = open(2);
-  one->SetHosts({ { "two", EndpointAt(1) } });
-  two->SetHosts({ { "one", EndpointAt(0) } });
-  stranger->SetHosts({ { "two", EndpointAt(1) } });
+  one->SetHosts({ { "two", EndpointAt(1) } }, Time{});
+  two->SetHosts({ { "one", EndpointAt(0) } }, Time{});
+  stranger->SetHosts({ { "two", EndpointAt(1) } }, Time{});
   one->Perform(SendLimitRequest{ "two", { 5, { { "c", 1, 0 } }, {} } });
   one->Perform(SendLimitRequest{ "unknown", { 6, {}, {} } });
   stranger->Perform(SendLimitRequest{ "two", { 7, {}, {} } });
@@ -112,7 +112,7 @@
                                   metrics,
                                   [&](const ProxyEvent&) { ++received; });
   cr_assert(links);
-  links.value()->SetHosts({ { "peer", EndpointAt(4) } });
+  links.value()->SetHosts({ { "peer", EndpointAt(4) } }, Time{});
   std::string valid =
     EncodeFrame(LimitRequestFrame{ { 9, { { "c", 1, 0 } }, {} } });
   cr_assert(rc::check([&] {
