--- a/test/fakes/limit-simulation.cc
+++ b/test/fakes/limit-simulation.cc
@@ -188,7 +188,11 @@
 LimitSimulation::Submit(size_t aHost, const std::string& aCustomer)
 {
   size_t index = this->operations.size();
-  this->operations.push_back({ aCustomer, aHost, this->Now() });
+  FakeOperation operation;
+  operation.customer = aCustomer;
+  operation.host = aHost;
+  operation.sent = this->Now();
+  this->operations.push_back(operation);
   this->After(aHost, Millis(0), [this, aHost, aCustomer, index] {
     bool isTaken =
       this->hosts[aHost].limits->Take(this->Now(), aCustomer, index, kPatience);
