--- a/include/marigoldpitch/coordination/proxy/limit-io.h
+++ b/include/marigoldpitch/coordination/proxy/limit-io.h
@@ -38,7 +38,7 @@
   std::vector<PermitWish> wishes;
   std::vector<PermitCharge> charges;
   // Hosts that the sender stands in for.
-  std::vector<std::string> standsInFor;
+  std::vector<std::string> standsInFor = {};
 };
 
 /** The reply to one wish. */
@@ -59,7 +59,7 @@
   uint64_t number = 0;
   std::vector<PermitGrant> grants;
   // Of the hosts that the sender stands in for, those that were heard lately.
-  std::vector<std::string> heard;
+  std::vector<std::string> heard = {};
 };
 
 } // namespace marigoldpitch
--- a/src/coordination/proxy/customer-limits.cc
+++ b/src/coordination/proxy/customer-limits.cc
@@ -113,7 +113,8 @@
     return;
   }
   this->counter.NoteHeard(aNow, aHost);
-  LimitReply reply{ aRequest.number, {} };
+  LimitReply reply;
+  reply.number = aRequest.number;
   reply.heard = this->counter.HeardOf(aNow, aRequest.standsInFor);
   for (const PermitCharge& charge : aRequest.charges) {
     this->counter.Accept(aNow, charge);
