Close the longest unused connections of customers first; test what survived

Cause: connections beyond the share were closed by their number, not by use; and of 15 mutants, five were found by no test: a serving host that does not judge, a declining host that is avoided for all customers, no adoption of a connection that is being opened, reports that count as use, relays by session.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -166,6 +166,8 @@
   void JudgeSessions();
   void WithdrawKey(CallerSession& aSession);
   uint32_t KeptConnections(const ProxyService& aService) const;
+  std::vector<ConnectionId> LinksByUse(const ProxyService& aService,
+                                       UpstreamIndex aUpstream) const;
   static Time LastUse(const ProxyLink& aLink);
   static Duration UnusedTimeout(const ProxyLink& aLink, bool aIsWithinKept);
   bool IsOfRemovedCustomer(const ProxyLink& aLink) const;
--- a/src/coordination/proxy/proxy-customers.cc
+++ b/src/coordination/proxy/proxy-customers.cc
@@ -199,6 +199,24 @@
   return aLink.customer.empty() ? aLink.lastAnswer : aLink.lastServed;
 }
 
+/** The connections to the upstream; with customers, the longest unused first.
+ */
+std::vector<ConnectionId>
+ProxyEngine::LinksByUse(const ProxyService& aService,
+                        UpstreamIndex aUpstream) const
+{
+  auto ids = aService.connections.ConnectionsOf(aUpstream);
+  if (this->config.hasCustomers) {
+    std::sort(
+      ids.begin(), ids.end(), [&](ConnectionId aOne, ConnectionId aTwo) {
+        Time one = LastUse(this->links.at(aOne));
+        Time two = LastUse(this->links.at(aTwo));
+        return one != two ? one < two : aOne < aTwo;
+      });
+  }
+  return ids;
+}
+
 /** How long the connection stays open without use. */
 Duration
 ProxyEngine::UnusedTimeout(const ProxyLink& aLink, bool aIsWithinKept)
--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -15,7 +15,7 @@
 constexpr double kPrimaryCostMs = 12;
 constexpr double kOpeningCostMs = 12;
 // The added cost of taking another customer's place, who will open one as well.
-constexpr double kReplacingCostMs = 24;
+constexpr double kReplacingCostMs = 48;
 // The added cost of an upstream at which the same statement has just failed.
 constexpr double kFailedCostMs = 1000;
 constexpr uint32_t kMaxTries = 6;
--- a/src/coordination/proxy/proxy-watch.cc
+++ b/src/coordination/proxy/proxy-watch.cc
@@ -228,7 +228,7 @@
     uint32_t open = aService.connections.UsageOf(i).open;
     bool isOverShare = open > aService.share;
     bool isWithinKept = open <= this->KeptConnections(aService);
-    for (ConnectionId id : aService.connections.ConnectionsOf(i)) {
+    for (ConnectionId id : this->LinksByUse(aService, i)) {
       const ProxyLink& link = this->links.at(id);
       bool isIdle = !link.isOpening && link.use == LinkUse::None;
       Duration unused = this->now - LastUse(link);
--- a/test/customers-test.cc
+++ b/test/customers-test.cc
@@ -217,10 +217,20 @@
   for (size_t host = 0; host < kHosts; ++host) {
     if (simulation.withoutConfig.count(host) == 0) {
       auto request = Read(simulation, 5, host);
+      simulation.RunFor(Millis(200));
       auto other = Read(simulation, 6, host);
-      simulation.RunFor(Millis(400));
+      simulation.RunFor(Millis(200));
       cr_assert(IsOk(request));
       cr_assert(IsOk(other));
+      for (size_t i = 0; i < simulation.Upstreams(); ++i) {
+        // The refusal concerns this customer only.
+        cr_assert_eq(simulation.LinksOf(i, "c6", host), 0);
+      }
+    }
+  }
+  for (size_t host : simulation.withoutConfig) {
+    for (size_t i = 0; i < simulation.Upstreams(); ++i) {
+      cr_assert_eq(simulation.LinksOf(i, "c5", host), 0);
     }
   }
   cr_assert_eq(simulation.Violations(), "");
@@ -254,6 +264,81 @@
   cr_assert_eq(simulation.Violations(), "");
 }
 
+// A report over a customer's connection does not make it used.
+Test(customers, connection_that_only_carries_reports_is_closed)
+{
+  ProxySimulationOptions options = Options();
+  options.freshness = Freshness::Newest;
+  ProxySimulation simulation(options);
+  WarmUp(simulation);
+  auto write = [&](size_t aCustomer) {
+    cr_assert(IsOk(simulation.SubmitAndWait(
+      0, OpenFor(simulation, aCustomer), WriteStatement("a", "v"))));
+  };
+  for (size_t customer : { 0, 1, 2 }) {
+    write(customer);
+  }
+  simulation.RunFor(Seconds(3));
+  for (size_t customer : { 0, 1 }) {
+    write(customer);
+  }
+  size_t reports = simulation.ReportCount();
+  simulation.RunFor(Seconds(8));
+  cr_assert_gt(simulation.ReportCount(), reports);
+  cr_assert_eq(simulation.LinksOf(0, "c2"), 0);
+  cr_assert_eq(simulation.LinksOf(0, "c0") + simulation.LinksOf(0, "c1"), 2);
+}
+
+// What is being opened for a caller that has left serves the next one.
+Test(customers, connection_of_a_caller_that_left_is_adopted)
+{
+  ProxySimulationOptions options = Options();
+  options.freshness = Freshness::Newest;
+  ProxySimulation simulation(options);
+  WarmUp(simulation);
+  simulation.Upstream(0).unreachableFrom.insert(0);
+  size_t before = simulation.OpenedLinks();
+  CallerId left = OpenFor(simulation, 0);
+  simulation.SubmitStatement(0, left, WriteStatement("a", "v"));
+  simulation.RunFor(Millis(10));
+  simulation.CloseSession(0, left);
+  auto next = simulation.SubmitStatement(
+    0, OpenFor(simulation, 0), WriteStatement("a", "v"));
+  simulation.RunFor(Millis(50));
+  cr_assert_eq(simulation.OpenedLinks(), before + 1);
+}
+
+// Of several serving hosts, one in each zone serves a customer, also when the
+// caller's host serves others.
+Test(customers, customer_has_connections_on_one_host_in_each_zone)
+{
+  constexpr size_t kMoreHosts = 16;
+  ProxySimulationOptions options = DividedOptions();
+  options.hosts = kMoreHosts;
+  options.connections = 28;
+  ProxySimulation simulation(options);
+  WarmUp(simulation);
+  simulation.RunFor(Seconds(2));
+  std::set<size_t> serving;
+  for (size_t n = 0; n < 4 * kMoreHosts; ++n) {
+    Read(simulation, n / kMoreHosts, n % kMoreHosts);
+    simulation.RunFor(kStep);
+    for (size_t i = 0; i < simulation.Upstreams() * kMoreHosts; ++i) {
+      if (simulation.LinksOf(i / kMoreHosts, "c0", i % kMoreHosts) != 0) {
+        serving.insert(i % kMoreHosts);
+      }
+    }
+  }
+  size_t perZone = 0;
+  for (size_t host = 0; host < kMoreHosts; ++host) {
+    const auto& service = simulation.Host(host).Services().at("service");
+    perZone = service.serving.perZone;
+  }
+  cr_assert_eq(perZone, 2);
+  cr_assert_eq(serving.size(), kZones);
+  cr_assert_eq(simulation.Violations(), "");
+}
+
 // Under load: many customers, few connections.
 Test(customers, all_customers_are_served_over_few_connections)
 {
--- a/test/fakes/proxy-simulation-customers.cc
+++ b/test/fakes/proxy-simulation-customers.cc
@@ -77,11 +77,14 @@
 }
 
 size_t
-ProxySimulation::LinksOf(size_t aUpstream, const std::string& aCustomer) const
+ProxySimulation::LinksOf(size_t aUpstream,
+                         const std::string& aCustomer,
+                         std::optional<size_t> aHost) const
 {
   size_t count = 0;
   for (const auto& [key, link] : this->links) {
-    bool isOpen = link.upstream == aUpstream && link.isOpen;
+    bool isOpen = link.upstream == aUpstream && link.isOpen &&
+                  (!aHost || key.first == *aHost);
     count += isOpen && link.customer == aCustomer ? 1 : 0;
   }
   return count;
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -175,9 +175,10 @@
   /** Hosts that get no configuration. */
   std::set<size_t> withoutConfig;
 
-  /** How many connections the upstream has that were opened for the customer.
-   */
-  size_t LinksOf(size_t aUpstream, const std::string& aCustomer) const;
+  /** How many connections were opened for the customer, by all hosts or one. */
+  size_t LinksOf(size_t aUpstream,
+                 const std::string& aCustomer,
+                 std::optional<size_t> aHost = {}) const;
   void CloseSession(size_t aHost, CallerId aCaller);
 
   /** Sends a statement; the returned request has a `reply` once answered. */
