--- a/src/coordination/proxy/proxy-placing.cc
+++ b/src/coordination/proxy/proxy-placing.cc
@@ -20,7 +20,7 @@
 ProxyEngine::Open(ProxyService& aService, UpstreamIndex aUpstream)
 {
   const UpstreamUsage& use = aService.connections.UsageOf(aUpstream);
-  bool isOpening = use.opening > aService.queue.size();
+  bool isOpening = use.opening > aService.queue.Size();
   if (!isOpening) {
     this->StartOpening(aService, aUpstream, {});
   }
