Queue a waiting statement anew when its key moves to another customer

Cause: the queue is ordered by customers since the merge; a statement whose customer changed with the configuration kept its entry under the former one, which no later removal found.

--- a/src/coordination/proxy/proxy-customers.cc
+++ b/src/coordination/proxy/proxy-customers.cc
@@ -142,10 +142,17 @@
 {
   std::vector<CallerId> refused;
   for (auto& [id, session] : this->sessions) {
-    bool isWaiting =
-      !session.pending || session.pending->phase == StatementPhase::Queued;
-    if (isWaiting && !this->MayStillRun(session)) {
+    bool isQueued =
+      session.pending && session.pending->phase == StatementPhase::Queued;
+    if (session.pending && !isQueued) {
+      continue;
+    }
+    // The queue is ordered by customers, of which this may be another one.
+    this->Dequeue(session);
+    if (!this->MayStillRun(session)) {
       refused.push_back(id);
+    } else if (isQueued) {
+      this->Enqueue(session);
     }
   }
   for (CallerId id : refused) {
