--- a/test/customers-test.cc
+++ b/test/customers-test.cc
@@ -185,6 +185,37 @@
   cr_assert_eq(simulation.Violations(), "");
 }
 
+// Statements that wait run for the new holder, and leave nothing in the queue.
+Test(customers, key_that_moves_takes_waiting_statements_along)
+{
+  ProxySimulationOptions options = Options();
+  options.freshness = Freshness::Newest;
+  options.connections = 2;
+  ProxySimulation simulation(options);
+  WarmUp(simulation);
+  simulation.Upstream(0).executionTime = Millis(20);
+  CallerId open = OpenFor(simulation, 0);
+  cr_assert(
+    IsOk(simulation.SubmitAndWait(0, open, StatementOf(StatementKind::Begin))));
+  cr_assert(IsOk(simulation.SubmitAndWait(0, open, WriteStatement("a", "v"))));
+  Requests requests;
+  for (size_t i = 0; i < 6; ++i) {
+    requests.push_back(simulation.SubmitStatement(
+      0, OpenFor(simulation, 0), WriteStatement("a", "v")));
+  }
+  simulation.RunFor(Millis(10));
+  simulation.MoveKey(2, 0, 7);
+  simulation.RunFor(Seconds(1));
+  for (const auto& request : requests) {
+    cr_assert(IsOk(request));
+  }
+  cr_assert(CodeOf(simulation.SubmitAndWait(0, open, ReadStatement("a"))) ==
+            FailureCode::Aborted);
+  cr_assert_geq(simulation.LinksOf(0, "c7"), 1);
+  cr_assert_eq(simulation.Host(0).Services().at("service").queue.Size(), 0);
+  cr_assert_eq(simulation.Violations(), "");
+}
+
 Test(customers, connections_of_a_removed_customer_are_closed)
 {
   ProxySimulation simulation(Options());
--- a/test/fakes/proxy-simulation-customers.cc
+++ b/test/fakes/proxy-simulation-customers.cc
@@ -40,6 +40,20 @@
     next.keys.erase(KeyOf(customer));
     next.customers.erase("c" + std::to_string(customer));
   }
+  this->SendConfig();
+}
+
+void
+ProxySimulation::MoveKey(uint64_t aVersion, size_t aFrom, size_t aTo)
+{
+  this->config.config.version = aVersion;
+  this->config.config.keys[KeyOf(aFrom)] = "c" + std::to_string(aTo);
+  this->SendConfig();
+}
+
+void
+ProxySimulation::SendConfig()
+{
   for (size_t i = 0; i < this->hosts.size(); ++i) {
     if (this->withoutConfig.count(i) == 0) {
       this->Send(i, this->config);
@@ -47,32 +61,32 @@
   }
 }
 
-/** Whether the host's configuration knows the key. */
-bool
-ProxySimulation::IsAuthorized(size_t aHost, const KeyHash& aKey) const
+/** The customer that holds the key by the host's configuration, if any does. */
+std::optional<std::string>
+ProxySimulation::HolderOf(size_t aHost, const KeyHash& aKey) const
 {
   auto found = this->configs.find(aHost);
-  return found == this->configs.end() || !found->second.hasCustomers ||
-         found->second.keys.count(aKey) != 0;
+  if (found == this->configs.end() || !found->second.hasCustomers) {
+    return std::string();
+  }
+  auto key = found->second.keys.find(aKey);
+  return key == found->second.keys.end() ? std::nullopt
+                                         : std::make_optional(key->second);
 }
 
 /**
- * A statement runs for the customer whose key its session has, if the key was
- * known to its host when it was sent, or is now. Keys do not change hands here.
+ * A statement runs for the customer that held its session's key when it was
+ * sent, or holds it now.
  */
 void
 ProxySimulation::CheckCustomer(const FakeLink& aLink,
                                FakeRequest& aRequest) const
 {
-  const KeyHash& key = this->keys.at(aRequest.caller);
-  bool isKnown = key.bytes[0] != 0;
-  std::string expected = isKnown ? "c" + std::to_string(key.bytes[1]) : "";
-  if (this->options.customers != 0 && aLink.customer != expected) {
-    aRequest.violation = "ran for another customer";
-  }
-  if (isKnown && aRequest.isUnauthorized &&
-      !this->IsAuthorized(aRequest.host, key)) {
+  auto now = this->HolderOf(aRequest.host, this->keys.at(aRequest.caller));
+  if (!aRequest.customer && !now) {
     aRequest.violation = "ran with a withdrawn key";
+  } else if (aLink.customer != aRequest.customer && aLink.customer != now) {
+    aRequest.violation = "ran for another customer";
   }
 }
 
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -244,7 +244,7 @@
   for (Time at : this->acknowledgedAt) {
     request->requiredEntries += at < from ? 1 : 0;
   }
-  request->isUnauthorized = !this->IsAuthorized(aHost, this->keys[aCaller]);
+  request->customer = this->HolderOf(aHost, this->keys[aCaller]);
   request->settings = this->settings[{ aHost, aCaller }];
   const auto& named = this->prepared[{ aHost, aCaller }];
   auto found = named.find(aStatement.name);
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -87,9 +87,10 @@
     settings; // the session's settings when sent
   // Of an execution: what the session had prepared under the name when sent.
   std::optional<PreparedStatement> prepared;
-  bool isInvalid = false;      // it must not run
-  bool isUnauthorized = false; // its key was withdrawn when it was sent
-  std::string violation;       // the violated guarantee, if any
+  bool isInvalid = false; // it must not run
+  // Who held its key when it was sent, by its host's configuration.
+  std::optional<std::string> customer;
+  std::string violation; // the violated guarantee, if any
 };
 
 /**
@@ -172,6 +173,9 @@
                     const std::set<size_t>& aKeys,
                     const std::set<size_t>& aCustomers = {});
 
+  /** Sends a configuration in which another customer holds the key. */
+  void MoveKey(uint64_t aVersion, size_t aFrom, size_t aTo);
+
   /** Hosts that get no configuration. */
   std::set<size_t> withoutConfig;
 
@@ -342,7 +346,8 @@
                  const SessionStatement& aStatement,
                  FakeRequest& aRequest) const;
   void AddCustomers(ProxyConfig& aConfig) const;
-  bool IsAuthorized(size_t aHost, const KeyHash& aKey) const;
+  std::optional<std::string> HolderOf(size_t aHost, const KeyHash& aKey) const;
+  void SendConfig();
   void CheckCustomer(const FakeLink& aLink, FakeRequest& aRequest) const;
   std::string ZoneOf(size_t aHost) const;
   HostsCounted MakeHostsCounted() const;
