--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -171,6 +171,8 @@
   uint32_t KeptConnections(const ProxyService& aService) const;
   double ShareOf(const std::string& aCustomer) const;
   void SumCustomerRates();
+  std::vector<ConnectionId> LinksByUse(const ProxyService& aService,
+                                       UpstreamIndex aUpstream) const;
   static Time LastUse(const ProxyLink& aLink);
   static Duration UnusedTimeout(const ProxyLink& aLink, bool aIsWithinKept);
   bool IsOfRemovedCustomer(const ProxyLink& aLink) const;
