--- a/src/coordination/proxy/limit-policy.cc
+++ b/src/coordination/proxy/limit-policy.cc
@@ -12,8 +12,11 @@
 constexpr double kStandInShare = 0.2;
 // Part of the slack that one counter may start with.
 constexpr double kInitialShare = 0.1;
+// Part of the burst that comes in over each window. The rest is left for what
+// several counters may grant together while hosts are lost.
+constexpr double kSteadyBurst = 0.6;
 // Part of excess and slack that a steady customer may have at once.
-constexpr double kSteadyShare = 0.25;
+constexpr double kSteadyShare = 0.1;
 // A changed list of hosts reaches all of them within this time, unless calls of
 // the store fail.
 constexpr Duration kListSpreadTime = Millis(2500);
@@ -51,7 +54,8 @@
   {
     double seconds = static_cast<double>(this->tolerance.window.ms) /
                      static_cast<double>(Seconds(1).ms);
-    double inWindow = aCustomer.operationsPerSecond * seconds + aCustomer.burst;
+    double inWindow =
+      aCustomer.operationsPerSecond * seconds + aCustomer.burst * kSteadyBurst;
     double tolerated =
       inWindow * this->tolerance.excess + this->tolerance.slack;
     Customer steady = aCustomer;
