--- a/include/marigoldpitch/protocol/proxy-settings.h
+++ b/include/marigoldpitch/protocol/proxy-settings.h
@@ -25,6 +25,8 @@
   Duration gracePeriod;      // from SIGTERM to the end of the process
   // How long upstreams serve after they have announced that they leave.
   Duration upstreamDrainTime;
+  size_t memoryBytes = 0; // that the process may use; 0: no limit is set
+  size_t descriptors = 0; // that it may have open; 0: no limit is set
 };
 
 /** A failure is one error that lists every finding in the text. */
--- a/src/protocol/proxy-settings.cc
+++ b/src/protocol/proxy-settings.cc
@@ -2,6 +2,7 @@
 
 #include "marigoldpitch/protocol/json-check.h"
 #include "marigoldpitch/protocol/settings.h"
+#include "marigoldpitch/state/sizes.h"
 #include "schemas.h"
 
 namespace marigoldpitch {
@@ -41,6 +42,8 @@
   settings.gracePeriod = Millis(static_cast<int64_t>(gracePeriod));
   settings.upstreamDrainTime =
     Millis(value.at("upstream_drain_ms").get<int64_t>());
+  settings.memoryBytes = value.value("memory_mb", size_t{ 0 }) * kMebibyte;
+  settings.descriptors = value.value("descriptors", size_t{ 0 });
   if (!findings.Empty()) {
     return findings.ToError(aSource);
   }
