--- a/include/marigoldpitch/protocol/frame-splitter.h
+++ b/include/marigoldpitch/protocol/frame-splitter.h
@@ -30,6 +30,8 @@
    */
   Result<std::optional<std::string>> Next();
 
+  size_t HeldBytes() const { return this->buffer.capacity(); }
+
 private:
   size_t maxFrameBytes;
   std::string buffer;
--- a/include/marigoldpitch/protocol/line-splitter.h
+++ b/include/marigoldpitch/protocol/line-splitter.h
@@ -29,6 +29,13 @@
    */
   Result<std::optional<std::string_view>> Next();
 
+  /** Frees the buffer of a long line that was taken. Ends the validity of the
+   * lines that `Next` has returned. */
+  void ReleaseUnused();
+
+  size_t HeldBytes() const { return this->buffer.capacity(); }
+  bool HasPartialLine() const { return this->consumed < this->buffer.size(); }
+
 private:
   size_t maxLineBytes;
   std::string buffer;
--- a/include/marigoldpitch/transport/line-link.h
+++ b/include/marigoldpitch/transport/line-link.h
@@ -21,6 +21,9 @@
 
   /** The link is closed; no further call follows for it. */
   virtual void OnLinkDown(LineLink& aLink, const Error& aReason) = 0;
+
+  /** Bytes were received or sent, after the calls for what they complete. */
+  virtual void OnTransferred(LineLink&) {}
 };
 
 /** The maximum length of a line in bytes; a longer line closes the link. */
@@ -46,11 +49,16 @@
   void Send(std::string_view aLines) { this->Write(aLines); }
   uint64_t Tag() const { return this->tag; }
 
+  /** The bytes of lines that are not complete. */
+  size_t ReceivedBytes() const { return this->splitter.HeldBytes(); }
+  bool HasPartialLine() const { return this->splitter.HasPartialLine(); }
+
 private:
   LineLink(Loop& aLoop, uint64_t aTag, LineLinkListener& aListener);
 
   void OnUp() override { this->listener.OnLinkUp(*this); }
   void OnBytes(std::string_view aBytes) override;
+  void OnSent() override { this->listener.OnTransferred(*this); }
   void OnDown(const Error& aReason) override
   {
     this->listener.OnLinkDown(*this, aReason);
--- a/include/marigoldpitch/transport/stream-link.h
+++ b/include/marigoldpitch/transport/stream-link.h
@@ -26,6 +26,21 @@
   void CloseAfterWrites();
   bool IsOpen() const { return this->socket != nullptr; }
 
+  /** Leaves further bytes to the kernel, which slows the peer down. */
+  void PauseReading();
+  void ResumeReading();
+
+  bool IsSending() const
+  {
+    return !this->inFlight.empty() || !this->queued.empty();
+  }
+
+  /** The bytes of the write queue. */
+  size_t UnsentBytes() const
+  {
+    return this->inFlight.capacity() + this->queued.capacity();
+  }
+
 protected:
   StreamLink(Loop& aLoop, size_t aMaxQueuedBytes)
     : loop(aLoop)
@@ -36,6 +51,9 @@
   virtual void OnUp() = 0;
   virtual void OnBytes(std::string_view aBytes) = 0;
 
+  /** Queued bytes have been written. */
+  virtual void OnSent() {}
+
   /** The link is closed; no further call follows. */
   virtual void OnDown(const Error& aReason) = 0;
 
@@ -58,6 +76,7 @@
   size_t maxQueuedBytes;
   h2o_socket_t* socket = nullptr;
   bool connected = false;
+  bool isPaused = false;
   bool closing = false;
   std::string inFlight; // passed to the socket, write not completed
   std::string queued;   // written next
--- a/include/marigoldpitch/transport/tcp-listener.h
+++ b/include/marigoldpitch/transport/tcp-listener.h
@@ -27,10 +27,13 @@
   TcpListener& operator=(const TcpListener&) = delete;
 
 private:
-  TcpListener(h2o_socket_t* aSocket, AcceptHandler& aHandler);
+  TcpListener(Loop& aLoop, h2o_socket_t* aSocket, AcceptHandler& aHandler);
+  void Pause();
   static void OnReadable(h2o_socket_t* aSocket, const char* aError);
 
+  Loop& loop;
   h2o_socket_t* socket;
+  TimerId resume = 0;
   AcceptHandler& handler;
 };
 
--- a/src/protocol/frame-splitter.cc
+++ b/src/protocol/frame-splitter.cc
@@ -48,6 +48,10 @@
     this->buffer.erase(0, this->consumed);
     this->consumed = 0;
   }
+  if (this->buffer.empty() &&
+      this->buffer.capacity() > detail::kCompactAfterBytes) {
+    std::string().swap(this->buffer);
+  }
   return std::optional<std::string>(std::move(frame));
 }
 
--- a/src/protocol/line-splitter.cc
+++ b/src/protocol/line-splitter.cc
@@ -1,11 +1,16 @@
 #include "marigoldpitch/protocol/line-splitter.h"
 
+#include "marigoldpitch/state/sizes.h"
+
 #include <algorithm>
 
 namespace marigoldpitch {
 
 namespace detail {
 constexpr std::string_view kLineEnd = "\r\n";
+
+// A buffer that has grown beyond this, and is mostly empty, is freed.
+constexpr size_t kKeptBufferBytes = 2 * kKibibyte;
 } // namespace detail
 
 void
@@ -17,6 +22,19 @@
   this->buffer.append(aBytes);
 }
 
+void
+LineSplitter::ReleaseUnused()
+{
+  size_t left = this->buffer.size() - this->consumed;
+  if (this->buffer.capacity() > detail::kKeptBufferBytes &&
+      left < this->buffer.capacity() / 4) {
+    // A short string that is assigned would be copied into the same buffer.
+    std::string(this->buffer, this->consumed).swap(this->buffer);
+    this->searched -= this->consumed;
+    this->consumed = 0;
+  }
+}
+
 Result<std::optional<std::string_view>>
 LineSplitter::Next()
 {
--- a/src/transport/line-link.cc
+++ b/src/transport/line-link.cc
@@ -43,6 +43,8 @@
       return;
     }
     if (!line.value()) {
+      this->splitter.ReleaseUnused();
+      this->listener.OnTransferred(*this);
       return;
     }
     this->listener.OnLine(*this, *line.value());
--- a/src/transport/stream-link.cc
+++ b/src/transport/stream-link.cc
@@ -1,6 +1,7 @@
 #include "marigoldpitch/transport/stream-link.h"
 
 #include "marigoldpitch/protocol/settings.h"
+#include "marigoldpitch/state/sizes.h"
 #include "marigoldpitch/transport/socket-address.h"
 
 #include <netinet/tcp.h>
@@ -9,6 +10,9 @@
 
 namespace detail {
 
+// A write buffer that has grown beyond this is freed once it is empty.
+constexpr size_t kKeptBufferBytes = 2 * kKibibyte;
+
 void
 DisableNagle(h2o_socket_t* aSocket)
 {
@@ -119,10 +123,33 @@
     return;
   }
   self->inFlight.clear();
+  if (self->inFlight.capacity() > detail::kKeptBufferBytes) {
+    std::string().swap(self->inFlight); // frees it; an assignment would not
+  }
   self->WriteQueued();
   if (self->closing && self->inFlight.empty()) {
     self->Close();
   }
+  if (self->IsOpen()) {
+    self->OnSent();
+  }
+}
+
+void
+StreamLink::PauseReading()
+{
+  if (this->IsOpen() && this->connected && !this->isPaused) {
+    this->isPaused = true;
+    h2o_socket_read_stop(this->socket);
+  }
+}
+
+void
+StreamLink::ResumeReading()
+{
+  if (this->IsOpen() && std::exchange(this->isPaused, false)) {
+    h2o_socket_read_start(this->socket, OnRead);
+  }
 }
 
 void
--- a/src/transport/tcp-listener.cc
+++ b/src/transport/tcp-listener.cc
@@ -12,6 +12,7 @@
 namespace detail {
 constexpr int kBacklog = 1024;
 constexpr int kMaxAcceptsPerWakeup = 64;
+constexpr Duration kPauseTime = Millis(100);
 } // namespace detail
 
 Result<std::unique_ptr<TcpListener>>
@@ -34,11 +35,14 @@
   }
   h2o_socket_t* socket = h2o_evloop_socket_create(
     aLoop.Raw(), fd.Release(), H2O_SOCKET_FLAG_DONT_READ);
-  return std::unique_ptr<TcpListener>(new TcpListener(socket, aHandler));
+  return std::unique_ptr<TcpListener>(new TcpListener(aLoop, socket, aHandler));
 }
 
-TcpListener::TcpListener(h2o_socket_t* aSocket, AcceptHandler& aHandler)
-  : socket(aSocket)
+TcpListener::TcpListener(Loop& aLoop,
+                         h2o_socket_t* aSocket,
+                         AcceptHandler& aHandler)
+  : loop(aLoop)
+  , socket(aSocket)
   , handler(aHandler)
 {
   this->socket->data = this;
@@ -47,9 +51,24 @@
 
 TcpListener::~TcpListener()
 {
+  this->loop.Cancel(this->resume);
   h2o_socket_close(this->socket);
 }
 
+/**
+ * While descriptors are exhausted, the socket stays readable and would wake the
+ * loop again at once.
+ */
+void
+TcpListener::Pause()
+{
+  h2o_socket_read_stop(this->socket);
+  this->resume = this->loop.After(detail::kPauseTime, [this] {
+    this->resume = 0;
+    h2o_socket_read_start(this->socket, OnReadable);
+  });
+}
+
 void
 TcpListener::OnReadable(h2o_socket_t* aSocket, const char* aError)
 {
@@ -60,6 +79,9 @@
   for (int i = 0; i < detail::kMaxAcceptsPerWakeup; ++i) {
     h2o_socket_t* accepted = h2o_evloop_socket_accept(aSocket);
     if (accepted == nullptr) {
+      if (errno == EMFILE || errno == ENFILE) {
+        listener->Pause();
+      }
       return;
     }
     listener->handler.OnAccept(accepted);
