Hold a proxy's callers to its limits of memory and descriptors

Change: the caller server, the links to upstreams and the sessions are counted in the account; callers are paused, refused (BUSY) and closed by its stages, closed when they are silent before START, half-sent or unread for too long, and kept out of the descriptors that the process needs itself; rows over the largest reply are dropped as they arrive; a host declines relayed sessions beyond a quarter of its budget. Events E107 and E609, two counters, settings from limits.memoryMb and limits.fds. Without the settings all is served as before. Unit tests memory-account, bounded-input, platform, line-splitter, relay, proxy, statement-limits, codec, state pass.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -25,6 +25,8 @@
   // How long upstreams serve after they have announced that they leave.
   Duration upstreamDrainTime = Millis(0);
   std::unique_ptr<AdmissionPolicy> admission = MakeDeadlineAdmission();
+  // The most that sessions of other hosts may keep here together, in bytes.
+  size_t maxRelayedBytes = SIZE_MAX;
 };
 
 /**
@@ -102,6 +104,9 @@
   bool IsDraining() const { return this->drainSince != kInfiniteFuture; }
   size_t Sessions() const { return this->sessions.size(); }
 
+  /** What the session of the caller keeps, in bytes. */
+  size_t HeldBytes(CallerId aCaller) const;
+
   /** Hosts to which statements may be relayed, so links to them are needed. */
   std::set<std::string> RelayHosts() const;
   uint64_t ConfigVersion() const { return this->config.version; }
@@ -330,6 +335,7 @@
   Time relayExpectedUntil = kInfinitePast;
   // By link and the sender's session: the session that serves it here.
   std::map<std::pair<RelayLinkId, uint64_t>, CallerId> relayedSessions;
+  size_t relayedBytes = 0; // that `relayedSessions` keep
   CallerId lastRelayedCaller = 0;
   std::vector<CallerId> finishedSessions;
   Time fewerHostsSince = kInfiniteFuture;
--- a/include/marigoldpitch/coordination/proxy/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-io.h
@@ -47,6 +47,7 @@
   CallerId caller = 0;
   std::string requestId;
   std::string why;
+  FailureCode code = FailureCode::Invalid;
 };
 
 /** The upstream accepted the connection. */
--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -99,6 +99,7 @@
   std::string relayHost;   // the host that has the transaction open
   uint64_t lastRelayNumber = 0;
   std::optional<RelayOrigin> origin; // set if another host relays this session
+  size_t relayedBytes = 0;           // what it keeps, if `origin` is set
   LogPoint lastCommit;
   std::optional<PendingStatement> pending;
   std::deque<StatementArrived> inbox; // pipelined behind `pending`
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -72,6 +72,8 @@
   HostRegistered,
   CandidateReleased,
   SetupRefused,
+  MemoryStageChanged,
+  CallerClosed,
 };
 
 struct LogEventRow
@@ -82,7 +84,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 47> kLogEvents{ {
+constexpr std::array<LogEventRow, 49> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -139,6 +141,11 @@
   { LogEvent::HostRegistered, 209, Severity::Info, "host-registered" },
   { LogEvent::CandidateReleased, 412, Severity::Warning, "candidate-released" },
   { LogEvent::SetupRefused, 608, Severity::Warning, "setup-refused" },
+  { LogEvent::MemoryStageChanged,
+    107,
+    Severity::Warning,
+    "memory-stage-changed" },
+  { LogEvent::CallerClosed, 609, Severity::Warning, "caller-closed" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/state/metrics.h
+++ b/include/marigoldpitch/state/metrics.h
@@ -31,9 +31,11 @@
   StatementsToLeaving, // sent to an upstream known to be leaving or unlisted
   StatementsRelayed,   // sent to the host that serves the service
   StoreRestores,       // the store came back from an old copy
+  CallersClosed,       // for what they hold, or do not send or read in time
+  CallersNotAccepted,  // closed at once, for lack of memory or descriptors
 };
 
-constexpr NameTable<Counter, 15> kCounterNames{ {
+constexpr NameTable<Counter, 17> kCounterNames{ {
   { Counter::ReplicaReads, "replica_reads_total" },
   { Counter::PrimaryReads, "primary_reads_total" },
   { Counter::FallbackReads, "fallback_reads_total" },
@@ -49,6 +51,8 @@
   { Counter::StatementsToLeaving, "statements_to_leaving_total" },
   { Counter::StatementsRelayed, "statements_relayed_total" },
   { Counter::StoreRestores, "store_restores_total" },
+  { Counter::CallersClosed, "callers_closed_total" },
+  { Counter::CallersNotAccepted, "callers_not_accepted_total" },
 } };
 
 enum class Measure
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -108,6 +108,7 @@
   this->LeaveTransaction(session);
   this->EndRelayedWork(session);
   if (session.origin) {
+    this->relayedBytes -= session.relayedBytes;
     this->relayedSessions.erase(
       { session.origin->link, session.origin->session });
   }
@@ -158,12 +159,15 @@
   // Replies carry no id: a failure sent now would be taken for the reply to the
   // statement that is still open.
   if (found->second.pending) {
-    this->Emit(
-      EndSession{ aEvent.caller, { FailureCode::Invalid, "not a statement" } });
+    this->Emit(EndSession{ aEvent.caller, { aEvent.code, aEvent.why } });
     this->On(SessionClosed{ aEvent.caller });
     return;
   }
-  this->AnswerFailure(found->second, FailureCode::Invalid, "not a statement");
+  bool isRefused = aEvent.code != FailureCode::Invalid;
+  if (isRefused && found->second.state == SessionState::InTransaction) {
+    this->FailTransaction(found->second);
+  }
+  this->AnswerFailure(found->second, aEvent.code, aEvent.why);
 }
 
 ProxyService&
--- a/src/coordination/proxy/proxy-relay-serving.cc
+++ b/src/coordination/proxy/proxy-relay-serving.cc
@@ -1,4 +1,5 @@
 #include "marigoldpitch/coordination/proxy/proxy-engine.h"
+#include "marigoldpitch/coordination/proxy/statement-limits.h"
 
 // Statements that other hosts relay to this one. Each is run for a session that
 // lives here as long as its statement, or its transaction.
@@ -11,6 +12,18 @@
 constexpr CallerId kFirstRelayedCaller = CallerId{ 1 } << 62;
 constexpr size_t kMaxRelayedSessions = 20000;
 
+/** What a session that serves the statement keeps. */
+size_t
+BytesOf(const RelayedStatement& aRelayed)
+{
+  size_t bytes =
+    SizeOf(aRelayed.statement) + aRelayed.statement.preparedText.size();
+  for (const auto& [name, value] : aRelayed.values) {
+    bytes += name.size() + value.size() + kEntryOverheadBytes;
+  }
+  return bytes;
+}
+
 } // namespace detail
 
 void
@@ -55,7 +68,9 @@
   const DatabaseRoute* own = this->RouteOf(aRelayed.route.database);
   return !this->IsDraining() && own != nullptr &&
          own->service == aRelayed.route.service &&
-         this->relayedSessions.size() < detail::kMaxRelayedSessions;
+         this->relayedSessions.size() < detail::kMaxRelayedSessions &&
+         this->relayedBytes + detail::BytesOf(aRelayed) <=
+           this->options.maxRelayedBytes;
 }
 
 /** The session that serves the statement, with the sender's state of it. */
@@ -77,6 +92,9 @@
   CallerSession& session = this->sessions.at(id);
   session.origin = RelayOrigin{ aEvent.link, relayed.session, relayed.number };
   session.values = relayed.values;
+  this->relayedBytes -= session.relayedBytes;
+  session.relayedBytes = detail::BytesOf(relayed);
+  this->relayedBytes += session.relayedBytes;
   session.lastCommit = relayed.lastCommit;
   session.lastActive = this->now;
   session.prepared.clear(); // each execution comes with its own
--- a/src/coordination/proxy/proxy-sessions.cc
+++ b/src/coordination/proxy/proxy-sessions.cc
@@ -61,8 +61,27 @@
   aSession.prepared.erase(aName);
 }
 
+size_t
+BytesOf(const PendingStatement& aPending)
+{
+  return aPending.requestId.size() + SizeOf(aPending.statement) +
+         aPending.statement.preparedText.size();
+}
+
 } // namespace detail
 
+size_t
+ProxyEngine::HeldBytes(CallerId aCaller) const
+{
+  auto found = this->sessions.find(aCaller);
+  if (found == this->sessions.end()) {
+    return 0;
+  }
+  const CallerSession& session = found->second;
+  return session.settingsBytes + session.preparedBytes + session.inboxBytes +
+         (session.pending ? detail::BytesOf(*session.pending) : 0);
+}
+
 const DatabaseRoute*
 ProxyEngine::RouteOf(const std::string& aDatabase) const
 {
--- a/src/protocol/proxy-settings.cc
+++ b/src/protocol/proxy-settings.cc
@@ -42,7 +42,8 @@
   settings.gracePeriod = Millis(static_cast<int64_t>(gracePeriod));
   settings.upstreamDrainTime =
     Millis(value.at("upstream_drain_ms").get<int64_t>());
-  settings.memoryBytes = value.value("memory_mb", size_t{ 0 }) * kMebibyte;
+  settings.memoryBytes =
+    static_cast<size_t>(value.value("memory_mb", 0.0) * kMebibyte);
   settings.descriptors = value.value("descriptors", size_t{ 0 });
   if (!findings.Empty()) {
     return findings.ToError(aSource);
--- a/src/transport/json-log.cc
+++ b/src/transport/json-log.cc
@@ -30,6 +30,7 @@
          aEvent == LogEvent::StatementRefused ||
          aEvent == LogEvent::SetupRefused ||
          aEvent == LogEvent::CallerRefused ||
+         aEvent == LogEvent::CallerClosed ||
          aEvent == LogEvent::RequestRefused ||
          aEvent == LogEvent::DatabaseUnknown;
 }
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -416,9 +416,11 @@
   cr_assert_eq(getsockname(listener.Get(), raw, &length), 0);
   auto loop = Loop::Create();
   bool isLost = false;
-  UpstreamLinks links(*loop.value(), "h", [&](const ProxyEvent& aEvent) {
-    isLost = isLost || std::holds_alternative<LinkLost>(aEvent);
-  });
+  MemoryAccount memory(0);
+  UpstreamLinks links(
+    *loop.value(), "h", memory, [&](const ProxyEvent& aEvent) {
+      isLost = isLost || std::holds_alternative<LinkLost>(aEvent);
+    });
   Endpoint endpoint{ "127.0.0.1", ntohs(address.sin_port) };
   links.Perform(OpenLink{ 1, "svc", "i\r\nQUERY - DEMOTE 9", endpoint });
   loop.value()->After(Millis(50), [&] { loop.value()->Stop(); });
