--- a/test/standin/crowd.cc
+++ b/test/standin/crowd.cc
@@ -188,7 +188,8 @@
                  &kReceiveBufferBytes,
                  sizeof(kReceiveBufferBytes));
     }
-    connect(aMember.fd.Get(), aAddress.Raw(), aAddress.length);
+    static_cast<void>(
+      connect(aMember.fd.Get(), aAddress.Raw(), aAddress.length));
   }
 
   short WantedOf(const Member& aMember) const
