--- a/include/marigoldpitch/protocol/proxy-settings.h
+++ b/include/marigoldpitch/protocol/proxy-settings.h
@@ -32,6 +32,8 @@
   std::optional<double> cores;    // how many cores that share is of
   std::optional<double> linkMbps;
   LimitTolerance limitTolerance; // of customers' rate limits
+  size_t memoryBytes = 0;        // that the process may use; 0: no limit is set
+  size_t descriptors = 0;        // that it may have open; 0: no limit is set
 };
 
 /** A failure is one error that lists every finding in the text. */
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -78,6 +78,8 @@
   ServingChanged,
   OverLimit,
   LimitCounterChanged,
+  MemoryStageChanged,
+  CallerClosed,
 };
 
 struct LogEventRow
@@ -88,7 +90,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 53> kLogEvents{ {
+constexpr std::array<LogEventRow, 55> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -154,6 +156,11 @@
     621,
     Severity::Info,
     "limit-counter-changed" },
+  { LogEvent::MemoryStageChanged,
+    107,
+    Severity::Warning,
+    "memory-stage-changed" },
+  { LogEvent::CallerClosed, 612, Severity::Warning, "caller-closed" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/state/metrics.h
+++ b/include/marigoldpitch/state/metrics.h
@@ -41,9 +41,11 @@
   NoCounter,           // refused: no host that counts was reached
   LimitRequests,       // sent to other hosts about limits
   LimitMessagesUnsent, // about limits: the host is not listed, or no room
+  CallersClosed,       // for what they hold, or do not send or read in time
+  CallersNotAccepted,  // closed at once, for lack of memory or descriptors
 };
 
-constexpr NameTable<Counter, 25> kCounterNames{ {
+constexpr NameTable<Counter, 27> kCounterNames{ {
   { Counter::ReplicaReads, "replica_reads_total" },
   { Counter::PrimaryReads, "primary_reads_total" },
   { Counter::FallbackReads, "fallback_reads_total" },
@@ -69,6 +71,8 @@
   { Counter::NoCounter, "limit_unchecked_total" },
   { Counter::LimitRequests, "limit_requests_total" },
   { Counter::LimitMessagesUnsent, "limit_messages_unsent_total" },
+  { Counter::CallersClosed, "callers_closed_total" },
+  { Counter::CallersNotAccepted, "callers_not_accepted_total" },
 } };
 
 enum class Measure
--- a/src/protocol/proxy-settings.cc
+++ b/src/protocol/proxy-settings.cc
@@ -2,6 +2,7 @@
 
 #include "marigoldpitch/protocol/json-check.h"
 #include "marigoldpitch/protocol/settings.h"
+#include "marigoldpitch/state/sizes.h"
 #include "schemas.h"
 
 namespace marigoldpitch {
@@ -55,6 +56,9 @@
   tolerance.window = Millis(static_cast<int64_t>(windowMs));
   tolerance.excess = value.value("limit_excess", tolerance.excess);
   tolerance.slack = value.value("limit_slack", tolerance.slack);
+  settings.memoryBytes =
+    static_cast<size_t>(value.value("memory_mb", 0.0) * kMebibyte);
+  settings.descriptors = value.value("descriptors", size_t{ 0 });
   if (!findings.Empty()) {
     return findings.ToError(aSource);
   }
--- a/src/transport/json-log.cc
+++ b/src/transport/json-log.cc
@@ -32,7 +32,8 @@
          aEvent == LogEvent::CallerRefused ||
          aEvent == LogEvent::RequestRefused || aEvent == LogEvent::KeyRefused ||
          aEvent == LogEvent::ConnectionReplaced ||
-         aEvent == LogEvent::OverLimit || aEvent == LogEvent::DatabaseUnknown;
+         aEvent == LogEvent::OverLimit || aEvent == LogEvent::CallerClosed ||
+         aEvent == LogEvent::DatabaseUnknown;
 }
 
 bool
