Answer an operation over its customer's limit with the code for too many

Cause: TOOMANY stood for two codes, so a reply with one of them was decoded as the other (platform-test lines/answers_round_trip). Change: one code, TooMany, for connections to an upstream and operations of a customer alike; both promise that nothing ran.

--- a/include/marigoldpitch/coordination/proxy/statement.h
+++ b/include/marigoldpitch/coordination/proxy/statement.h
@@ -82,8 +82,7 @@
   Behind,      // the replica lacks the required log point
   ReadOnly,    // the upstream is not the primary
   Misrouted,   // another upstream than expected answers at the endpoint
-  TooManyConnections,
-  OverLimit, // beyond the customer's rate limit
+  TooMany,     // connections to the upstream, or operations of the customer
 
   // The statement ran, or may have run.
   Failed,         // it returned an error
@@ -102,14 +101,13 @@
   Invalid, // malformed, or not allowed in the session's present state
 };
 
-constexpr NameTable<FailureCode, 15> kFailureCodeNames{ {
+constexpr NameTable<FailureCode, 14> kFailureCodeNames{ {
   { FailureCode::Busy, "busy" },
   { FailureCode::NoStatement, "no-statement" },
   { FailureCode::Behind, "behind" },
   { FailureCode::ReadOnly, "read-only" },
   { FailureCode::Misrouted, "misrouted" },
-  { FailureCode::TooManyConnections, "too-many-connections" },
-  { FailureCode::OverLimit, "over-limit" },
+  { FailureCode::TooMany, "too-many" },
   { FailureCode::Failed, "failed" },
   { FailureCode::Timeout, "timeout" },
   { FailureCode::OutcomeUnknown, "unsure" },
--- a/src/coordination/proxy/proxy-answers.cc
+++ b/src/coordination/proxy/proxy-answers.cc
@@ -69,7 +69,7 @@
   ProxyUpstream& upstream =
     this->ServiceOf(link.service).view.At(link.upstream);
   bool isFull =
-    aEvent.failure && aEvent.failure->code == FailureCode::TooManyConnections;
+    aEvent.failure && aEvent.failure->code == FailureCode::TooMany;
   bool isMisrouted =
     aEvent.failure && aEvent.failure->code == FailureCode::Misrouted;
   if (isFull) {
--- a/src/coordination/proxy/proxy-limits.cc
+++ b/src/coordination/proxy/proxy-limits.cc
@@ -138,7 +138,7 @@
     this->FailTransaction(aSession);
   }
   this->AnswerFailure(aSession,
-                      isOver ? FailureCode::OverLimit : FailureCode::Busy,
+                      isOver ? FailureCode::TooMany : FailureCode::Busy,
                       why + "; retry after " +
                         std::to_string(aOutcome.retryAfter.ms) + " ms");
 }
