Give the test of other customers one that has a key

Cause: the test's session had no key, and with customers in the configuration such a session is refused since keys are looked at. Change: its caller belongs to a customer without a limit; the check is the same.

--- a/test/proxy-limits-test.cc
+++ b/test/proxy-limits-test.cc
@@ -21,6 +21,15 @@
   return key;
 }
 
+/** Of a customer without a limit. */
+KeyHash
+UnlimitedKey()
+{
+  KeyHash key;
+  key.bytes[0] = 8;
+  return key;
+}
+
 ConfigArrived
 Config(double aPerSecond, double aBurst)
 {
@@ -38,6 +47,8 @@
   customer.burst = aBurst;
   config.customers["c"] = customer;
   config.keys[Key()] = "c";
+  config.customers["unlimited"] = Customer{ "unlimited" };
+  config.keys[UnlimitedKey()] = "unlimited";
   return { config };
 }
 
@@ -159,7 +170,7 @@
 {
   Fixture fixture(Options(1));
   fixture.CountOf(8);
-  CallerId other = fixture.simulation.OpenSession(0);
+  CallerId other = fixture.simulation.OpenSession(0, "db", UnlimitedKey());
   for (int i = 0; i < 20; ++i) {
     cr_assert(IsOk(
       fixture.simulation.SubmitAndWait(0, other, WriteStatement("b", "1"))));
