Answer unlisted hosts without making them witnesses, and replace at full upstreams

Cause: keeping unlisted hosts in the ranks made hosts of different age rank differently for 30 s; a connection that takes the place of a closed one waited for the pace of new connections, so customers-test found a customer that was refused beside idle connections of others. Change: a host that is listed no more gets permits for 30 s, but is no witness; a replacement only keeps to the pause after a refusal.

--- a/include/marigoldpitch/coordination/proxy/customer-limits.h
+++ b/include/marigoldpitch/coordination/proxy/customer-limits.h
@@ -9,7 +9,7 @@
 /** The rate limits of customers over all hosts, as one host keeps them. */
 namespace marigoldpitch {
 
-/** How long a host that is listed no more still counts as there. */
+/** How long a host that is listed no more still gets permits. */
 constexpr Duration kUnlistedHostTime = Seconds(30);
 
 struct AddressedReply
@@ -42,9 +42,8 @@
   void SetCustomers(Time aNow, const std::map<std::string, Customer>& aAll);
 
   /**
-   * The hosts that are listed now. One that is listed no more still counts as
-   * there for a while: its entry may be missing although it runs, and each
-   * change moves counters.
+   * The hosts that are listed now. One that is listed no more still gets
+   * permits for a while: its entry may be missing although it runs.
    */
   void SetHosts(Time aNow, const std::vector<std::string>& aHosts);
 
@@ -72,7 +71,6 @@
   std::string CounterOf(const std::string& aCustomer);
 
 private:
-  void UpdateRanks(Time aNow);
   void AskForPermits(Time aNow);
   void CheckWitnesses(Time aNow);
   bool AskOnce(Time aNow);
@@ -81,7 +79,7 @@
   std::unique_ptr<LimitPolicy> policy;
   std::map<std::string, Customer> customers; // those with a limit
   CounterRanks ranks;
-  std::map<std::string, Time> hosts; // until when each counts as there
+  std::map<std::string, Time> hosts; // until when each gets permits
   CustomerPermits permits;
   LimitCounter counter;
   LimitExchange exchange;
--- a/include/marigoldpitch/coordination/proxy/limit-io.h
+++ b/include/marigoldpitch/coordination/proxy/limit-io.h
@@ -60,6 +60,9 @@
   std::vector<PermitGrant> grants;
   // Of the hosts that the sender stands in for, those that were heard lately.
   std::vector<std::string> heard = {};
+  // The sender is not in the list of the host that replies, so the reply does
+  // not make that host a witness.
+  bool isUnlisted = false;
 };
 
 } // namespace marigoldpitch
--- a/include/marigoldpitch/coordination/proxy/opening-pace.h
+++ b/include/marigoldpitch/coordination/proxy/opening-pace.h
@@ -32,6 +32,12 @@
                uint32_t aOpenedSince,
                Time aNow) const;
 
+  /**
+   * The same for a connection that takes the place of one that this host has
+   * just closed, so that the upstream has no more than before.
+   */
+  bool MayReplace(uint32_t aOpening, Time aNow) const;
+
   /**
    * The upstream refused a connection because of its limit. Refusals of
    * attempts that were made together count once. `aSpread`, from 0 to 1,
--- a/src/coordination/proxy/customer-limits.cc
+++ b/src/coordination/proxy/customer-limits.cc
@@ -44,28 +44,14 @@
 void
 CustomerLimits::SetHosts(Time aNow, const std::vector<std::string>& aHosts)
 {
-  for (auto& [host, until] : this->hosts) {
-    until = std::min(until, aNow + kUnlistedHostTime);
+  for (auto it = this->hosts.begin(); it != this->hosts.end();) {
+    it->second = std::min(it->second, aNow + kUnlistedHostTime);
+    it = it->second <= aNow ? this->hosts.erase(it) : std::next(it);
   }
   for (const std::string& host : aHosts) {
     this->hosts[host] = kInfiniteFuture;
   }
-  this->UpdateRanks(aNow);
-}
-
-void
-CustomerLimits::UpdateRanks(Time aNow)
-{
-  std::vector<std::string> present;
-  for (auto it = this->hosts.begin(); it != this->hosts.end();) {
-    if (it->second <= aNow) {
-      it = this->hosts.erase(it);
-    } else {
-      present.push_back(it->first);
-      ++it;
-    }
-  }
-  if (this->ranks.SetHosts(present)) {
+  if (this->ranks.SetHosts(aHosts)) {
     this->counter.Update(aNow, this->customers, this->ranks);
   }
 }
@@ -121,20 +107,25 @@
 }
 
 /**
- * Only hosts of the list are answered: a host that the others do not know yet
- * reaches no majority.
+ * Only hosts of the list are witnesses of each other: a host that the others do
+ * not know yet, or no more, reaches no majority. One that is listed no more
+ * still gets permits.
  */
 void
 CustomerLimits::OnRequest(Time aNow,
                           const std::string& aHost,
                           const LimitRequest& aRequest)
 {
-  if (this->hosts.count(aHost) == 0) {
+  auto known = this->hosts.find(aHost);
+  if (known == this->hosts.end()) {
     return;
   }
-  this->counter.NoteHeard(aNow, aHost);
   LimitReply reply;
   reply.number = aRequest.number;
+  reply.isUnlisted = known->second != kInfiniteFuture;
+  if (!reply.isUnlisted) {
+    this->counter.NoteHeard(aNow, aHost);
+  }
   reply.heard = this->counter.HeardOf(aNow, aRequest.standsInFor);
   for (const PermitCharge& charge : aRequest.charges) {
     this->counter.Accept(aNow, charge);
@@ -168,7 +159,9 @@
   if (!sent) {
     return;
   }
-  this->counter.NoteReached(aHost, sent->sent, sent->request, aReply);
+  if (!aReply.isUnlisted) {
+    this->counter.NoteReached(aHost, sent->sent, sent->request, aReply);
+  }
   for (const PermitWish& wish : sent->request.wishes) {
     auto found = std::find_if(aReply.grants.begin(),
                               aReply.grants.end(),
@@ -190,7 +183,6 @@
   if (this->customers.empty()) {
     return;
   }
-  this->UpdateRanks(aNow);
   this->counter.OnTick(aNow);
   for (const SentLimitRequest& lost : this->exchange.TakeLost(aNow)) {
     for (const PermitWish& wish : lost.request.wishes) {
--- a/src/coordination/proxy/opening-pace.cc
+++ b/src/coordination/proxy/opening-pace.cc
@@ -21,11 +21,17 @@
                      uint32_t aOpenedSince,
                      Time aNow) const
 {
-  bool isPaused = aNow < this->pausedUntil;
-  bool isOneOpening = this->refusals > 0 && aOpening > 0;
   bool isFull = aNow - aCensus.asked <= detail::kMaxReportAge &&
                 aCensus.connections + aOpenedSince >= aConnectionLimit;
-  return !isPaused && !isOneOpening && !isFull;
+  return this->MayReplace(aOpening, aNow) && !isFull;
+}
+
+bool
+OpeningPace::MayReplace(uint32_t aOpening, Time aNow) const
+{
+  bool isPaused = aNow < this->pausedUntil;
+  bool isOneOpening = this->refusals > 0 && aOpening > 0;
+  return !isPaused && !isOneOpening;
 }
 
 Duration
--- a/src/coordination/proxy/proxy-customers.cc
+++ b/src/coordination/proxy/proxy-customers.cc
@@ -267,8 +267,11 @@
                              UpstreamIndex aUpstream,
                              const PendingStatement& aPending) const
 {
-  if (!this->config.hasCustomers ||
-      !this->IsOpeningPaced(aService, aUpstream)) {
+  uint32_t opening = aService.connections.UsageOf(aUpstream).opening;
+  bool mayReplace =
+    this->config.hasCustomers &&
+    aService.view.At(aUpstream).pace.MayReplace(opening, this->now);
+  if (!mayReplace) {
     return std::nullopt;
   }
   std::vector<CustomerConnection> open;
--- a/src/coordination/proxy/proxy-placing.cc
+++ b/src/coordination/proxy/proxy-placing.cc
@@ -21,7 +21,7 @@
 {
   const UpstreamUsage& use = aService.connections.UsageOf(aUpstream);
   bool isOpening = use.opening > aService.queue.Size();
-  if (!isOpening) {
+  if (!isOpening && this->IsOpeningPaced(aService, aUpstream)) {
     this->StartOpening(aService, aUpstream, {});
   }
 }
@@ -33,8 +33,7 @@
                           const std::string& aCustomer)
 {
   const ProxyUpstream& upstream = aService.view.At(aUpstream);
-  if (!this->IsOpeningPaced(aService, aUpstream) ||
-      upstream.avoidUntil > this->now) {
+  if (upstream.avoidUntil > this->now) {
     return 0;
   }
   ConnectionId id = aService.connections.Open(aUpstream, this->now);
--- a/src/protocol/wire-decode.cc
+++ b/src/protocol/wire-decode.cc
@@ -345,6 +345,7 @@
   LimitReplyFrame frame;
   frame.reply.number = aFrame.number();
   frame.reply.heard = DecodeNames(aFrame.heard());
+  frame.reply.isUnlisted = aFrame.unlisted();
   if (aFrame.grants() == nullptr) {
     return Frame(std::move(frame));
   }
--- a/src/protocol/wire-encode.cc
+++ b/src/protocol/wire-encode.cc
@@ -322,8 +322,11 @@
   auto grantVector = aBuilder.CreateVector(grants);
   auto heard = aBuilder.CreateVectorOfStrings(aFrame.reply.heard);
   return { wire::Body_LimitReplyFrame,
-           wire::CreateLimitReplyFrame(
-             aBuilder, aFrame.reply.number, grantVector, heard)
+           wire::CreateLimitReplyFrame(aBuilder,
+                                       aFrame.reply.number,
+                                       grantVector,
+                                       heard,
+                                       aFrame.reply.isUnlisted)
              .Union() };
 }
 
--- a/test/proxy-limits-test.cc
+++ b/test/proxy-limits-test.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr CallerId kFirstCaller = 1000000;
 constexpr Duration kSettled = Seconds(6);
 
 KeyHash
@@ -69,9 +68,7 @@
 
   CallerId Open(size_t aHost = 0)
   {
-    CallerId caller = kFirstCaller + ++this->opened;
-    this->simulation.Send(aHost, SessionOpened{ caller, "db", Key() });
-    return caller;
+    return this->simulation.OpenSession(aHost, "db", Key());
   }
 
   /** How many of so many single writes at the host run. */
@@ -90,7 +87,6 @@
   ProxySimulation simulation;
 
 private:
-  size_t opened = 0;
 };
 
 ProxySimulationOptions
