Learn how many statements each upstream takes well

Each host kept one average latency an upstream, over statements of every length and with the queue in it, multiplied it by the queue again, and compared it with a minimum that rose by a thousandth an answer. Long statements looked like slowness, an upstream that had recovered stayed unused, and one that failed quickly was the cheapest.

ConcurrencyLimits, an abstract interface with one implementation, learns per upstream from statements compared with their kind, and gives the number that may run there and the expected time to an answer. ChooseUpstream compares the expected times, also of waiting for an upstream at its limit; reads leave the primary to the work that only it serves.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -2,11 +2,13 @@
 #define MARIGOLDPITCH_COORDINATION_PROXY_PROXY_ENGINE_H
 
 #include "marigoldpitch/coordination/common/admission.h"
+#include "marigoldpitch/coordination/proxy/concurrency-limit.h"
 #include "marigoldpitch/coordination/proxy/connection-budget.h"
 #include "marigoldpitch/coordination/proxy/group-recorder.h"
 #include "marigoldpitch/coordination/proxy/promotion.h"
 #include "marigoldpitch/coordination/proxy/proxy-session.h"
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <tuple>
@@ -25,6 +27,9 @@
   // How long upstreams serve after they have announced that they leave.
   Duration upstreamDrainTime = Millis(0);
   std::unique_ptr<AdmissionPolicy> admission = MakeDeadlineAdmission();
+  // Of one service.
+  std::function<std::unique_ptr<ConcurrencyLimits>()> makeLimits =
+    MakeLearnedLimits;
 };
 
 /**
@@ -64,6 +69,12 @@
   bool isStandbyHere = false;           // this host serves it next
   Time lastLocalUse = kInfinitePast;    // when a statement was last queued here
   bool wasFollowed = true;              // as of the last update
+  std::unique_ptr<ConcurrencyLimits> limits;
+  std::vector<LimitChangeDetector> limitChanges; // of each upstream
+  // During a dispatch: statements that wait for each upstream, and those of the
+  // queue that only the primary serves.
+  std::vector<uint32_t> awaiting;
+  uint32_t primaryOnlyQueued = 0;
   // By database: a decaying maximum of the response times, in milliseconds.
   std::map<std::string, double> maxLatencyMs;
   // A statement waits for a newer proof that the primary is still the primary.
@@ -160,7 +171,10 @@
   bool Place(ProxyService& aService, CallerSession& aSession);
   bool HasCapacityForTransaction(const ProxyService& aService,
                                  UpstreamIndex aUpstream) const;
-  double CostOf(const ProxyService& aService, UpstreamIndex aUpstream) const;
+  double CostOf(const ProxyService& aService,
+                UpstreamIndex aUpstream,
+                const WorkClass& aWork,
+                uint32_t aAhead) const;
   static bool IsCommit(const CallerSession& aSession);
   bool HasCapacity(const ProxyService& aService, UpstreamIndex aUpstream) const;
   bool MayOpen(const ProxyService& aService, UpstreamIndex aUpstream) const;
@@ -255,13 +269,30 @@
   void HandleFailure(ProxyLink& aLink,
                      CallerSession& aSession,
                      const StatementReply& aReply);
-  void AdaptWindow(ProxyService& aService, UpstreamIndex aUpstream) const;
   void NoteBusy(ProxyService& aService, UpstreamIndex aUpstream);
   void NoteFailure(ProxyLink& aLink,
                    CallerSession& aSession,
                    const StatementFailure& aFailure);
   void Release(ProxyLink& aLink, SessionState aState);
 
+  // proxy-limits.cc: what each upstream takes well.
+  static WorkClass WorkOf(const CallerSession& aSession);
+  void AddUpstreams(ProxyService& aService, size_t aAdded);
+  void ResetRestarted(ProxyService& aService,
+                      const std::vector<uint64_t>& aIncarnationsBefore);
+  static std::vector<uint64_t> IncarnationsOf(const ProxyService& aService);
+  void NoteError(ProxyService& aService, UpstreamIndex aUpstream);
+  void NoteTiming(ProxyService& aService,
+                  UpstreamIndex aUpstream,
+                  const CallerSession& aSession);
+  void NoteLoad(ProxyService& aService, const ProxyLink& aLink);
+  void LogLimitChanges(ProxyService& aService);
+  double WindowOf(const ProxyService& aService, UpstreamIndex aUpstream) const;
+  bool MayAwait(const ProxyService& aService, UpstreamIndex aUpstream) const;
+  bool IsDue(CallerId aCaller) const;
+  void CountWaiting(ProxyService& aService,
+                    const std::vector<CallerId>& aHead) const;
+
   // proxy-losses.cc: lost connections and timeouts.
   void HandleLostAnswer(CallerSession& aSession, UpstreamIndex aUpstream);
   void AbortTransaction(CallerSession& aSession, const std::string& aWhy);
--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -61,6 +61,7 @@
   Time deadline;
   Time notBefore = kInfinitePast;
   Time sent = kInfinitePast;
+  uint32_t inFlight = 0; // of this host at the upstream when sent, with itself
   ConnectionId connection = 0;
   bool onReplica = false;
   std::optional<FreshnessSample> after; // the replica's log must reach it
--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -74,10 +74,8 @@
   LogPoint behind;                // a point that its log did not reach
   Time behindUntil = kInfinitePast;
   double lagMs = 20; // estimate of its replication lag
-  double latencyMs = 10;
-  double minLatencyMs = 1000; // a slowly rising minimum of `latencyMs`
-  double window = 0; // concurrent statements from this host; 0: unknown
-  Time busyUntil = kInfinitePast;
+  Time busyUntil =
+    kInfinitePast; // has refused a statement for lack of capacity
 };
 
 /**
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -72,6 +72,7 @@
   HostRegistered,
   CandidateReleased,
   SetupRefused,
+  UpstreamLimitChanged,
 };
 
 struct LogEventRow
@@ -82,7 +83,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 47> kLogEvents{ {
+constexpr std::array<LogEventRow, 48> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -139,6 +140,10 @@
   { LogEvent::HostRegistered, 209, Severity::Info, "host-registered" },
   { LogEvent::CandidateReleased, 412, Severity::Warning, "candidate-released" },
   { LogEvent::SetupRefused, 608, Severity::Warning, "setup-refused" },
+  { LogEvent::UpstreamLimitChanged,
+    413,
+    Severity::Info,
+    "upstream-limit-changed" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/state/proxy-config.h
+++ b/include/marigoldpitch/state/proxy-config.h
@@ -68,6 +68,7 @@
   std::optional<Role> role; // as reported by the upstream
   // Differs after each start under the same id; 0: not known.
   uint64_t incarnation = 0;
+  uint32_t slots = 0; // statements that it runs at once; 0: not known
 };
 
 /** A proxy host's own registration. */
--- a/src/coordination/proxy/proxy-answers.cc
+++ b/src/coordination/proxy/proxy-answers.cc
@@ -11,15 +11,8 @@
 constexpr double kLagGrowth = 1.3; // if the replica is still behind
 constexpr double kLagDecay = 0.98; // if it held the point
 constexpr Duration kBusyBackoff = Millis(8);
-constexpr double kWindowDecrease = 0.8;
-constexpr double kWindowGrowth = 0.2; // per window of answers
-constexpr double kWindowShrink = 0.05;
-constexpr double kCongestionFactor =
-  2.5; // latency as a multiple of `minLatencyMs`
-constexpr double kMinLatencyGrowth = 1.001;
 constexpr Duration kMisroutedBackoff = Seconds(1);
 constexpr uint32_t kMaxReadTries = 3;
-constexpr double kLatencyWeight = 0.1;
 constexpr double kMaxLatencyDecay = 0.998; // per answer
 
 bool
@@ -29,6 +22,13 @@
          aCode == FailureCode::Behind || aCode == FailureCode::ReadOnly;
 }
 
+/** Whether the upstream ran it and could not answer it. */
+bool
+IsError(FailureCode aCode)
+{
+  return aCode == FailureCode::Failed || aCode == FailureCode::Timeout;
+}
+
 } // namespace detail
 
 /** Any answer, even a failure, shows that the upstream is reachable. */
@@ -157,6 +157,9 @@
     return;
   }
   StatementFailure failure = *aReply.failure;
+  if (detail::IsError(failure.code)) {
+    this->NoteError(this->ServiceOf(aLink.service), aLink.upstream);
+  }
   this->NoteFailure(aLink, aSession, failure);
   aSession.pinned = 0;
   this->Release(aLink, aReply.state);
@@ -189,9 +192,7 @@
   ProxyService& service = this->ServiceOf(aLink.service);
   ProxyUpstream& upstream = service.view.At(aLink.upstream);
   auto elapsedMs = static_cast<double>((this->now - pending.sent).ms);
-  upstream.latencyMs +=
-    (elapsedMs - upstream.latencyMs) * detail::kLatencyWeight;
-  this->AdaptWindow(service, aLink.upstream);
+  this->NoteTiming(service, aLink.upstream, aSession);
   if (pending.after) {
     upstream.lagMs =
       std::max(upstream.lagMs * detail::kLagDecay, detail::kMinLagMs);
@@ -227,28 +228,6 @@
   this->Answer(aSession, aReply);
 }
 
-/**
- * Adapts the number of concurrent statements that the upstream gets from this
- * host. The window grows while the latency is close to its recent minimum and
- * shrinks when it exceeds `kCongestionFactor` times that.
- */
-void
-ProxyEngine::AdaptWindow(ProxyService& aService, UpstreamIndex aUpstream) const
-{
-  ProxyUpstream& upstream = aService.view.At(aUpstream);
-  upstream.minLatencyMs = std::min(
-    upstream.minLatencyMs * detail::kMinLatencyGrowth, upstream.latencyMs);
-  if (upstream.window == 0) {
-    upstream.window = aService.share;
-  }
-  bool isCongested =
-    upstream.latencyMs > upstream.minLatencyMs * detail::kCongestionFactor;
-  double step = isCongested ? -detail::kWindowShrink
-                            : detail::kWindowGrowth / upstream.window;
-  upstream.window = std::clamp<double>(
-    upstream.window + step, 1, this->ConnectionLimit(aService, aUpstream));
-}
-
 void
 ProxyEngine::NoteBusy(ProxyService& aService, UpstreamIndex aUpstream)
 {
@@ -256,8 +235,8 @@
   if (upstream.busyUntil > this->now) {
     return;
   }
-  double busy = aService.connections.UsageOf(aUpstream).busy + 1;
-  upstream.window = std::max(busy * detail::kWindowDecrease, 1.0);
+  uint32_t inFlight = aService.connections.UsageOf(aUpstream).busy + 1;
+  aService.limits->NoteRefusal(aUpstream, inFlight, this->now);
   upstream.busyUntil = this->now + detail::kBusyBackoff;
 }
 
@@ -309,6 +288,9 @@
   StatementFailure failure = *aReply.failure;
   bool isCommit = pending.statement.kind == StatementKind::Commit;
   bool inTransaction = aSession.state == SessionState::InTransaction;
+  if (detail::IsError(failure.code)) {
+    this->NoteError(this->ServiceOf(aLink.service), aLink.upstream);
+  }
   bool isRestartable = !inTransaction || pending.startedTransaction;
   bool didNotRun = detail::DidNotRun(failure.code);
   bool mayRepeat = didNotRun || (!pending.writes && !isCommit &&
--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -14,6 +14,9 @@
 constexpr double kOtherZoneCostMs = 25;
 constexpr double kPrimaryCostMs = 12;
 constexpr double kOpeningCostMs = 12;
+// What is expected of waiting for an upstream must be better by this much than
+// what is expected of one that is free.
+constexpr double kAwaitCostMs = 5;
 // The added cost of an upstream at which the same statement has just failed.
 constexpr double kFailedCostMs = 1000;
 constexpr uint32_t kMaxTries = 6;
@@ -112,9 +115,9 @@
                                 aService.view.IsUsable(i, this->now) &&
                                 upstream.behindUntil <= this->now;
     if (serves) {
-      double window = upstream.window == 0 ? aService.share : upstream.window;
+      double window = this->WindowOf(aService, i);
       atOnce += window;
-      perMs += window / std::max(upstream.latencyMs, 1.0);
+      perMs += window / aService.limits->ServiceMs(i, this->now);
     }
   }
   load.slots = static_cast<size_t>(std::ceil(atOnce));
@@ -175,13 +178,17 @@
     }
     head.push_back(std::get<2>(key));
   }
+  this->CountWaiting(aService, head);
   for (CallerId caller : head) {
-    auto found = this->sessions.find(caller);
-    bool isDue = found != this->sessions.end() && found->second.pending &&
-                 found->second.pending->phase == StatementPhase::Queued &&
-                 found->second.pending->notBefore <= this->now;
-    if (isDue && this->Place(aService, found->second)) {
-      this->Dequeue(found->second);
+    if (!this->IsDue(caller)) {
+      continue;
+    }
+    CallerSession& session = this->sessions.at(caller);
+    bool isPrimaryOnly = session.pending->needsPrimary;
+    if (this->Place(aService, session)) {
+      this->Dequeue(session);
+      aService.primaryOnlyQueued -=
+        isPrimaryOnly && aService.primaryOnlyQueued > 0 ? 1 : 0;
     }
   }
 }
@@ -338,8 +345,8 @@
   if (upstream.busyUntil > this->now) {
     return false;
   }
-  double window = upstream.window == 0 ? aService.share : upstream.window;
-  return aService.connections.UsageOf(aUpstream).busy < std::max(window, 1.0);
+  return aService.connections.UsageOf(aUpstream).busy <
+         this->WindowOf(aService, aUpstream);
 }
 
 /** The estimated time until the replica reaches the point, in milliseconds. */
@@ -373,11 +380,14 @@
 }
 
 double
-ProxyEngine::CostOf(const ProxyService& aService, UpstreamIndex aUpstream) const
+ProxyEngine::CostOf(const ProxyService& aService,
+                    UpstreamIndex aUpstream,
+                    const WorkClass& aWork,
+                    uint32_t aAhead) const
 {
   const ProxyUpstream& upstream = aService.view.At(aUpstream);
-  const UpstreamUsage& use = aService.connections.UsageOf(aUpstream);
-  double cost = upstream.latencyMs * (1 + use.busy);
+  double cost =
+    aService.limits->ExpectedMs(aUpstream, aWork, aAhead, this->now);
   cost += upstream.registration.zone == this->options.zone
             ? 0
             : detail::kOtherZoneCostMs;
@@ -386,9 +396,10 @@
 }
 
 /**
- * The upstream with the lowest cost that may serve the statement and has a free
- * connection, or may open one. Unset if there is none, or if the cheapest one
- * is a replica that has yet to receive the point: the statement then waits.
+ * The upstream from which the answer is expected first, of those that may serve
+ * the statement and have a free connection, or may open one, or are about to.
+ * Unset if there is none, or if the statement is to wait: for a replica that
+ * has yet to receive the point, or for an upstream at its limit.
  */
 std::optional<UpstreamIndex>
 ProxyEngine::ChooseUpstream(ProxyService& aService,
@@ -396,6 +407,7 @@
                             const std::optional<FreshnessSample>& aAfter)
 {
   const PendingStatement& pending = *aSession.pending;
+  WorkClass work = WorkOf(aSession);
   std::optional<UpstreamIndex> best;
   double bestCost = std::numeric_limits<double>::max();
   bool mustWait = false;
@@ -405,26 +417,37 @@
     }
     bool isIdle = this->FindLink(aService, i, aSession).has_value();
     bool isReachable = isIdle || this->MayOpen(aService, i);
-    if (!isReachable || !this->HasCapacity(aService, i)) {
-      if (this->now - pending.arrived >= detail::kBorrowDelay) {
-        this->RequestCensus(aService, i);
-      }
+    bool isFree = isReachable && this->HasCapacity(aService, i);
+    if (!isFree && this->now - pending.arrived >= detail::kBorrowDelay) {
+      this->RequestCensus(aService, i);
+    }
+    if (!isFree && !this->MayAwait(aService, i)) {
       continue;
     }
+    bool isFirstElsewhere =
+      !pending.needsPrimary && aService.view.Primary() == i;
+    uint32_t ahead = aService.connections.UsageOf(i).busy +
+                     aService.awaiting[i] +
+                     (isFirstElsewhere ? aService.primaryOnlyQueued : 0);
     double wait = this->EstimateWait(aService, i, aAfter);
-    double cost = this->CostOf(aService, i) + wait;
-    cost += isIdle ? 0 : detail::kOpeningCostMs;
+    double cost = this->CostOf(aService, i, work, ahead) + wait;
+    cost += isIdle || !isFree ? 0 : detail::kOpeningCostMs;
+    cost += isFree ? 0 : detail::kAwaitCostMs;
     cost += pending.failedAt.count(i) != 0 ? detail::kFailedCostMs : 0;
     if (cost < bestCost) {
       best = i;
       bestCost = cost;
-      mustWait = wait > 0;
+      mustWait = wait > 0 || !isFree;
     }
   }
   if (!aAfter && !pending.needsPrimary) {
     aService.logPointWantedAt = this->now;
   }
-  return mustWait ? std::nullopt : best;
+  if (mustWait) {
+    ++aService.awaiting[*best];
+    return std::nullopt;
+  }
+  return best;
 }
 
 /**
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -179,6 +179,7 @@
       .emplace(aName, ProxyService(firstId, this->options.upstreamDrainTime))
       .first->second;
   service.name = aName;
+  service.limits = this->options.makeLimits();
   return service;
 }
 
@@ -217,9 +218,11 @@
   }
   for (const auto& [name, entries] : byService) {
     ProxyService& service = this->ServiceOf(name);
+    std::vector<uint64_t> incarnations = IncarnationsOf(service);
     RegistryChanges changes =
       service.view.ApplyRegistrations(entries, this->now);
-    service.connections.AddUpstreams(changes.added);
+    this->AddUpstreams(service, changes.added);
+    this->ResetRestarted(service, incarnations);
     for (UpstreamIndex departed : changes.departed) {
       this->LogDeparture(service, departed, aEvent.peer);
     }
@@ -241,7 +244,7 @@
   for (const GroupRecord& record : aEvent.groups) {
     ProxyService& service = this->ServiceOf(record.service);
     size_t added = service.view.ApplyRecord(record, this->now);
-    service.connections.AddUpstreams(added);
+    this->AddUpstreams(service, added);
   }
   this->groupsEra = aEvent.era;
 }
--- a/src/coordination/proxy/proxy-losses.cc
+++ b/src/coordination/proxy/proxy-losses.cc
@@ -34,6 +34,9 @@
   pending.connection = 0;
   pending.failedAt.insert(aUpstream);
   pending.mayHaveRun = pending.mayHaveRun || wasSent;
+  if (wasSent) {
+    this->NoteError(this->ServiceOf(pending.route.service), aUpstream);
+  }
   if (isMidTransaction) {
     bool mayBeCommitted = isCommit && wasSent && aSession.transactionWrote;
     aSession.state = isCommit ? SessionState::Idle : SessionState::Failed;
--- a/src/coordination/proxy/proxy-placing.cc
+++ b/src/coordination/proxy/proxy-placing.cc
@@ -105,6 +105,7 @@
   }
   pending.phase = StatementPhase::Running;
   pending.sent = this->now;
+  pending.inFlight = service.connections.UsageOf(aLink.upstream).busy;
   bool mayRepeat =
     !pending.writes && (pending.startedTransaction || aSession.pinned == 0);
   aLink.limit = kInfiniteFuture;
--- a/src/coordination/proxy/proxy-watch.cc
+++ b/src/coordination/proxy/proxy-watch.cc
@@ -112,6 +112,7 @@
     this->UpdateGroupRecord(aService);
   }
   this->CleanUpStaleStates(aService);
+  this->LogLimitChanges(aService);
   this->LogFinishedDepartures(aService);
   this->CloseUnneededLinks(aService);
   this->SendQueuedCommands(aService);
@@ -130,6 +131,9 @@
   if (!aService.proofWanted || aService.proofRequestOpen || !view.Primary()) {
     return;
   }
+  auto running = [&](UpstreamIndex aUpstream) {
+    return aService.connections.UsageOf(aUpstream).busy;
+  };
   std::optional<UpstreamIndex> best;
   for (UpstreamIndex i = 0; i < view.Size(); ++i) {
     const ProxyUpstream& upstream = view.At(i);
@@ -138,7 +142,8 @@
                   upstream.avoidUntil <= this->now &&
                   this->now - upstream.lastAsked >= detail::kProofInterval;
     if (mayAsk &&
-        (!best || this->CostOf(aService, i) < this->CostOf(aService, *best))) {
+        (!best || this->CostOf(aService, i, AnyWork(), running(i)) <
+                    this->CostOf(aService, *best, AnyWork(), running(*best)))) {
       best = i;
     }
   }
@@ -265,6 +270,7 @@
     upstream.reportWanted = false;
     upstream.openedSinceReport = 0;
     view.ApplyReport(index, *aEvent.report, link.asked, this->now);
+    this->NoteLoad(service, link);
     if (aEvent.report->role == Role::Primary) {
       view.ApplyLogEnd(index, aEvent.report->logEnd, link.asked);
     }
