--- a/src/coordination/proxy/concurrency-limit.cc
+++ b/src/coordination/proxy/concurrency-limit.cc
@@ -20,8 +20,10 @@
 constexpr double kMaxSlowness = 20;
 // Latency as a multiple of the unloaded one, above which the limit shrinks.
 constexpr double kCongestionFactor = 1.5;
+constexpr double kInitialLimit = 2;    // hosts may start together
 constexpr double kLimitGrowth = 0.3;   // per window of answers
 constexpr double kMostShrinkage = 0.7; // at a time
+constexpr double kUnusedDecay = 0.98;  // per answer, of a limit not half used
 constexpr double kRefusalFactor = 0.8;
 constexpr uint32_t kAnswersBetweenCuts = 5;
 constexpr Duration kCutInterval = Millis(100);
@@ -30,7 +32,6 @@
 constexpr Duration kLookInterval = Millis(2000);
 constexpr Duration kLookTime = Millis(300);
 constexpr uint32_t kLookAnswers = 5;
-constexpr double kLookWeight = 0.15;
 // What is known of an upstream without answers fades from this time on.
 constexpr Duration kMemory = Millis(1000);
 constexpr double kFadingMs = 1000;     // per halving
@@ -38,8 +39,8 @@
 // The expected cost of an error to the caller, in milliseconds.
 constexpr double kErrorCostMs = 300;
 constexpr double kMostErrors = 0.95;
-// The part of its share of an upstream that a statement ahead costs even if
-// there is a free slot: it keeps hosts from all taking the same upstream.
+// What a statement ahead costs even if there is a free slot, as a part of its
+// time: it keeps hosts from all taking the same upstream.
 constexpr double kSpreadFactor = 0.25;
 constexpr Duration kLoadValidity = Millis(500);
 constexpr double kAnswerCountDecay = 0.999;
@@ -217,9 +218,9 @@
 void
 LearnedLimits::NoteUnloaded(Upstream& aUpstream, double aSlowness, Time aNow)
 {
-  bool isLook = aNow - aUpstream.unloadedSeen >= kLookInterval;
   double& unloaded = aUpstream.learned.unloadedSlowness;
-  unloaded += (aSlowness - unloaded) * (isLook ? kLookWeight : kUnloadedWeight);
+  unloaded += (aSlowness - unloaded) * kUnloadedWeight;
+  bool isLook = aNow - aUpstream.unloadedSeen >= kLookInterval;
   if (isLook && ++aUpstream.lookAnswers < kLookAnswers) {
     return;
   }
@@ -282,7 +283,7 @@
 {
   LearnedUpstream& learned = aUpstream.learned;
   if (learned.limit == 0) {
-    learned.limit = std::max(aTiming.mostInFlight, 1.0);
+    learned.limit = kInitialLimit;
   }
   ++aUpstream.answersSinceCut;
   double accepted = learned.unloadedSlowness * kCongestionFactor;
@@ -298,6 +299,9 @@
     }
   } else if (!isOverloaded && aTiming.inFlight + 1 > learned.limit) {
     learned.limit += kLimitGrowth / learned.limit;
+  } else if (aTiming.inFlight < learned.limit / 2) {
+    learned.limit =
+      std::max(learned.limit * kUnusedDecay, std::min(learned.limit, 2.0));
   }
   learned.limit =
     std::clamp(learned.limit, 1.0, std::max(aTiming.mostInFlight, 1.0));
@@ -339,7 +343,7 @@
   const Upstream& upstream = this->upstreams[aUpstream];
   double limit = upstream.learned.limit;
   if (limit == 0) {
-    return std::max(aInitial, 1.0);
+    return std::clamp(aInitial, 1.0, kInitialLimit);
   }
   bool isForgotten = aNow - upstream.answered > kMemory &&
                      upstream.learned.unloadedSlowness >
@@ -361,16 +365,15 @@
 {
   const Upstream& upstream = this->upstreams[aUpstream];
   double unloaded = this->FadedUnloaded(upstream, aNow);
-  double perStatement = unloaded / std::max(upstream.learned.limit, 1.0);
-  double slowness = this->FadedSlowness(upstream, aNow) +
-                    perStatement * (aAhead - upstream.ahead);
+  // Other hosts send as many, so that each one ahead takes a slot.
+  double slowness =
+    this->FadedSlowness(upstream, aNow) + unloaded * (aAhead - upstream.ahead);
   if (IsOverloaded(upstream, aAhead + 1.0, aNow)) {
     const UpstreamLoad& load = upstream.others;
     double queued = load.running + aAhead + 1.0 - load.slots;
     slowness = std::max(slowness, unloaded * (1 + queued / load.slots));
   }
-  slowness =
-    std::max(slowness, unloaded) + perStatement * aAhead * kSpreadFactor;
+  slowness = std::max(slowness, unloaded) + unloaded * aAhead * kSpreadFactor;
   double errors = std::min(this->FadedErrors(upstream, aNow), kMostErrors);
   return this->UsualMs(aWork) * slowness / (1 - errors) + errors * kErrorCostMs;
 }
--- a/src/protocol/metrics-text.cc
+++ b/src/protocol/metrics-text.cc
@@ -89,6 +89,37 @@
   return out.str();
 }
 
+std::string
+FormatUpstreams(const std::vector<UpstreamMetrics>& aUpstreams,
+                const std::string& aLabels)
+{
+  struct Gauge
+  {
+    const char* name;
+    double (*value)(const UpstreamMetrics&);
+  };
+  constexpr Gauge kGauges[] = {
+    { "upstream_limit",
+      [](const UpstreamMetrics& aOne) { return aOne.learned.limit; } },
+    { "upstream_share",
+      [](const UpstreamMetrics& aOne) { return aOne.share; } },
+    { "upstream_slowness",
+      [](const UpstreamMetrics& aOne) { return aOne.learned.slowness; } },
+    { "upstream_error_share",
+      [](const UpstreamMetrics& aOne) { return aOne.learned.errorShare; } },
+  };
+  std::ostringstream out;
+  for (const Gauge& gauge : kGauges) {
+    out << "# TYPE " << detail::kMetricPrefix << gauge.name << " gauge\n";
+    for (const UpstreamMetrics& one : aUpstreams) {
+      std::string labels = aLabels + ",service=\"" + one.service +
+                           "\",upstream=\"" + one.upstream + "\"";
+      detail::WriteSample(out, gauge.name, labels, gauge.value(one));
+    }
+  }
+  return out.str();
+}
+
 std::map<std::string, double>
 ParseMetrics(const std::string& aText)
 {
