--- a/src/coordination/proxy/concurrency-limit.cc
+++ b/src/coordination/proxy/concurrency-limit.cc
@@ -179,8 +179,8 @@
   if (aNow - aUpstream.answered <= kMemory) {
     return slowness;
   }
-  double least = this->LeastSlowness(aNow);
-  return least + std::max(slowness - least, 0.0) *
+  double least = std::min(this->LeastSlowness(aNow), slowness);
+  return least + (slowness - least) *
                    HalvesSince(aUpstream.answered, kMemory, kFadingMs, aNow);
 }
 
