Let work that only the primary serves use the host's share

A leaving primary whose commits wait for its successor got two of a host's writes at a time, so that the others timed out in the queue for over a second: a commit that waits for a replica is no load, and has no other upstream.

--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -417,7 +417,13 @@
     }
     bool isIdle = this->FindLink(aService, i, aSession).has_value();
     bool isReachable = isIdle || this->MayOpen(aService, i);
-    bool isFree = isReachable && this->HasCapacity(aService, i);
+    // A commit may wait for a replica and not for the primary, and such work
+    // has nowhere else to go: it may use all of this host's share.
+    bool isWithinShare = pending.needsPrimary &&
+                         aService.view.At(i).busyUntil <= this->now &&
+                         aService.connections.UsageOf(i).busy < aService.share;
+    bool isFree =
+      isReachable && (isWithinShare || this->HasCapacity(aService, i));
     if (!isFree && this->now - pending.arrived >= detail::kBorrowDelay) {
       this->RequestCensus(aService, i);
     }
