--- a/src/coordination/proxy/proxy-answers.cc
+++ b/src/coordination/proxy/proxy-answers.cc
@@ -68,8 +68,7 @@
   ProxyLink& link = found->second;
   ProxyUpstream& upstream =
     this->ServiceOf(link.service).view.At(link.upstream);
-  bool isFull =
-    aEvent.failure && aEvent.failure->code == FailureCode::TooMany;
+  bool isFull = aEvent.failure && aEvent.failure->code == FailureCode::TooMany;
   bool isMisrouted =
     aEvent.failure && aEvent.failure->code == FailureCode::Misrouted;
   if (isFull) {
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -432,8 +432,7 @@
       this->links.erase(found);
       this->Send(
         key.first,
-        LinkLost{ key.second,
-                  StatementFailure{ FailureCode::TooMany, "" } });
+        LinkLost{ key.second, StatementFailure{ FailureCode::TooMany, "" } });
     } else if (!this->upstreams[upstream].isAlive) {
       this->links.erase(found);
       this->Send(key.first, LinkLost{ key.second, {} });
