Take no overtaken report for a log that was cut back

While the candidate of a leaving primary catches up, several reports of it are open on several connections. Two that were requested in the same millisecond may arrive in the wrong order; the shorter one then counted as a log that has lost commits, and the replica was never promoted.

A shorter report that was not requested later is ignored, and the candidate is asked again only when its last report is in. lost-holds-test passes with it.

--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -306,7 +306,7 @@
     // the longest log.
     this->holdsCandidate = true;
     this->Enter(PromotionPhase::Holding, aNow);
-  } else {
+  } else if (!upstream.reportRequestOpen) {
     aActions.push_back(UpstreamCommand{ *this->candidate });
   }
 }
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -18,10 +18,12 @@
 {
   ProxyUpstream& upstream = this->upstreams[aUpstream];
   // A log is cut back only by a new term.
-  bool isCutBack = upstream.report && aAsked >= upstream.reportAsked &&
-                   aReport.term <= upstream.report->term &&
+  bool isShorter = upstream.report && aReport.term <= upstream.report->term &&
                    aReport.logEnd.IsBehind(upstream.report->logEnd);
-  if (isCutBack) {
+  if (isShorter && aAsked <= upstream.reportAsked) {
+    return; // overtaken on another connection
+  }
+  if (isShorter) {
     this->members.NoteLostLog(aUpstream, aNow);
   }
   upstream.report = aReport;
