Judge lost commits by what callers were told

The simulation took a commit for acknowledged when the upstream acknowledged it to the host. Now a commit counts from the success that its caller got, it must be in the log of the newest primary at that moment, and whoever is promoted later is checked at once, no more only at the next commit and at the end. A promotion's time and severed hosts can be set.

--- a/test/fakes/proxy-simulation-relays.cc
+++ b/test/fakes/proxy-simulation-relays.cc
@@ -144,11 +144,16 @@
   });
 }
 
-/** A datagram about customers' limits. */
+/** A datagram from one host to another. */
 void
-ProxySimulation::Deliver(const std::string& aHost, const ProxyEvent& aEvent)
+ProxySimulation::Deliver(size_t aFrom,
+                         const std::string& aHost,
+                         const ProxyEvent& aEvent)
 {
   size_t to = this->HostNamed(aHost);
+  if (this->severedHosts.count({ aFrom, to }) != 0) {
+    return;
+  }
   this->queue.After(kDatagramTime,
                     [this, to, aEvent] { this->Send(to, aEvent); });
 }
--- a/test/fakes/proxy-simulation-upstreams.cc
+++ b/test/fakes/proxy-simulation-upstreams.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr Duration kPromotionTime = Millis(300);
 constexpr Duration kPromotionRequestDelay = Millis(1);
 
 } // namespace
@@ -216,6 +215,7 @@
     return reply;
   }
   bool isConfirmed = this->Append(upstream, { entry });
+  this->NoteCommit(request, aLink.upstream);
   ++request.effects;
   if (!isConfirmed) {
     reply.signature = "none";
@@ -249,6 +249,7 @@
   if (!this->Append(upstream, pendingWrites)) {
     reply.signature = "none";
   }
+  this->NoteCommit(request, aLink.upstream);
   return reply;
 }
 
@@ -280,20 +281,41 @@
       late.applied = std::max(late.applied, std::min(end, late.log.size()));
     });
   }
-  if (isConfirmed) {
-    this->Acknowledge(aPrimary);
-  }
   return isConfirmed;
 }
 
-/** All commits in the primary's log are acknowledged now. */
+/** The request's writes are the last entries of the upstream's log. */
+void
+ProxySimulation::NoteCommit(FakeRequest& aRequest, size_t aUpstream) const
+{
+  const FakeUpstream& primary = this->upstreams[aUpstream];
+  aRequest.committed = primary.log.back();
+  aRequest.committedAt = aUpstream;
+  aRequest.commitEnd = primary.log.size();
+}
+
+/**
+ * The caller has been told that its commit is kept, and so is all that lies
+ * before it. The log of the newest primary must have it, whether that one was
+ * promoted before or after.
+ */
 void
-ProxySimulation::Acknowledge(const FakeUpstream& aPrimary)
+ProxySimulation::NoteAcknowledged(const FakeRequest& aRequest)
 {
-  // Checked now, as `acknowledged` is replaced by this log in the next line.
-  this->lost += this->LostCommits(aPrimary);
-  this->acknowledged = aPrimary.log;
-  this->acknowledgedAt.resize(aPrimary.log.size(), this->Now());
+  const FakeUpstream& leader = this->upstreams[this->PrimaryIndex()];
+  size_t end = aRequest.commitEnd;
+  bool isKept = end <= leader.log.size() &&
+                leader.log[end - 1].value == aRequest.committed.value &&
+                leader.log[end - 1].term == aRequest.committed.term;
+  if (!isKept) {
+    this->lost +=
+      "an acknowledged commit is lost: " + aRequest.committed.value + "\n";
+    return;
+  }
+  while (this->acknowledged.size() < end) {
+    this->acknowledged.push_back(leader.log[this->acknowledged.size()]);
+    this->acknowledgedAt.push_back(this->Now());
+  }
 }
 
 /** The replica has received the log of the primary, and confirms it. */
@@ -304,22 +326,17 @@
     return aCommit.upstream == aPrimary &&
            aCommit.logSize <= aReplica.log.size();
   };
-  bool isAny = false;
   for (const UnconfirmedCommit& commit : this->unconfirmedCommits) {
     if (isConfirmed(commit)) {
-      isAny = true;
       this->SendReply(commit.link,
                       LinkAnswered{ commit.link.second, commit.reply });
     }
   }
-  if (isAny) {
-    this->Acknowledge(this->upstreams[aPrimary]);
-    this->unconfirmedCommits.erase(
-      std::remove_if(this->unconfirmedCommits.begin(),
-                     this->unconfirmedCommits.end(),
-                     isConfirmed),
-      this->unconfirmedCommits.end());
-  }
+  this->unconfirmedCommits.erase(
+    std::remove_if(this->unconfirmedCommits.begin(),
+                   this->unconfirmedCommits.end(),
+                   isConfirmed),
+    this->unconfirmedCommits.end());
 }
 
 /** Returns a line for each acknowledged commit that the log lacks. */
@@ -342,7 +359,8 @@
 {
   for (size_t i = 0; i < this->upstreams.size(); ++i) {
     if (this->upstreams[i].entry.id == aAction.upstream) {
-      this->queue.After(kPromotionTime, [this, i] { this->BecomePrimary(i); });
+      this->queue.After(this->options.promotionTime,
+                        [this, i] { this->BecomePrimary(i); });
     }
   }
   std::string service = aAction.service;
@@ -367,6 +385,7 @@
   leader.term = highest + 1;
   leader.held = 0;
   leader.applied = leader.log.size();
+  this->lost += this->LostCommits(leader);
   for (FakeUpstream& other : this->upstreams) {
     // Without replication an upstream does not learn of the new term either.
     if (!other.isReplicationBlocked) {
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -291,6 +291,9 @@
   if (aReply.failure) {
     return;
   }
+  if (aRequest.commitEnd != 0) {
+    this->NoteAcknowledged(aRequest);
+  }
   const SessionStatement& statement = aRequest.statement;
   std::pair<size_t, CallerId> session{ aRequest.host, aRequest.caller };
   bool writes = statement.kind == StatementKind::Write ||
@@ -361,10 +364,12 @@
     this->Perform(aHost, *relayReply);
   } else if (const auto* asked = std::get_if<SendLimitRequest>(&aAction)) {
     this->Deliver(
+      aHost,
       asked->host,
       LimitRequestArrived{ "h" + std::to_string(aHost), asked->request });
   } else if (const auto* granted = std::get_if<SendLimitReply>(&aAction)) {
     this->Deliver(
+      aHost,
       granted->host,
       LimitReplyArrived{ "h" + std::to_string(aHost), granted->reply });
   } else if (const auto* order = std::get_if<RequestPromotion>(&aAction)) {
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -80,8 +80,13 @@
   Time sent;
   std::optional<StatementReply> reply;
   Time answered;
-  int runs = 0;               // executions at upstreams
-  int effects = 0;            // commits that contain its write
+  int runs = 0;    // executions at upstreams
+  int effects = 0; // commits that contain its write
+  // Of the commit that contains it: the last entry, its upstream, and the end
+  // of the log there; 0: none.
+  LogEntry committed;
+  size_t committedAt = 0;
+  size_t commitEnd = 0;
   size_t requiredEntries = 0; // acknowledged log entries that a read must show
   std::map<std::string, std::string>
     settings; // the session's settings when sent
@@ -133,6 +138,8 @@
   bool withholdsGroups = false;
   // How often each host reads the registry; unset: when the test sends it.
   std::optional<Duration> registryInterval;
+  // How long after its order a promotion takes effect.
+  Duration promotionTime = Millis(300);
   // How many zones the hosts are spread over; 0: each has a zone of its own,
   // and no host relays statements.
   size_t zones = 0;
@@ -201,6 +208,9 @@
     const std::string& aText,
     const std::optional<SessionStatement>& aMeaning);
 
+  /** Pairs of hosts, from and to, between which no messages arrive. */
+  std::set<std::pair<size_t, size_t>> severedHosts;
+
   /** Calls `SubmitStatement` and runs until the answer, for at most 3 s. */
   std::shared_ptr<FakeRequest> SubmitAndWait(
     size_t aHost,
@@ -358,7 +368,9 @@
   void LoseRelayLinksOf(size_t aHost);
   void Perform(size_t aHost, const RelayStatement& aAction);
   void Perform(size_t aHost, const EndRelay& aAction);
-  void Deliver(const std::string& aHost, const ProxyEvent& aEvent);
+  void Deliver(size_t aFrom,
+               const std::string& aHost,
+               const ProxyEvent& aEvent);
   void Perform(size_t aHost, const AnswerRelay& aAction);
   FakeUpstream NewUpstream(size_t aIndex) const;
   std::unique_ptr<ProxyEngine> NewProcess(size_t aHost);
@@ -382,7 +394,8 @@
   StatementReply Commit(FakeLink& aLink, const SendToUpstream& aAction);
   std::string LostCommits(const FakeUpstream& aPrimary) const;
   bool Append(FakeUpstream& aPrimary, const std::vector<LogEntry>& aEntries);
-  void Acknowledge(const FakeUpstream& aPrimary);
+  void NoteCommit(FakeRequest& aRequest, size_t aUpstream) const;
+  void NoteAcknowledged(const FakeRequest& aRequest);
   void ConfirmCommits(size_t aPrimary, const FakeUpstream& aReplica);
   void SendReply(LinkKey aKey, const ProxyEvent& aEvent);
   UpstreamReport Report(FakeUpstream& aUpstream, const SendToUpstream& aAction);
@@ -432,7 +445,7 @@
   // By host and caller: the writes of the open transaction that have succeeded.
   std::map<std::pair<size_t, CallerId>, size_t> openWrites;
   std::vector<UnconfirmedCommit> unconfirmedCommits;
-  std::vector<LogEntry> acknowledged;
+  std::vector<LogEntry> acknowledged; // to callers
   std::vector<Time> acknowledgedAt;
   std::string lost; // a line for each lost commit
   std::map<std::string, size_t> placed;
