Fence all hosts before a promotion is ordered

Cause: a promotion decides by the members that its host knows, and from the order on the promoted log is fixed but for what a candidate that is not held receives. Whoever else confirms a commit of the old primary after that, a backend that no host knows yet, or a replica that has forgotten its hold, the primary acknowledges it and any host passes that on. Holds can't stop confirmers that the promoter can't name.

Change: the answer to who may confirm is moved to those who pass it on. Before an order the promoter closes a fence at all registered hosts, by datagrams. A fenced host sends no new commits and answers UNSURE in place of a success of a lower term; its reply names the highest commit that it has acknowledged, which the candidate must have. A host that does not reply is waited for until its right has expired: it acknowledges commits only with contact with the store in the last 2.5 s, or a report of a recorded replica that is not held, asked for in the last 500 ms. If no promotion was ordered, the fences are reopened; they expire 5 s after the promoter's last request.

--- /dev/null
+++ b/include/marigoldpitch/coordination/proxy/fencing-round.h
@@ -0,0 +1,98 @@
+#ifndef MARIGOLDPITCH_COORDINATION_PROXY_FENCING_ROUND_H
+#define MARIGOLDPITCH_COORDINATION_PROXY_FENCING_ROUND_H
+
+#include "marigoldpitch/coordination/proxy/commit-fence.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/** How a promoter fences a term at all hosts. */
+namespace marigoldpitch {
+
+/**
+ * The hosts that may acknowledge commits to callers: those that are registered,
+ * and those that were until lately, which may still run.
+ */
+class HostRoster
+{
+public:
+  /** Sets the names of all registered hosts. */
+  void SetRegistered(const std::vector<std::string>& aHosts, Time aNow);
+
+  /** By name: since when a host is not registered; `kInfiniteFuture`: it is. */
+  const std::map<std::string, Time>& Hosts() const { return this->hosts; }
+
+private:
+  std::map<std::string, Time> hosts;
+};
+
+/** A request for one host; the sender adds the service. */
+struct FenceHost
+{
+  std::string host;
+  FenceRequest request;
+};
+
+/**
+ * A promoter's requests to all hosts, which may get lost, and their replies.
+ * Once `IsComplete`, no host acknowledges commits of terms below the fenced one
+ * to callers, and those that were acknowledged are covered by
+ * `HighestAcknowledged`, or were acknowledged by a host that has not replied.
+ */
+class FencingRound
+{
+public:
+  /** Begins to close the fences below `aTerm`. */
+  void Close(Term aTerm, bool aAwaitsOpenCommits, Time aNow);
+
+  /** Tells the hosts how the round has ended, for `kFenceEndTime`. */
+  void End(FenceCommand aCommand, Time aNow);
+
+  /** Sends nothing more, so that the fences expire. */
+  void Drop() { this->isActive = false; }
+
+  /** When the present command was first sent. */
+  Time Since() const { return this->since; }
+
+  /** Whether fences are being closed or are closed. */
+  bool IsClosing() const
+  {
+    return this->isActive && this->request.command == FenceCommand::Close;
+  }
+
+  /** The requests that are due. */
+  std::vector<FenceHost> Requests(const HostRoster& aRoster, Time aNow);
+
+  void Replied(const std::string& aHost, const FenceReply& aReply);
+
+  /**
+   * Whether each host has replied, or cannot acknowledge commits any more since
+   * its lease has expired.
+   */
+  bool IsComplete(const HostRoster& aRoster, Time aNow) const;
+
+  /** Whether each host has replied. */
+  bool HaveAllReplied(const HostRoster& aRoster) const;
+
+  const LogPoint& HighestAcknowledged() const
+  {
+    return this->highestAcknowledged;
+  }
+
+  /** How many hosts have not replied. */
+  size_t Missing(const HostRoster& aRoster) const;
+
+private:
+  bool isActive = false;
+  FenceRequest request;
+  Time since = kInfinitePast; // when the present command was first sent
+  std::map<std::string, Time> lastSent;
+  std::set<std::string> replied;
+  LogPoint highestAcknowledged;
+};
+
+} // namespace marigoldpitch
+
+#endif
--- a/include/marigoldpitch/coordination/proxy/promotion.h
+++ b/include/marigoldpitch/coordination/proxy/promotion.h
@@ -1,6 +1,7 @@
 #ifndef MARIGOLDPITCH_COORDINATION_PROXY_PROMOTION_H
 #define MARIGOLDPITCH_COORDINATION_PROXY_PROMOTION_H
 
+#include "marigoldpitch/coordination/proxy/fencing-round.h"
 #include "marigoldpitch/coordination/proxy/service-view.h"
 
 #include <map>
@@ -30,15 +31,17 @@
   Holding,    // replicas are told to accept no more log from the old primary
   Verifying,  // each held replica is asked whether it is still held
   CatchingUp, // the candidate must receive all that the held replicas have
+  Fencing,    // all hosts must stop acknowledging commits of the old primary
   Ordering,   // the platform is asked to promote the candidate
   Confirming, // waits until the candidate reports that it is the primary
 };
 
-constexpr NameTable<PromotionPhase, 6> kPromotionPhaseNames{ {
+constexpr NameTable<PromotionPhase, 7> kPromotionPhaseNames{ {
   { PromotionPhase::Idle, "idle" },
   { PromotionPhase::Holding, "holding" },
   { PromotionPhase::Verifying, "verifying" },
   { PromotionPhase::CatchingUp, "catching-up" },
+  { PromotionPhase::Fencing, "fencing" },
   { PromotionPhase::Ordering, "ordering" },
   { PromotionPhase::Confirming, "confirming" },
 } };
@@ -123,7 +126,7 @@
 };
 
 using PromotionAction =
-  std::variant<UpstreamCommand, OrderPromotion, CandidateReleased>;
+  std::variant<UpstreamCommand, OrderPromotion, CandidateReleased, FenceHost>;
 using PromotionActions = std::vector<PromotionAction>;
 
 /** A replica that is held for a promotion, as it last reported. */
@@ -148,6 +151,12 @@
  * commits that the candidate confirms, so the candidate's log contains each of
  * them.
  *
+ * Upstreams that this host does not know yet may confirm commits as well. So
+ * before the order all hosts are fenced: none of them acknowledges commits of
+ * the old primary to its callers any more, and the candidate's log must reach
+ * the highest commit that one of them has acknowledged. Hosts stay fenced until
+ * the promotion has taken effect; if none was ordered, the fences are reopened.
+ *
  * A replica that restarts is not held any more. So before the order all held
  * replicas must report once more that they are held. From then on they are
  * asked again and again until the promotion has taken effect, since an order
@@ -167,6 +176,8 @@
   /** When the last order of this host can no longer take effect. */
   Time LastOrderExpiresAt() const;
 
+  const FencingRound& Fencing() const { return this->fencing; }
+
   /** The held replicas. */
   const std::map<UpstreamIndex, HeldReplica>& Held() const
   {
@@ -179,15 +190,24 @@
    * promotions any more, unless the platform has accepted the order already.
    */
   PromotionActions Update(const ServiceView& aView,
+                          const HostRoster& aHosts,
                           bool aMayPromote,
                           Time aNow);
 
   /** Applies an upstream's report. */
   PromotionActions Answered(const ServiceView& aView,
+                            const HostRoster& aHosts,
                             UpstreamIndex aUpstream,
                             const UpstreamReport& aReport,
                             Time aNow);
 
+  /** Applies a host's reply to a request to fence a term. */
+  PromotionActions FenceReplied(const ServiceView& aView,
+                                const HostRoster& aHosts,
+                                const std::string& aHost,
+                                const FenceReply& aReply,
+                                Time aNow);
+
   /** The platform accepted the order, or refused the upstream. */
   void OrderAnswered(bool aIsAccepted, Time aNow);
 
@@ -201,6 +221,11 @@
                     PromotionActions& aActions,
                     Time aNow);
   void StartVerifying(Time aNow);
+  void StartFencing(Time aNow);
+  void DropFences(bool aMayPromote, Time aNow);
+  void RequestFences(const HostRoster& aHosts,
+                     PromotionActions& aActions,
+                     Time aNow);
   void RequestHeldReports(const ServiceView& aView,
                           PromotionActions& aActions,
                           Time aNow);
@@ -218,20 +243,36 @@
   void ResumeCandidate(PromotionActions& aActions, Time aNow);
   void Enter(PromotionPhase aPhase, Time aNow);
 
+  /** Whether this attempt has begun to close the fences. */
+  bool IsFencing() const
+  {
+    return this->fencing.IsClosing() &&
+           this->fencing.Since() >= this->startedAt;
+  }
+
   /** Whether the attempt has got as far as the order. */
   bool IsOrdered() const
   {
     return this->phase == PromotionPhase::Ordering ||
            this->phase == PromotionPhase::Confirming;
   }
-  void Advance(const ServiceView& aView, PromotionActions& aActions, Time aNow);
+  void Advance(const ServiceView& aView,
+               const HostRoster& aHosts,
+               PromotionActions& aActions,
+               Time aNow);
+  void AdvanceFencing(const ServiceView& aView,
+                      const HostRoster& aHosts,
+                      PromotionActions& aActions,
+                      Time aNow);
   void AdvanceVerifying(const ServiceView& aView,
                         PromotionActions& aActions,
                         Time aNow);
   void AdvanceCatchingUp(const ServiceView& aView,
+                         const HostRoster& aHosts,
                          PromotionActions& aActions,
                          Time aNow);
   void AdvanceOrdered(const ServiceView& aView,
+                      const HostRoster& aHosts,
                       PromotionActions& aActions,
                       Time aNow);
   void Abort(PromotionOutcome aOutcome, PromotionActions& aActions, Time aNow);
@@ -262,6 +303,7 @@
   // When the candidate, which was held, was released; set until it reports that
   // it is not held any more.
   std::optional<Time> candidateReleasedAt;
+  FencingRound fencing;
   std::map<UpstreamIndex, HeldReplica> held;
   std::map<UpstreamIndex, Time> lastAskedAt; // time of the last command to each
   std::set<UpstreamIndex> unheldAtStart;     // not held when the attempt began
--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -368,6 +368,19 @@
   bool MayCleanUp(ProxyService& aService, const StaleState& aStaleState) const;
   void CleanUpStaleStates(ProxyService& aService);
 
+  // proxy-fencing.cc: which commits are acknowledged to callers while a
+  // promotion may be ordered.
+  void On(const FenceRequestArrived& aEvent);
+  void On(const FenceReplyArrived& aEvent);
+  void SendFenceReplies(ProxyService& aService);
+  void SendFenceReplyTo(const std::string& aHost, const FenceReply& aReply);
+  void SendFence(const ProxyService& aService, const FenceHost& aFence);
+  void UpdateRoster(const std::vector<std::string>& aNames);
+  void AbortFenced(CallerSession& aSession);
+  void HideCommit(ProxyService& aService,
+                  CallerSession& aSession,
+                  const LogPoint& aEnd);
+
   // proxy-watch-log.cc: log lines about promotions, primaries and leaving
   // upstreams.
   void LogPromotion(const ProxyService& aService, PromotionPhase aBefore);
@@ -398,6 +411,7 @@
   bool hasRegistry = false;
   size_t hosts = 0; // 0: not counted yet
   std::vector<HostPlace> places;
+  HostRoster roster; // the hosts that a promoter has to fence
   Time configuredSince = kInfiniteFuture;
   // Hosts to which a link is up, and since when.
   std::map<std::string, Time> relayHosts;
--- a/include/marigoldpitch/coordination/proxy/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-io.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_COORDINATION_PROXY_PROXY_IO_H
 
 #include "marigoldpitch/coordination/proxy/customer-limits.h"
+#include "marigoldpitch/coordination/proxy/fence-io.h"
 #include "marigoldpitch/coordination/proxy/relay-io.h"
 #include "marigoldpitch/coordination/proxy/service-placement.h"
 #include "marigoldpitch/coordination/proxy/statement.h"
@@ -114,6 +115,7 @@
 {
   size_t hosts = 1;
   std::vector<HostPlace> places;
+  std::vector<std::string> names = {}; // of all registered hosts
 };
 
 /** A link to a host to which statements may be relayed has come up or down. */
@@ -184,6 +186,19 @@
   LimitReply reply;
 };
 
+/** A promoter asks this host to fence a term. */
+struct FenceRequestArrived
+{
+  std::string host;
+  FenceRequest request;
+};
+
+struct FenceReplyArrived
+{
+  std::string host;
+  FenceReply reply;
+};
+
 struct ProxyDrainRequested
 {
   Duration grace; // time until the process is killed
@@ -215,6 +230,8 @@
                                 RelayedReplyArrived,
                                 LimitRequestArrived,
                                 LimitReplyArrived,
+                                FenceRequestArrived,
+                                FenceReplyArrived,
                                 ProxyTick>;
 
 // Actions.
@@ -338,6 +355,19 @@
   LimitReply reply;
 };
 
+/** Sends another host a request to fence a term; it may be lost. */
+struct SendFenceRequest
+{
+  std::string host;
+  FenceRequest request;
+};
+
+struct SendFenceReply
+{
+  std::string host;
+  FenceReply reply;
+};
+
 /** Adds to the metrics what became of an operation of a limited customer. */
 struct ObservePermit
 {
@@ -361,6 +391,8 @@
                                  AnswerRelay,
                                  SendLimitRequest,
                                  SendLimitReply,
+                                 SendFenceRequest,
+                                 SendFenceReply,
                                  ObservePermit>;
 
 using ProxyActions = std::vector<ProxyAction>;
--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -1,6 +1,7 @@
 #ifndef MARIGOLDPITCH_COORDINATION_PROXY_SERVICE_VIEW_H
 #define MARIGOLDPITCH_COORDINATION_PROXY_SERVICE_VIEW_H
 
+#include "marigoldpitch/coordination/proxy/commit-fence.h"
 #include "marigoldpitch/coordination/proxy/departures.h"
 #include "marigoldpitch/coordination/proxy/group-membership.h"
 #include "marigoldpitch/coordination/proxy/opening-pace.h"
@@ -119,7 +120,11 @@
   }
 
   /** The store had no newer registrations than the last ones at `aAsOf`. */
-  void ConfirmRegistrations(Time aAsOf) { this->departures.Confirm(aAsOf); }
+  void ConfirmRegistrations(Time aAsOf)
+  {
+    this->departures.Confirm(aAsOf);
+    this->storeSeenAt = std::max(this->storeSeenAt, aAsOf);
+  }
 
   /** Applies all registrations. */
   RegistryChanges ApplyRegistrations(
@@ -193,6 +198,37 @@
                               Time aAsked,
                               Time aNow);
 
+  /** The fences that promoters have closed for this service. */
+  CommitFence& Fence() { return this->fence; }
+
+  /**
+   * Whether a commit of the term that the primary has acknowledged may be
+   * acknowledged to its caller: no promotion to a higher term can have been
+   * ordered, as far as this host can tell. Requires that no fence hides it, and
+   * either contact with the store within `kCommitLease`, or a recent report of
+   * a recorded replica that is not held.
+   */
+  bool MayAcknowledge(Term aTerm, Time aNow) const;
+
+  /** Whether a commit that is sent to the primary now may be acknowledged. */
+  bool MaySendCommits(Time aNow) const;
+
+  /** Whether the fence below the present term's successor is closed. */
+  bool IsFenced(Time aNow) const
+  {
+    return this->fence.IsClosedFor(this->term, aNow);
+  }
+
+  /** A commit was acknowledged that must not be passed on to its caller. */
+  void NoteHiddenCommit(Time aNow) { this->lastAcknowledged = aNow; }
+  Time LastAcknowledged() const { return this->lastAcknowledged; }
+
+  /** Whether any commit sent by this host has no answer yet. */
+  bool HasOpenCommits() const { return !this->unansweredCommits.empty(); }
+
+  /** A promotion to the term has taken effect. */
+  void NoteTermBegan(Term aTerm);
+
   /** The highest log point that came with an acknowledged commit. */
   const LogPoint& HighestAcknowledged() const
   {
@@ -362,6 +398,11 @@
   std::vector<ProxyUpstream> upstreams;
   GroupMembership members;
   Departures departures;
+  CommitFence fence;
+  Time storeSeenAt = kInfinitePast; // the store was read then or later
+  // When the newest report of a recorded replica that is not held was
+  // requested.
+  Time memberProofAsked = kInfinitePast;
   bool hasRegistry = false;
   bool requiresReplicaConfirmation = false;
   std::optional<UpstreamIndex> primary;
--- a/include/marigoldpitch/protocol/wire.h
+++ b/include/marigoldpitch/protocol/wire.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_PROTOCOL_WIRE_H
 
 #include "marigoldpitch/coordination/common/gossip.h"
+#include "marigoldpitch/coordination/proxy/fence-io.h"
 #include "marigoldpitch/coordination/proxy/limit-io.h"
 #include "marigoldpitch/coordination/proxy/relay-io.h"
 #include "marigoldpitch/state/error.h"
@@ -84,6 +85,16 @@
   LimitReply reply;
 };
 
+struct FenceRequestFrame
+{
+  FenceRequest request;
+};
+
+struct FenceReplyFrame
+{
+  FenceReply reply;
+};
+
 using Frame = std::variant<RequestFrame,
                            AnswerFrame,
                            CancelFrame,
@@ -96,7 +107,9 @@
                            RelayedReplyFrame,
                            RelayedEndFrame,
                            LimitRequestFrame,
-                           LimitReplyFrame>;
+                           LimitReplyFrame,
+                           FenceRequestFrame,
+                           FenceReplyFrame>;
 
 /** Encodes the frame without the size prefix. */
 std::string
--- a/include/marigoldpitch/state/log-event.h
+++ b/include/marigoldpitch/state/log-event.h
@@ -80,6 +80,8 @@
   LimitCounterChanged,
   MemoryStageChanged,
   CallerClosed,
+  FenceChanged,
+  CommitHidden,
 };
 
 struct LogEventRow
@@ -90,7 +92,7 @@
   std::string_view name;
 };
 
-constexpr std::array<LogEventRow, 55> kLogEvents{ {
+constexpr std::array<LogEventRow, 57> kLogEvents{ {
   { LogEvent::Started, 100, Severity::Info, "started" },
   { LogEvent::Stopped, 101, Severity::Info, "stopped" },
   { LogEvent::DrainStarted, 102, Severity::Info, "drain-started" },
@@ -161,6 +163,8 @@
     Severity::Warning,
     "memory-stage-changed" },
   { LogEvent::CallerClosed, 612, Severity::Warning, "caller-closed" },
+  { LogEvent::FenceChanged, 413, Severity::Info, "fence-changed" },
+  { LogEvent::CommitHidden, 613, Severity::Warning, "commit-hidden" },
 } };
 
 constexpr const LogEventRow&
--- a/include/marigoldpitch/transport/limit-links.h
+++ b/include/marigoldpitch/transport/limit-links.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <utility>
 
-/** The datagrams in which proxies exchange what their limits need. */
+/** The datagrams that proxies exchange: about limits and fences. */
 namespace marigoldpitch {
 
 /**
@@ -38,6 +38,8 @@
 
   void Perform(const SendLimitRequest& aAction);
   void Perform(const SendLimitReply& aAction);
+  void Perform(const SendFenceRequest& aAction);
+  void Perform(const SendFenceReply& aAction);
 
   void OnDatagram(const Endpoint& aFrom, std::string_view aBytes) override;
 
--- a/src/coordination/proxy/promotion-holds.cc
+++ b/src/coordination/proxy/promotion-holds.cc
@@ -120,6 +120,41 @@
   }
 }
 
+/** Closes the fences at all hosts, unless this attempt has begun to. */
+void
+Promotion::StartFencing(Time aNow)
+{
+  this->Enter(PromotionPhase::Fencing, aNow);
+  if (!this->IsFencing()) {
+    // The primary still answers open commits only if the candidate is not held.
+    this->fencing.Close(this->term, !this->holdsCandidate, aNow);
+  }
+}
+
+/**
+ * Lets the fences of an attempt that has ended after an order expire, once the
+ * order can't take effect any more, or this host has lost the lease.
+ */
+void
+Promotion::DropFences(bool aMayPromote, Time aNow)
+{
+  bool isNeeded =
+    this->IsRunning() || (aMayPromote && aNow < this->LastOrderExpiresAt());
+  if (!isNeeded && this->fencing.IsClosing()) {
+    this->fencing.Drop();
+  }
+}
+
+void
+Promotion::RequestFences(const HostRoster& aHosts,
+                         PromotionActions& aActions,
+                         Time aNow)
+{
+  for (FenceHost& request : this->fencing.Requests(aHosts, aNow)) {
+    aActions.push_back(std::move(request));
+  }
+}
+
 /**
  * Asks each held replica, the candidate too, whether it is still held: at once
  * in a new phase, then at intervals. Nobody is asked who is no member any more.
--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -84,7 +84,12 @@
 bool
 Promotion::IsNoLongerNeeded(const ServiceView& aView, Time aNow) const
 {
-  return !this->IsOrdered() && !this->FindReason(aView, aNow);
+  // While the fences are closed nobody sends commits, so a stall cannot show.
+  // It has passed only if the primary has acknowledged one since.
+  bool isStallHidden = this->reason == PromotionReason::CommitsStalled &&
+                       this->IsFencing() &&
+                       aView.LastAcknowledged() < this->startedAt;
+  return !this->IsOrdered() && !isStallHidden && !this->FindReason(aView, aNow);
 }
 
 Time
@@ -94,9 +99,14 @@
 }
 
 PromotionActions
-Promotion::Update(const ServiceView& aView, bool aMayPromote, Time aNow)
+Promotion::Update(const ServiceView& aView,
+                  const HostRoster& aHosts,
+                  bool aMayPromote,
+                  Time aNow)
 {
   PromotionActions actions;
+  this->DropFences(aMayPromote, aNow);
+  this->RequestFences(aHosts, actions, aNow);
   if (aView.Primary()) {
     this->primaryUnknownSince = kInfiniteFuture;
   } else if (this->primaryUnknownSince == kInfiniteFuture) {
@@ -127,7 +137,7 @@
     this->Abort(end, actions, aNow);
     return actions;
   }
-  this->Advance(aView, actions, aNow);
+  this->Advance(aView, aHosts, actions, aNow);
   return actions;
 }
 
@@ -180,7 +190,8 @@
 
 /**
  * Whether a log that ends at `aPoint` contains every acknowledged commit. It
- * must reach the highest commit that this proxy saw acknowledged, and at most
+ * must reach the highest commit that this proxy or a fenced host has
+ * acknowledged, and at most
  * one member may be unaccounted for. Each acknowledged commit is in the logs of
  * two members. So if only one member, such as the old primary, is unaccounted
  * for, another member with that commit is accounted for.
@@ -194,7 +205,8 @@
                               const LogPoint& aPoint,
                               Time aNow) const
 {
-  if (aPoint.IsBehind(aView.HighestAcknowledged())) {
+  if (aPoint.IsBehind(aView.HighestAcknowledged()) ||
+      aPoint.IsBehind(this->fencing.HighestAcknowledged())) {
     return false;
   }
   size_t unaccounted = 0;
@@ -219,20 +231,25 @@
 /**
  * Performs the current phase and enters the next one when its condition is met:
  *
- * - `Holding` ends when `AreAllHeld`.
+ * - `Holding` ends when `AreAllHeld`. With a candidate that is held as well,
+ *   `Fencing` follows, else `Verifying`.
+ * - `Fencing` ends when the fencing round is complete; `Verifying` follows.
  * - `Verifying` ends when `AreHoldsVerified` and, if the candidate is held as
  *   well, `ContainsAllCommits` for the longest log of a held replica, which
  *   becomes the candidate. With a candidate that is not held, `CatchingUp`
  *   follows.
  * - `CatchingUp` ends when the candidate's log is not behind the log of any
- *   held replica and `ContainsAllCommits` is true for it.
+ *   held replica and `ContainsAllCommits` is true for it. Then the hosts are
+ *   fenced, and the phases from `Verifying` on are repeated once.
  * - `Ordering` repeats the order until the platform answers it.
  * - `Confirming` ends when the candidate reports that it is the primary.
  *
- * `Verifying` and `CatchingUp` go back to `Holding` when not `AreAllHeld`.
+ * All phases between `Holding` and `Ordering` go back to `Holding` when not
+ * `AreAllHeld`.
  */
 void
 Promotion::Advance(const ServiceView& aView,
+                   const HostRoster& aHosts,
                    PromotionActions& aActions,
                    Time aNow)
 {
@@ -244,16 +261,36 @@
     return;
   }
   if (this->phase == PromotionPhase::Holding) {
-    this->StartVerifying(aNow);
+    if (this->holdsCandidate) {
+      this->StartFencing(aNow);
+    } else {
+      this->StartVerifying(aNow);
+    }
+  }
+  if (this->phase == PromotionPhase::Fencing) {
+    this->AdvanceFencing(aView, aHosts, aActions, aNow);
   }
   if (this->phase == PromotionPhase::Verifying) {
     this->AdvanceVerifying(aView, aActions, aNow);
   }
   if (this->phase == PromotionPhase::CatchingUp) {
-    this->AdvanceCatchingUp(aView, aActions, aNow);
+    this->AdvanceCatchingUp(aView, aHosts, aActions, aNow);
   }
   if (this->IsOrdered()) {
-    this->AdvanceOrdered(aView, aActions, aNow);
+    this->AdvanceOrdered(aView, aHosts, aActions, aNow);
+  }
+}
+
+void
+Promotion::AdvanceFencing(const ServiceView& aView,
+                          const HostRoster& aHosts,
+                          PromotionActions& aActions,
+                          Time aNow)
+{
+  this->RequestHeldReports(aView, aActions, aNow);
+  this->RequestFences(aHosts, aActions, aNow);
+  if (this->fencing.IsComplete(aHosts, aNow)) {
+    this->StartVerifying(aNow);
   }
 }
 
@@ -290,6 +327,7 @@
 
 void
 Promotion::AdvanceCatchingUp(const ServiceView& aView,
+                             const HostRoster& aHosts,
                              PromotionActions& aActions,
                              Time aNow)
 {
@@ -299,8 +337,11 @@
     upstream.report && upstream.reportAsked >= this->phaseSince &&
     !upstream.report->logEnd.IsBehind(this->LongestHeldLogEnd()) &&
     this->ContainsAllCommits(aView, upstream.report->logEnd, aNow);
-  if (containsAll) {
+  if (containsAll && this->IsFencing()) {
     this->Enter(PromotionPhase::Ordering, aNow);
+  } else if (containsAll) {
+    this->StartFencing(aNow);
+    this->AdvanceFencing(aView, aHosts, aActions, aNow);
   } else if (aNow - this->phaseSince >= detail::kCatchUpTimeout) {
     // The candidate does not catch up: hold it too and choose the replica with
     // the longest log.
@@ -314,9 +355,11 @@
 /** Orders the promotion and waits for its effect. */
 void
 Promotion::AdvanceOrdered(const ServiceView& aView,
+                          const HostRoster& aHosts,
                           PromotionActions& aActions,
                           Time aNow)
 {
+  this->RequestFences(aHosts, aActions, aNow);
   if (auto doubtful = this->FindDoubtfulHold(aView)) {
     this->ReleaseCandidate(*doubtful, HoldLoss::Unreachable, aActions, aNow);
   }
@@ -348,6 +391,7 @@
 
 PromotionActions
 Promotion::Answered(const ServiceView& aView,
+                    const HostRoster& aHosts,
                     UpstreamIndex aUpstream,
                     const UpstreamReport& aReport,
                     Time aNow)
@@ -357,7 +401,22 @@
     return actions;
   }
   this->NoteHold(aView, aUpstream, aReport, actions, aNow);
-  this->Advance(aView, actions, aNow);
+  this->Advance(aView, aHosts, actions, aNow);
+  return actions;
+}
+
+PromotionActions
+Promotion::FenceReplied(const ServiceView& aView,
+                        const HostRoster& aHosts,
+                        const std::string& aHost,
+                        const FenceReply& aReply,
+                        Time aNow)
+{
+  PromotionActions actions;
+  this->fencing.Replied(aHost, aReply);
+  if (this->phase == PromotionPhase::Fencing) {
+    this->Advance(aView, aHosts, actions, aNow);
+  }
   return actions;
 }
 
@@ -395,6 +454,10 @@
       aActions.push_back(UpstreamCommand{ upstream, StatementKind::Resume });
     }
   }
+  // A host that has lost the lease leaves the fences to its successor.
+  if (mayResume && aOutcome != PromotionOutcome::LeaseLost) {
+    this->fencing.End(FenceCommand::Reopen, aNow);
+  }
   this->phase = PromotionPhase::Idle;
   this->nextAttempt = aNow + detail::kAttemptPause;
 }
@@ -411,6 +474,7 @@
       UpstreamCommand{ *this->oldPrimary, StatementKind::Demote, this->term });
   }
   this->outcome = PromotionOutcome::Succeeded;
+  this->fencing.End(FenceCommand::TermBegan, aNow);
   this->phase = PromotionPhase::Idle;
   this->nextAttempt = aNow + detail::kAttemptPause;
 }
--- a/src/coordination/proxy/proxy-answers.cc
+++ b/src/coordination/proxy/proxy-answers.cc
@@ -204,7 +204,11 @@
   bool inTransaction = aSession.state == SessionState::InTransaction;
   bool isCommitted =
     isCommit ? aSession.transactionWrote : pending.writes && !inTransaction;
-  if (isCommitted && aReply.position) {
+  LogPoint committed =
+    aReply.position.value_or(LogPoint{ service.view.CurrentTerm(), 0 });
+  bool isHidden = isCommitted && service.config.confirmedByReplica &&
+                  !service.view.MayAcknowledge(committed.term, this->now);
+  if (isCommitted && !isHidden && aReply.position) {
     aSession.lastCommit = *aReply.position;
     if (service.config.confirmedByReplica) {
       service.view.NoteAcknowledgedCommit(
@@ -225,6 +229,10 @@
     this->Release(aLink, aReply.state);
     aSession.state = SessionState::Failed;
   }
+  if (isHidden) {
+    this->HideCommit(service, aSession, committed);
+    return;
+  }
   this->Answer(aSession, aReply);
 }
 
--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -226,6 +226,10 @@
 ProxyEngine::Place(ProxyService& aService, CallerSession& aSession)
 {
   if (aSession.pinned != 0) {
+    if (IsCommit(aSession) && aService.view.IsFenced(this->now)) {
+      this->AbortFenced(aSession);
+      return false;
+    }
     UpstreamIndex upstream = this->links.at(aSession.pinned).upstream;
     aSession.pending->onReplica = aService.view.Primary() != upstream;
     this->Assign(aService, aSession, aSession.pinned);
@@ -311,6 +315,10 @@
     if (!view.IsPrimaryUsable(this->now) || isStalled) {
       return false;
     }
+    if (IsCommit(aSession) && !view.MaySendCommits(this->now)) {
+      aService.proofWanted = true;
+      return false;
+    }
     bool isProved = !pending.needsProof || view.IsPrimaryProvedAt(from);
     aService.proofWanted = aService.proofWanted || !isProved;
     return isProved;
--- /dev/null
+++ b/src/coordination/proxy/proxy-fencing.cc
@@ -0,0 +1,131 @@
+#include "marigoldpitch/coordination/proxy/proxy-engine.h"
+
+// Fencing: which acknowledgements of commits this host passes on to callers
+// while a promotion may be ordered, here or on another host.
+
+namespace marigoldpitch {
+
+void
+ProxyEngine::On(const FenceRequestArrived& aEvent)
+{
+  auto found = this->services.find(aEvent.request.service);
+  if (found == this->services.end()) {
+    // This host has acknowledged nothing of the service.
+    const FenceRequest& request = aEvent.request;
+    this->SendFenceReplyTo(
+      aEvent.host,
+      { request.service, request.round, request.term, request.command, {} });
+    return;
+  }
+  ProxyService& service = found->second;
+  bool wasFenced = service.view.IsFenced(this->now);
+  service.view.Fence().Apply(aEvent.host, aEvent.request, this->now);
+  if (aEvent.request.command == FenceCommand::TermBegan) {
+    service.view.NoteTermBegan(aEvent.request.term);
+  }
+  if (service.view.IsFenced(this->now) != wasFenced) {
+    this->AddDecision(
+      LogEvent::FenceChanged,
+      "",
+      { { "service", service.name },
+        { "promoter", aEvent.host },
+        { "command", kFenceCommandNames.TextOf(aEvent.request.command) },
+        { "term", std::to_string(aEvent.request.term) },
+        { "acknowledged",
+          FormatLogPoint(service.view.HighestAcknowledged()) } });
+  }
+  this->SendFenceReplies(service);
+}
+
+void
+ProxyEngine::On(const FenceReplyArrived& aEvent)
+{
+  auto found = this->services.find(aEvent.reply.service);
+  if (found == this->services.end()) {
+    return;
+  }
+  ProxyService& service = found->second;
+  PromotionPhase before = service.promotion.Phase();
+  this->Perform(
+    service,
+    service.promotion.FenceReplied(
+      service.view, this->roster, aEvent.host, aEvent.reply, this->now));
+  this->LogPromotion(service, before);
+}
+
+/** Sends the replies to promoters that are due. */
+void
+ProxyEngine::SendFenceReplies(ProxyService& aService)
+{
+  ServiceView& view = aService.view;
+  for (const auto& addressed : view.Fence().TakeReplies(
+         view.HasOpenCommits(), view.HighestAcknowledged(), this->now)) {
+    this->SendFenceReplyTo(addressed.host, addressed.reply);
+  }
+}
+
+void
+ProxyEngine::SendFenceReplyTo(const std::string& aHost,
+                              const FenceReply& aReply)
+{
+  if (aHost == this->options.host) {
+    this->On(FenceReplyArrived{ aHost, aReply });
+  } else {
+    this->Emit(SendFenceReply{ aHost, aReply });
+  }
+}
+
+/** Sends a promoter's request; this host's own needs no message. */
+void
+ProxyEngine::SendFence(const ProxyService& aService, const FenceHost& aFence)
+{
+  FenceRequest request = aFence.request;
+  request.service = aService.name;
+  if (aFence.host == this->options.host) {
+    this->On(FenceRequestArrived{ aFence.host, request });
+  } else {
+    this->Emit(SendFenceRequest{ aFence.host, request });
+  }
+}
+
+/** This host is always on the roster, whether it is registered or not. */
+void
+ProxyEngine::UpdateRoster(const std::vector<std::string>& aNames)
+{
+  std::vector<std::string> names = aNames;
+  names.push_back(this->options.host);
+  this->roster.SetRegistered(names, this->now);
+}
+
+/** Rolls back a transaction whose COMMIT must not be sent any more. */
+void
+ProxyEngine::AbortFenced(CallerSession& aSession)
+{
+  this->Dequeue(aSession);
+  this->LeaveTransaction(aSession);
+  this->AnswerFailure(
+    aSession, FailureCode::Aborted, "the primary is being replaced");
+}
+
+/**
+ * Answers the caller of a commit that the primary has acknowledged, but that
+ * the log of a new primary may lack.
+ */
+void
+ProxyEngine::HideCommit(ProxyService& aService,
+                        CallerSession& aSession,
+                        const LogPoint& aEnd)
+{
+  aService.view.NoteHiddenCommit(this->now);
+  this->AddDecision(
+    LogEvent::CommitHidden,
+    aSession.pending->requestId,
+    { { "service", aService.name },
+      { "position", FormatLogPoint(aEnd) },
+      { "term", std::to_string(aService.view.CurrentTerm()) },
+      { "fenced", aService.view.IsFenced(this->now) ? "yes" : "no" } });
+  this->AnswerFailure(
+    aSession, FailureCode::OutcomeUnknown, "the primary is being replaced");
+}
+
+} // namespace marigoldpitch
--- a/src/coordination/proxy/proxy-watch.cc
+++ b/src/coordination/proxy/proxy-watch.cc
@@ -103,9 +103,11 @@
   if (this->now - aService.logPointWantedAt <= detail::kPointDemandPeriod) {
     view.RequestReportsSince(this->now - detail::kPointInterval);
   }
+  this->SendFenceReplies(aService);
   PromotionPhase before = aService.promotion.Phase();
   this->Perform(aService,
-                aService.promotion.Update(view, this->MayPromote(), this->now));
+                aService.promotion.Update(
+                  view, this->roster, this->MayPromote(), this->now));
   this->LogPromotion(aService, before);
   if (this->MayPromote()) {
     this->UpdateGroupRecord(aService);
@@ -271,9 +273,9 @@
     }
     this->LogPrimary(service, before, termBefore);
     PromotionPhase phaseBefore = service.promotion.Phase();
-    this->Perform(
-      service,
-      service.promotion.Answered(view, index, *aEvent.report, this->now));
+    this->Perform(service,
+                  service.promotion.Answered(
+                    view, this->roster, index, *aEvent.report, this->now));
     this->LogPromotion(service, phaseBefore);
     this->NoteStaleState(service, index, *aEvent.report);
   }
@@ -361,6 +363,10 @@
       this->QueueCommand(aService, *command);
       continue;
     }
+    if (const auto* fence = std::get_if<FenceHost>(&action)) {
+      this->SendFence(aService, *fence);
+      continue;
+    }
     if (const auto* released = std::get_if<CandidateReleased>(&action)) {
       this->LogReleasedCandidate(aService, *released);
       continue;
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -55,6 +55,9 @@
   }
   if (aReport.held <= this->term) {
     this->ApplyProof(aAsked);
+    if (this->members.IsRecorded(aUpstream)) {
+      this->memberProofAsked = std::max(this->memberProofAsked, aAsked);
+    }
   }
   bool isConfirmed = this->unconfirmedLogEnd &&
                      !aReport.logEnd.IsBehind(this->unconfirmedLogEnd->point);
@@ -257,6 +260,37 @@
   this->unconfirmedLogEnd.reset();
   this->unprovedSamples.clear();
   this->newestProofAsked = kInfinitePast;
+  this->memberProofAsked = kInfinitePast;
+}
+
+void
+ServiceView::NoteTermBegan(Term aTerm)
+{
+  if (aTerm <= this->term) {
+    return;
+  }
+  this->primary.reset();
+  this->StartTerm(aTerm);
+  this->RequestAllReports();
+}
+
+bool
+ServiceView::MayAcknowledge(Term aTerm, Time aNow) const
+{
+  if (!this->requiresReplicaConfirmation) {
+    return true;
+  }
+  if (aTerm < this->term || this->fence.HidesCommitsOf(aTerm, aNow)) {
+    return false;
+  }
+  return aNow - this->storeSeenAt < kCommitLease ||
+         aNow - this->memberProofAsked < kPrimaryProofValidity;
+}
+
+bool
+ServiceView::MaySendCommits(Time aNow) const
+{
+  return !this->IsFenced(aNow) && this->MayAcknowledge(this->term, aNow);
 }
 
 void
@@ -360,7 +394,7 @@
   if (!this->primary || aNow < this->primaryUsableFrom) {
     return false;
   }
-  return !this->HasPrimaryLeft(aNow) &&
+  return !this->HasPrimaryLeft(aNow) && !this->IsFenced(aNow) &&
          this->upstreams[*this->primary].avoidUntil <= aNow;
 }
 
--- a/src/protocol/wire-decode.cc
+++ b/src/protocol/wire-decode.cc
@@ -366,6 +366,39 @@
   return Frame(std::move(frame));
 }
 
+Result<FenceCommand>
+DecodeFenceCommand(wire::FenceCommand aCommand)
+{
+  if (aCommand < wire::FenceCommand_MIN || aCommand > wire::FenceCommand_MAX) {
+    return Error{ ErrorCode::BadFrame, "command", "unknown" };
+  }
+  return static_cast<FenceCommand>(aCommand);
+}
+
+Result<Frame>
+DecodeBody(const wire::FenceRequestFrame& aFrame)
+{
+  BOOST_OUTCOME_TRY(FenceCommand command, DecodeFenceCommand(aFrame.command()));
+  return Frame(FenceRequestFrame{ { StringOrEmpty(aFrame.service()),
+                                    aFrame.round(),
+                                    aFrame.term(),
+                                    command,
+                                    aFrame.awaits_open_commits() } });
+}
+
+Result<Frame>
+DecodeBody(const wire::FenceReplyFrame& aFrame)
+{
+  BOOST_OUTCOME_TRY(FenceCommand command, DecodeFenceCommand(aFrame.command()));
+  LogPoint acknowledged{ aFrame.acknowledged_term(),
+                         aFrame.acknowledged_position() };
+  return Frame(FenceReplyFrame{ { StringOrEmpty(aFrame.service()),
+                                  aFrame.round(),
+                                  aFrame.term(),
+                                  command,
+                                  acknowledged } });
+}
+
 } // namespace detail
 
 Result<Frame>
@@ -409,6 +442,10 @@
       return detail::DecodeBody(*frame->body_as_LimitRequestFrame());
     case wire::Body_LimitReplyFrame:
       return detail::DecodeBody(*frame->body_as_LimitReplyFrame());
+    case wire::Body_FenceRequestFrame:
+      return detail::DecodeBody(*frame->body_as_FenceRequestFrame());
+    case wire::Body_FenceReplyFrame:
+      return detail::DecodeBody(*frame->body_as_FenceReplyFrame());
     default:
       return Error{ ErrorCode::BadFrame, "frame", "the body type is unknown" };
   }
--- a/src/protocol/wire-encode.cc
+++ b/src/protocol/wire-encode.cc
@@ -330,6 +330,39 @@
              .Union() };
 }
 
+EncodedBody
+EncodeBody(Builder& aBuilder, const FenceRequestFrame& aFrame)
+{
+  const FenceRequest& request = aFrame.request;
+  auto service = aBuilder.CreateString(request.service);
+  auto command = static_cast<wire::FenceCommand>(request.command);
+  return { wire::Body_FenceRequestFrame,
+           wire::CreateFenceRequestFrame(aBuilder,
+                                         service,
+                                         request.round,
+                                         request.term,
+                                         command,
+                                         request.awaitsOpenCommits)
+             .Union() };
+}
+
+EncodedBody
+EncodeBody(Builder& aBuilder, const FenceReplyFrame& aFrame)
+{
+  const FenceReply& reply = aFrame.reply;
+  auto service = aBuilder.CreateString(reply.service);
+  auto command = static_cast<wire::FenceCommand>(reply.command);
+  return { wire::Body_FenceReplyFrame,
+           wire::CreateFenceReplyFrame(aBuilder,
+                                       service,
+                                       reply.round,
+                                       reply.term,
+                                       command,
+                                       reply.highestAcknowledged.term,
+                                       reply.highestAcknowledged.position)
+             .Union() };
+}
+
 } // namespace detail
 
 std::string
--- a/src/transport/limit-links.cc
+++ b/src/transport/limit-links.cc
@@ -55,6 +55,18 @@
   this->Send(aAction.host, EncodeFrame(LimitReplyFrame{ aAction.reply }));
 }
 
+void
+LimitLinks::Perform(const SendFenceRequest& aAction)
+{
+  this->Send(aAction.host, EncodeFrame(FenceRequestFrame{ aAction.request }));
+}
+
+void
+LimitLinks::Perform(const SendFenceReply& aAction)
+{
+  this->Send(aAction.host, EncodeFrame(FenceReplyFrame{ aAction.reply }));
+}
+
 /** What cannot be sent counts as lost on the way. */
 void
 LimitLinks::Send(const std::string& aHost, const std::string& aEncoded)
@@ -82,6 +94,10 @@
     this->sink(LimitRequestArrived{ sender->second, request->request });
   } else if (auto* reply = std::get_if<LimitReplyFrame>(&frame.value())) {
     this->sink(LimitReplyArrived{ sender->second, reply->reply });
+  } else if (auto* fence = std::get_if<FenceRequestFrame>(&frame.value())) {
+    this->sink(FenceRequestArrived{ sender->second, fence->request });
+  } else if (auto* fenced = std::get_if<FenceReplyFrame>(&frame.value())) {
+    this->sink(FenceReplyArrived{ sender->second, fenced->reply });
   } else {
     this->metrics.Count(Counter::FramesRefused);
   }
--- a/test/fakes/proxy-simulation-relays.cc
+++ b/test/fakes/proxy-simulation-relays.cc
@@ -31,6 +31,9 @@
 {
   size_t count = std::max(this->hosts.size(), this->options.hosts);
   HostsCounted event{ count, {} };
+  for (size_t i = 0; i < this->hosts.size(); ++i) {
+    event.names.push_back("h" + std::to_string(i));
+  }
   for (size_t i = 0; this->options.zones != 0 && i < count; ++i) {
     event.places.push_back({ "h" + std::to_string(i), this->ZoneOf(i) });
   }
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -372,6 +372,16 @@
       aHost,
       granted->host,
       LimitReplyArrived{ "h" + std::to_string(aHost), granted->reply });
+  } else if (const auto* fence = std::get_if<SendFenceRequest>(&aAction)) {
+    this->Deliver(
+      aHost,
+      fence->host,
+      FenceRequestArrived{ "h" + std::to_string(aHost), fence->request });
+  } else if (const auto* fenced = std::get_if<SendFenceReply>(&aAction)) {
+    this->Deliver(
+      aHost,
+      fenced->host,
+      FenceReplyArrived{ "h" + std::to_string(aHost), fenced->reply });
   } else if (const auto* order = std::get_if<RequestPromotion>(&aAction)) {
     this->Promote(*order, aHost);
   } else if (const auto* write = std::get_if<RecordGroup>(&aAction)) {
--- a/test/promotion-holds-test.cc
+++ b/test/promotion-holds-test.cc
@@ -54,15 +54,18 @@
 
   void Pass(Duration aSpan) { this->now = this->now + aSpan; }
 
-  void Update() { this->Note(this->promotion.Update(this->view, true, now)); }
+  void Update()
+  {
+    this->Note(this->promotion.Update(this->view, this->hosts, true, now));
+  }
 
   /** The replica reports its hold, asked for `aAge` ago. */
   void Report(UpstreamIndex aUpstream, Term aHeld, Duration aAge = Millis(0))
   {
     UpstreamReport report{ Role::Replica, 1, { 1, 5 }, aHeld };
     this->view.ApplyReport(aUpstream, report, this->now - aAge, this->now);
-    this->Note(
-      this->promotion.Answered(this->view, aUpstream, report, this->now));
+    this->Note(this->promotion.Answered(
+      this->view, this->hosts, aUpstream, report, this->now));
   }
 
   /** How many commands of the kind were sent to the upstream. */
@@ -96,6 +99,7 @@
   Time now = kStart;
   std::vector<RegisteredUpstream> registry;
   ServiceView view{ kDrainTime };
+  HostRoster hosts; // none: nobody has to be fenced
   Promotion promotion;
   PromotionActions actions;
 };
