Keep a late acknowledgement from another process's connection

In the simulation a commit that waits for a replica was answered on the connection with its host's name and number, though the host's process had been replaced and a new connection had that number: the new process got a success for another statement. The answer now needs the very connection; no check changes. group-faults-test and the four other promotion tests pass.

--- a/test/fakes/proxy-simulation-upstreams.cc
+++ b/test/fakes/proxy-simulation-upstreams.cc
@@ -327,7 +327,11 @@
            aCommit.logSize <= aReplica.log.size();
   };
   for (const UnconfirmedCommit& commit : this->unconfirmedCommits) {
-    if (isConfirmed(commit)) {
+    // A new process numbers its connections anew.
+    auto link = this->links.find(commit.link);
+    bool isOpen =
+      link != this->links.end() && link->second.serial == commit.serial;
+    if (isOpen && isConfirmed(commit)) {
       this->SendReply(commit.link,
                       LinkAnswered{ commit.link.second, commit.reply });
     }
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -429,8 +429,8 @@
   link.host = aHost;
   link.upstream = upstream;
   link.customer = aAction.customer;
+  link.serial = ++this->openedLinks;
   this->links[key] = link;
-  ++this->openedLinks;
   std::string expected = aAction.upstream;
   this->After(aHost, kNetworkDelay + kNetworkDelay, [=] {
     auto found = this->links.find(key);
@@ -513,8 +513,11 @@
       event = LinkAnswered{ aKey.second, reply };
       if (isUnconfirmed) {
         reply.signature = "s-" + aAction.requestId;
-        this->unconfirmedCommits.push_back(
-          { aKey, linkEntry->second.upstream, upstream.log.size(), reply });
+        this->unconfirmedCommits.push_back({ aKey,
+                                             linkEntry->second.serial,
+                                             linkEntry->second.upstream,
+                                             upstream.log.size(),
+                                             reply });
         return;
       }
     }
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -56,6 +56,7 @@
 {
   size_t host = 0;
   size_t upstream = 0;
+  size_t serial = 0;    // among all connections of all hosts
   std::string customer; // for whom it was opened
   bool isOpen = false;
   bool isSilent = false; // open, but carries no messages any more
@@ -340,6 +341,7 @@
   struct UnconfirmedCommit
   {
     LinkKey link;
+    size_t serial = 0; // of the connection
     size_t upstream = 0;
     size_t logSize = 0; // that a replica must have received
     StatementReply reply;
