Use a new primary at once if all hosts were fenced

Cause of the price: a host waits 500 ms before it uses a new primary, since another host may still use a proof of the old one. With the fence each planned change cost the time of the promotion and these 500 ms without writes.

Change: the promoter tells the hosts when the promotion has taken effect, and whether all have replied to the fence. A fenced host sends the old primary nothing that needs a primary, and takes no proof of it for the time since its reply; so if all were, the new one may be used at once.

A mutant that takes proofs also for the time since the reply is found by no test.

--- a/include/marigoldpitch/coordination/proxy/commit-fence.h
+++ b/include/marigoldpitch/coordination/proxy/commit-fence.h
@@ -61,6 +61,13 @@
   /** Whether a commit of the term must not be acknowledged to its caller. */
   bool HidesCommitsOf(Term aTerm, Time aNow) const;
 
+  /**
+   * Since when a reply has told a promoter that the primary of the term is not
+   * used any more; `kInfiniteFuture` if none has. Expired fences count until
+   * `TakeReplies` is called.
+   */
+  Time ClosedSince(Term aTerm) const;
+
 private:
   /** The last request of one promoter. */
   struct Fence
@@ -68,7 +75,7 @@
     FenceRequest request;
     Time received = kInfinitePast;
     Time openUntil = kInfinitePast; // acknowledgements are passed on until then
-    bool hasReplied = false;
+    Time repliedAt = kInfiniteFuture; // for the first time
     bool isReplyDue = false;
   };
 
--- a/include/marigoldpitch/coordination/proxy/fence-io.h
+++ b/include/marigoldpitch/coordination/proxy/fence-io.h
@@ -37,6 +37,8 @@
   // The host replies only once its open commits are answered, or have waited
   // for `kOpenCommitGrace`; their acknowledgements are passed on until then.
   bool awaitsOpenCommits = false;
+  // With `TermBegan`: every host was fenced, so none uses the old primary.
+  bool areAllFenced = false;
 };
 
 /** The host has carried out the request with these values. */
--- a/include/marigoldpitch/coordination/proxy/fencing-round.h
+++ b/include/marigoldpitch/coordination/proxy/fencing-round.h
@@ -47,8 +47,11 @@
   /** Begins to close the fences below `aTerm`. */
   void Close(Term aTerm, bool aAwaitsOpenCommits, Time aNow);
 
-  /** Tells the hosts how the round has ended, for `kFenceEndTime`. */
-  void End(FenceCommand aCommand, Time aNow);
+  /** No promotion was ordered: tells the hosts so, for a while. */
+  void Reopen(Time aNow);
+
+  /** The term has begun: tells the hosts so, for a while. */
+  void NoteTermBegan(Term aTerm, const HostRoster& aRoster, Time aNow);
 
   /** Sends nothing more, so that the fences expire. */
   void Drop() { this->isActive = false; }
@@ -85,6 +88,8 @@
   size_t Missing(const HostRoster& aRoster) const;
 
 private:
+  void End(FenceCommand aCommand, Time aNow);
+
   bool isActive = false;
   FenceRequest request;
   Time since = kInfinitePast; // when the present command was first sent
--- a/include/marigoldpitch/coordination/proxy/promotion.h
+++ b/include/marigoldpitch/coordination/proxy/promotion.h
@@ -276,7 +276,10 @@
                       PromotionActions& aActions,
                       Time aNow);
   void Abort(PromotionOutcome aOutcome, PromotionActions& aActions, Time aNow);
-  void Finish(const ServiceView& aView, PromotionActions& aActions, Time aNow);
+  void Finish(const ServiceView& aView,
+              const HostRoster& aHosts,
+              PromotionActions& aActions,
+              Time aNow);
   bool MustBeHeld(const ServiceView& aView,
                   UpstreamIndex aUpstream,
                   Time aNow) const;
--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -226,8 +226,11 @@
   /** Whether any commit sent by this host has no answer yet. */
   bool HasOpenCommits() const { return !this->unansweredCommits.empty(); }
 
-  /** A promotion to the term has taken effect. */
-  void NoteTermBegan(Term aTerm);
+  /**
+   * A promotion to the term has taken effect. `areAllFenced`: no host uses the
+   * old primary any more, so the new one may be used at once.
+   */
+  void NoteTermBegan(Term aTerm, bool aAreAllFenced, Time aNow);
 
   /** The highest log point that came with an acknowledged commit. */
   const LogPoint& HighestAcknowledged() const
@@ -327,12 +330,14 @@
 
   /**
    * Whether it is proved that the primary was still the primary at `aTime`: no
-   * newer primary had acknowledged anything before then.
+   * newer primary had acknowledged anything before then. Nothing is proved of
+   * the time since this host has replied to a fence.
    */
   bool IsPrimaryProvedAt(Time aTime) const
   {
     return this->term != 0 &&
-           this->newestProofAsked + kPrimaryProofValidity > aTime;
+           this->newestProofAsked + kPrimaryProofValidity > aTime &&
+           aTime < this->fence.ClosedSince(this->term);
   }
 
   /** When the request that gave the newest proof was sent. */
@@ -410,6 +415,7 @@
   // The newest term whose primary has been seen. Statements may be sent to that
   // primary from `primaryUsableFrom`.
   Term lastPrimaryTerm = 0;
+  Term fencedTerm = 0; // the newest that began while all hosts were fenced
   Time primaryUsableFrom = kInfiniteFuture;
   Time newestProofAsked = kInfinitePast;
   // When each commit that has no answer yet was sent.
--- a/src/coordination/proxy/commit-fence.cc
+++ b/src/coordination/proxy/commit-fence.cc
@@ -42,7 +42,7 @@
     bool isClosing = aRequest.command == FenceCommand::Close;
     bool awaits = isClosing && aRequest.awaitsOpenCommits;
     fence.openUntil = awaits ? aNow + kOpenCommitGrace : aNow;
-    fence.hasReplied = false;
+    fence.repliedAt = kInfiniteFuture;
   }
   fence.request = aRequest;
   fence.received = aNow;
@@ -54,15 +54,16 @@
                          const LogPoint& aHighestAcknowledged,
                          Time aNow)
 {
+  this->ForgetExpired(aNow);
   std::vector<AddressedReply> replies;
   for (auto& [promoter, fence] : this->fences) {
-    bool isAwaiting =
-      !fence.hasReplied && aHasOpenCommits && aNow < fence.openUntil;
+    bool isAwaiting = fence.repliedAt == kInfiniteFuture && aHasOpenCommits &&
+                      aNow < fence.openUntil;
     if (!fence.isReplyDue || isAwaiting) {
       continue;
     }
     fence.isReplyDue = false;
-    fence.hasReplied = true;
+    fence.repliedAt = std::min(fence.repliedAt, aNow);
     const FenceRequest& request = fence.request;
     replies.push_back({ promoter,
                         { request.service,
@@ -95,8 +96,21 @@
 {
   return std::any_of(
     this->fences.begin(), this->fences.end(), [&](const auto& aOne) {
-      return aOne.second.hasReplied && IsClosed(aOne.second, aTerm, aNow);
+      return aOne.second.repliedAt != kInfiniteFuture &&
+             IsClosed(aOne.second, aTerm, aNow);
     });
 }
 
+Time
+CommitFence::ClosedSince(Term aTerm) const
+{
+  Time since = kInfiniteFuture;
+  for (const auto& [promoter, fence] : this->fences) {
+    bool isClosed = fence.request.command == FenceCommand::Close &&
+                    aTerm < fence.request.term;
+    since = isClosed ? std::min(since, fence.repliedAt) : since;
+  }
+  return since;
+}
+
 } // namespace marigoldpitch
--- a/src/coordination/proxy/fencing-round.cc
+++ b/src/coordination/proxy/fencing-round.cc
@@ -7,7 +7,7 @@
 namespace detail {
 
 constexpr Duration kFenceRetryInterval = Millis(30);
-constexpr Duration kFenceRenewInterval = Millis(500);
+constexpr Duration kFenceRenewInterval = Millis(300);
 // For how long hosts are told that a round has ended.
 constexpr Duration kFenceEndTime = Millis(500);
 
@@ -37,6 +37,7 @@
   this->request.term = aTerm;
   this->request.command = FenceCommand::Close;
   this->request.awaitsOpenCommits = aAwaitsOpenCommits;
+  this->request.areAllFenced = false;
   this->isActive = true;
   this->since = aNow;
   this->lastSent.clear();
@@ -56,6 +57,21 @@
   this->replied.clear();
 }
 
+void
+FencingRound::Reopen(Time aNow)
+{
+  this->End(FenceCommand::Reopen, aNow);
+}
+
+void
+FencingRound::NoteTermBegan(Term aTerm, const HostRoster& aRoster, Time aNow)
+{
+  this->request.areAllFenced =
+    this->IsClosing() && this->HaveAllReplied(aRoster);
+  this->request.term = aTerm;
+  this->End(FenceCommand::TermBegan, aNow);
+}
+
 std::vector<FenceHost>
 FencingRound::Requests(const HostRoster& aRoster, Time aNow)
 {
--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -380,7 +380,7 @@
   bool isPromoted =
     report && report->role == Role::Primary && report->term >= this->term;
   if (isPromoted) {
-    this->Finish(aView, aActions, aNow);
+    this->Finish(aView, aHosts, aActions, aNow);
   } else if (aNow - this->phaseSince >= detail::kConfirmTimeout) {
     this->Enter(PromotionPhase::Ordering, aNow);
   } else if (aNow - this->lastAskedAt[*this->candidate] >= kHoldCheckInterval) {
@@ -456,7 +456,7 @@
   }
   // A host that has lost the lease leaves the fences to its successor.
   if (mayResume && aOutcome != PromotionOutcome::LeaseLost) {
-    this->fencing.End(FenceCommand::Reopen, aNow);
+    this->fencing.Reopen(aNow);
   }
   this->phase = PromotionPhase::Idle;
   this->nextAttempt = aNow + detail::kAttemptPause;
@@ -464,6 +464,7 @@
 
 void
 Promotion::Finish(const ServiceView& aView,
+                  const HostRoster& aHosts,
                   PromotionActions& aActions,
                   Time aNow)
 {
@@ -474,7 +475,8 @@
       UpstreamCommand{ *this->oldPrimary, StatementKind::Demote, this->term });
   }
   this->outcome = PromotionOutcome::Succeeded;
-  this->fencing.End(FenceCommand::TermBegan, aNow);
+  this->fencing.NoteTermBegan(
+    aView.At(*this->candidate).report->term, aHosts, aNow);
   this->phase = PromotionPhase::Idle;
   this->nextAttempt = aNow + detail::kAttemptPause;
 }
--- a/src/coordination/proxy/proxy-fencing.cc
+++ b/src/coordination/proxy/proxy-fencing.cc
@@ -21,7 +21,8 @@
   bool wasFenced = service.view.IsFenced(this->now);
   service.view.Fence().Apply(aEvent.host, aEvent.request, this->now);
   if (aEvent.request.command == FenceCommand::TermBegan) {
-    service.view.NoteTermBegan(aEvent.request.term);
+    service.view.NoteTermBegan(
+      aEvent.request.term, aEvent.request.areAllFenced, this->now);
   }
   if (service.view.IsFenced(this->now) != wasFenced) {
     this->AddDecision(
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -240,7 +240,8 @@
     // proof was obtained, since a replica may have restarted or been resumed
     // after its report.
     this->lastPrimaryTerm = aTerm;
-    this->primaryUsableFrom = aNow + kPrimaryProofValidity;
+    this->primaryUsableFrom =
+      aTerm == this->fencedTerm ? aNow : aNow + kPrimaryProofValidity;
   }
   if (aTerm != this->term) {
     this->StartTerm(aTerm);
@@ -264,8 +265,14 @@
 }
 
 void
-ServiceView::NoteTermBegan(Term aTerm)
+ServiceView::NoteTermBegan(Term aTerm, bool aAreAllFenced, Time aNow)
 {
+  if (aAreAllFenced) {
+    this->fencedTerm = aTerm;
+    bool isKnown = this->lastPrimaryTerm == aTerm;
+    this->primaryUsableFrom = isKnown ? std::min(this->primaryUsableFrom, aNow)
+                                      : this->primaryUsableFrom;
+  }
   if (aTerm <= this->term) {
     return;
   }
--- a/src/protocol/wire-decode.cc
+++ b/src/protocol/wire-decode.cc
@@ -383,7 +383,8 @@
                                     aFrame.round(),
                                     aFrame.term(),
                                     command,
-                                    aFrame.awaits_open_commits() } });
+                                    aFrame.awaits_open_commits(),
+                                    aFrame.all_fenced() } });
 }
 
 Result<Frame>
--- a/src/protocol/wire-encode.cc
+++ b/src/protocol/wire-encode.cc
@@ -342,7 +342,8 @@
                                          request.round,
                                          request.term,
                                          command,
-                                         request.awaitsOpenCommits)
+                                         request.awaitsOpenCommits,
+                                         request.areAllFenced)
              .Union() };
 }
 
