Keep hosts fenced for 8 s after a promoter's last request

Until then the hosts' fences are what keeps commits of the old primary from being acknowledged; a resumed replica is harmless meanwhile. 8 s is within the 12 s in which a change of primary is to be over. Price: if a promoter is lost after it has fenced the hosts and the old primary goes on, 8 s without writes in place of 5; a successor that promotes ends it sooner. Tried first: kOrderExpiry at 8 s, too, so that replicas stay held as long; proxy-promotion-test/replicas_left_held_by_another_promoter_are_resumed then fails, rightly. It stays at 1.2 s.

--- a/include/marigoldpitch/coordination/proxy/commit-fence.h
+++ b/include/marigoldpitch/coordination/proxy/commit-fence.h
@@ -12,7 +12,7 @@
 namespace marigoldpitch {
 
 /** How long a closed fence lasts after the promoter's last request. */
-constexpr Duration kFenceValidity = Seconds(5);
+constexpr Duration kFenceValidity = Seconds(8);
 
 /** How long a host lets its open commits finish before it replies. */
 constexpr Duration kOpenCommitGrace = Millis(100);
--- a/include/marigoldpitch/coordination/proxy/promotion.h
+++ b/include/marigoldpitch/coordination/proxy/promotion.h
@@ -14,8 +14,8 @@
 namespace marigoldpitch {
 
 /**
- * How long after it was sent a promotion order can take effect, even if the
- * platform's answer to it was lost.
+ * How long after it was sent a promotion order is expected to take effect, even
+ * if the platform's answer to it was lost. Hosts stay fenced for longer.
  */
 constexpr Duration kOrderExpiry = Millis(1200);
 
