Send commits only with a proof that lasts until they are answered

While the store is out of reach for more than 2.5 s, a host may acknowledge a commit only within 500 ms of a report of a replica that is not held. Commits were sent with what was left of that, and answered UNSURE when it ended meanwhile; a COMMIT did not ask for a proof at all.

A commit waits for a proof that lasts 150 ms longer, also within a transaction.

--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -210,7 +210,10 @@
    */
   bool MayAcknowledge(Term aTerm, Time aNow) const;
 
-  /** Whether a commit that is sent to the primary now may be acknowledged. */
+  /**
+   * Whether a commit that is sent to the primary now may be acknowledged, if it
+   * is answered soon and nothing happens meanwhile.
+   */
   bool MaySendCommits(Time aNow) const;
 
   /** Whether the fence below the present term's successor is closed. */
--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -230,6 +230,10 @@
       this->AbortFenced(aSession);
       return false;
     }
+    if (IsCommit(aSession) && !aService.view.MaySendCommits(this->now)) {
+      aService.proofWanted = true;
+      return false;
+    }
     UpstreamIndex upstream = this->links.at(aSession.pinned).upstream;
     aSession.pending->onReplica = aService.view.Primary() != upstream;
     this->Assign(aService, aSession, aSession.pinned);
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -7,6 +7,8 @@
 namespace detail {
 
 constexpr size_t kMaxUnprovedSamples = 64;
+// A commit is usually acknowledged within this time after it was sent.
+constexpr Duration kCommitTime = Millis(150);
 
 } // namespace detail
 
@@ -297,7 +299,8 @@
 bool
 ServiceView::MaySendCommits(Time aNow) const
 {
-  return !this->IsFenced(aNow) && this->MayAcknowledge(this->term, aNow);
+  return !this->IsFenced(aNow) &&
+         this->MayAcknowledge(this->term, aNow + detail::kCommitTime);
 }
 
 void
