Hide commits between two rounds of one promoter

A fenced host that had replied acknowledged commits again for up to 100 ms when the same promoter began another round that awaits open commits, though an order of its earlier round could still take effect.

A fence that was closed for the same or a higher term, and has been replied to, hides commits at once in the next round too.

--- a/src/coordination/proxy/commit-fence.cc
+++ b/src/coordination/proxy/commit-fence.cc
@@ -39,10 +39,13 @@
                    found->second.request.command == aRequest.command;
   Fence& fence = this->fences[aPromoter];
   if (!isRenewal) {
+    // An order of the promoter's last round may still take effect.
     bool isClosing = aRequest.command == FenceCommand::Close;
-    bool awaits = isClosing && aRequest.awaitsOpenCommits;
+    bool wasHiding = fence.hasReplied && fence.request.term >= aRequest.term &&
+                     fence.request.command == FenceCommand::Close;
+    bool awaits = isClosing && aRequest.awaitsOpenCommits && !wasHiding;
     fence.openUntil = awaits ? aNow + kOpenCommitGrace : aNow;
-    fence.hasReplied = false;
+    fence.hasReplied = isClosing && wasHiding;
   }
   fence.request = aRequest;
   fence.received = aNow;
--- /dev/null
+++ b/test/fencing-round-test.cc
@@ -0,0 +1,266 @@
+#include "marigoldpitch/coordination/proxy/fencing-round.h"
+
+#include <criterion/criterion.h>
+
+// A promoter's fencing round, with the hosts' replies given by hand.
+
+using namespace marigoldpitch;
+
+namespace {
+
+constexpr Time kStart{ 10000 };
+constexpr Term kNewTerm = 2;
+constexpr Duration kRetryInterval = Millis(30);
+constexpr Duration kRenewInterval = Millis(500);
+constexpr Duration kEndTime = Millis(500);
+
+/** A round that closes the fences of the hosts a and b. */
+class ClosingRound
+{
+public:
+  explicit ClosingRound(bool aAwaitsOpenCommits = false)
+  {
+    this->roster.SetRegistered({ "a", "b" }, this->now);
+    this->round.Close(kNewTerm, aAwaitsOpenCommits, this->now);
+  }
+
+  void Pass(Duration aSpan) { this->now = this->now + aSpan; }
+
+  /** The hosts for which requests are due, without separators. */
+  std::string Asked()
+  {
+    std::string hosts;
+    for (const FenceHost& one : this->round.Requests(this->roster, this->now)) {
+      hosts += one.host;
+      this->last = one.request;
+    }
+    return hosts;
+  }
+
+  void Reply(const std::string& aHost, const LogPoint& aHighest = {})
+  {
+    this->round.Replied(
+      aHost,
+      { "service", this->last.round, kNewTerm, this->last.command, aHighest });
+  }
+
+  bool IsComplete() const
+  {
+    return this->round.IsComplete(this->roster, this->now);
+  }
+
+  HostRoster roster;
+  FencingRound round;
+  FenceRequest last;
+  Time now = kStart;
+};
+
+} // namespace
+
+Test(fencing_round, completes_when_each_host_has_replied)
+{
+  ClosingRound run(true);
+  cr_assert_str_eq(run.Asked().c_str(), "ab");
+  cr_assert_eq(run.last.term, kNewTerm);
+  cr_assert_eq(run.last.command, FenceCommand::Close);
+  cr_assert(run.last.awaitsOpenCommits);
+  run.Reply("a");
+  cr_assert_not(run.IsComplete());
+  cr_assert_eq(run.round.Missing(run.roster), 1);
+  run.Reply("b");
+  cr_assert(run.IsComplete());
+  cr_assert(run.round.HaveAllReplied(run.roster));
+}
+
+Test(fencing_round, lost_requests_and_replies_are_repeated)
+{
+  ClosingRound run;
+  run.Asked();
+  run.Reply("a");
+  run.Pass(kRetryInterval - Millis(1));
+  cr_assert_str_eq(run.Asked().c_str(), "");
+  run.Pass(Millis(1));
+  cr_assert_str_eq(run.Asked().c_str(), "b");
+  run.Pass(kRetryInterval);
+  cr_assert_str_eq(run.Asked().c_str(), "b");
+  run.Reply("b");
+  run.Reply("b");
+  cr_assert(run.IsComplete());
+}
+
+// Guards against fences that expire before the promotion has taken effect.
+Test(fencing_round, closed_fences_are_renewed)
+{
+  ClosingRound run;
+  run.Asked();
+  run.Reply("a");
+  run.Reply("b");
+  run.Pass(kRenewInterval - Millis(1));
+  cr_assert_str_eq(run.Asked().c_str(), "");
+  run.Pass(Millis(1));
+  cr_assert_str_eq(run.Asked().c_str(), "ab");
+  cr_assert(run.IsComplete());
+  cr_assert(kRenewInterval * 4 < kFenceValidity);
+}
+
+// Guards against an order while a host that does not reply may still
+// acknowledge commits.
+Test(fencing_round, silent_host_is_waited_for_until_its_lease_has_expired)
+{
+  ClosingRound run;
+  run.Asked();
+  run.Reply("a");
+  run.Pass(kCommitLease - Millis(1));
+  cr_assert_not(run.IsComplete());
+  run.Pass(Millis(1));
+  cr_assert(run.IsComplete());
+  cr_assert_not(run.round.HaveAllReplied(run.roster));
+}
+
+Test(fencing_round, unregistered_host_is_waited_for_from_its_last_registration)
+{
+  ClosingRound run;
+  run.roster.SetRegistered({ "a" }, run.now);
+  run.Pass(Millis(1000));
+  run.round.Close(kNewTerm, false, run.now);
+  cr_assert_str_eq(run.Asked().c_str(), "ab");
+  run.Reply("a");
+  run.Pass(kCommitLease - Millis(1001));
+  cr_assert_not(run.IsComplete());
+  run.Pass(Millis(1));
+  cr_assert(run.IsComplete());
+}
+
+Test(fencing_round, host_is_forgotten_when_its_fence_would_have_expired)
+{
+  ClosingRound run;
+  run.roster.SetRegistered({ "a" }, run.now);
+  run.Pass(kFenceValidity - Millis(1));
+  run.roster.SetRegistered({ "a" }, run.now);
+  cr_assert_eq(run.roster.Hosts().size(), 2);
+  run.Pass(Millis(1));
+  run.roster.SetRegistered({ "a" }, run.now);
+  cr_assert_eq(run.roster.Hosts().size(), 1);
+}
+
+// Guards against a host that registers within the round and is not fenced.
+Test(fencing_round, host_that_registers_within_the_round_is_fenced)
+{
+  ClosingRound run;
+  run.Asked();
+  run.Reply("a");
+  run.Reply("b");
+  run.roster.SetRegistered({ "a", "b", "c" }, run.now);
+  cr_assert_not(run.IsComplete());
+  cr_assert_str_eq(run.Asked().c_str(), "c");
+  run.Reply("c");
+  cr_assert(run.IsComplete());
+}
+
+Test(fencing_round, host_registered_again_is_waited_for)
+{
+  ClosingRound run;
+  run.roster.SetRegistered({ "a" }, run.now);
+  run.Pass(kCommitLease);
+  run.roster.SetRegistered({ "a", "b" }, run.now);
+  run.round.Close(kNewTerm, false, run.now);
+  run.Asked();
+  run.Reply("a");
+  cr_assert_not(run.IsComplete());
+}
+
+Test(fencing_round, highest_acknowledged_commit_of_all_replies_is_kept)
+{
+  ClosingRound run;
+  run.Asked();
+  run.Reply("a", { 1, 9 });
+  run.Reply("b", { 1, 4 });
+  cr_assert(run.round.HighestAcknowledged() == (LogPoint{ 1, 9 }));
+  run.Reply("b", { 1, 12 });
+  cr_assert(run.round.HighestAcknowledged() == (LogPoint{ 1, 12 }));
+  run.Pass(Millis(1));
+  run.round.Close(kNewTerm, false, run.now);
+  cr_assert(run.round.HighestAcknowledged().IsUnset());
+}
+
+// Guards against replies to an earlier round that count for the next one.
+Test(fencing_round, replies_to_another_round_or_command_are_ignored)
+{
+  ClosingRound run;
+  run.Asked();
+  FenceRequest earlier = run.last;
+  run.round.Close(kNewTerm, false, run.now);
+  run.Asked();
+  cr_assert_lt(earlier.round, run.last.round);
+  for (const std::string host : { "a", "b" }) {
+    run.round.Replied(
+      host,
+      { "service", earlier.round, kNewTerm, FenceCommand::Close, { 1, 9 } });
+    run.round.Replied(
+      host,
+      { "service", run.last.round, kNewTerm, FenceCommand::Reopen, { 1, 9 } });
+  }
+  cr_assert_not(run.IsComplete());
+  cr_assert(run.round.HighestAcknowledged().IsUnset());
+}
+
+// Guards against rounds of a new process that the hosts take for outdated.
+Test(fencing_round, round_of_a_later_process_has_a_higher_number)
+{
+  ClosingRound first;
+  first.Asked();
+  FencingRound second;
+  second.Close(kNewTerm, false, first.now + Millis(20));
+  auto requests = second.Requests(first.roster, first.now + Millis(20));
+  cr_assert_gt(requests[0].request.round, first.last.round);
+}
+
+Test(fencing_round, end_is_sent_until_it_is_replied_to_or_over)
+{
+  for (FenceCommand end : { FenceCommand::Reopen, FenceCommand::TermBegan }) {
+    ClosingRound run;
+    run.Asked();
+    run.Reply("a");
+    run.Reply("b");
+    uint64_t number = run.last.round;
+    run.round.End(end, run.now);
+    cr_assert_not(run.round.IsClosing());
+    cr_assert_not(run.IsComplete());
+    cr_assert_str_eq(run.Asked().c_str(), "ab");
+    cr_assert_eq(run.last.round, number);
+    cr_assert_eq(run.last.command, end);
+    run.Reply("a");
+    run.Pass(kRetryInterval);
+    cr_assert_str_eq(run.Asked().c_str(), "b");
+    run.Pass(kEndTime);
+    cr_assert_str_eq(run.Asked().c_str(), "");
+  }
+}
+
+Test(fencing_round, dropped_round_sends_nothing_more)
+{
+  ClosingRound run;
+  run.Asked();
+  run.round.Drop();
+  run.Pass(kRenewInterval);
+  cr_assert_str_eq(run.Asked().c_str(), "");
+  cr_assert_not(run.IsComplete());
+  run.round.End(FenceCommand::Reopen, run.now);
+  cr_assert_str_eq(run.Asked().c_str(), "");
+}
+
+// Guards against a host whose new process, which has no fences, acknowledges
+// commits for longer than a renewal takes.
+Test(fencing_round, host_that_restarts_is_fenced_by_the_next_renewal)
+{
+  ClosingRound run;
+  run.Asked();
+  run.Reply("a");
+  run.Reply("b");
+  CommitFence restarted;
+  run.Pass(kRenewInterval);
+  cr_assert_str_eq(run.Asked().c_str(), "ab");
+  restarted.Apply("promoter", run.last, run.now);
+  restarted.TakeReplies(false, {}, run.now);
+  cr_assert(restarted.HidesCommitsOf(1, run.now));
+}
--- a/test/group-record-test.cc
+++ b/test/group-record-test.cc
@@ -126,6 +126,26 @@
   cr_assert_eq(view.PointSince(kStart)->point.position, 20);
 }
 
+// Guards against an overtaken report that counts as a log that was cut back, so
+// that the replica is never promoted.
+Test(quorum, report_overtaken_on_another_connection_loses_no_log)
+{
+  ServiceView view = View();
+  view.ApplyRegistrations({ Registration(0), Registration(1), Registration(2) },
+                          kStart);
+  view.ApplyRecord(Record(5, { 0, 1, 2 }), kStart);
+  Time asked = kStart + Millis(5);
+  Time now = asked + Millis(5);
+  view.ApplyReport(1, Report(Role::Replica, 1, { 1, 9 }), asked, now);
+  view.ApplyReport(1, Report(Role::Replica, 1, { 1, 7 }), asked, now);
+  view.ApplyReport(1, Report(Role::Replica, 1, { 1, 6 }), kStart, now);
+  cr_assert_not(view.MayLackCommits(1));
+  cr_assert_eq(view.At(1).report->logEnd.position, 9);
+  view.ApplyReport(
+    1, Report(Role::Replica, 1, { 1, 7 }), asked + Millis(1), now);
+  cr_assert(view.MayLackCommits(1));
+}
+
 Test(record, first_record_waits_for_proved_primary_and_stable_registry)
 {
   ServiceView view = View();
