Simulate upstreams that do not reach each other

`Sever` parts two upstreams: neither replicates, follows, learns of a new term nor steps down over the cut. An upstream follows the primary of the highest term that it reaches.

--- a/test/fakes/group-faults.cc
+++ b/test/fakes/group-faults.cc
@@ -187,6 +187,10 @@
                 size_t aHost,
                 const std::set<size_t>& aLost)
 {
+  aSimulation.paused.clear();
+  aSimulation.severedHosts.clear();
+  aSimulation.withoutRegistry.clear();
+  aSimulation.EndSevering();
   for (size_t i = 0; i < aSimulation.Upstreams(); ++i) {
     aSimulation.Upstream(i).isListed = true;
     aSimulation.Upstream(i).unreachableFrom.clear();
--- a/test/fakes/proxy-simulation-upstreams.cc
+++ b/test/fakes/proxy-simulation-upstreams.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-// The upstreams of `ProxySimulation`: statements, replication and promotion.
+// The upstreams of `ProxySimulation`: statements and promotion.
 
 namespace marigoldpitch::fakes {
 
@@ -253,37 +253,6 @@
   return reply;
 }
 
-/**
- * Appends to the log and replicates. Returns false if no replica received the
- * entries, so that the commit is not acknowledged.
- */
-bool
-ProxySimulation::Append(FakeUpstream& aPrimary,
-                        const std::vector<LogEntry>& aEntries)
-{
-  aPrimary.log.insert(aPrimary.log.end(), aEntries.begin(), aEntries.end());
-  bool isConfirmed = false;
-  for (size_t i = 0; i < this->upstreams.size(); ++i) {
-    FakeUpstream& replica = this->upstreams[i];
-    bool follows = replica.role == Role::Replica && replica.isAlive &&
-                   !replica.isReplicationBlocked &&
-                   replica.held <= aPrimary.term &&
-                   replica.term <= aPrimary.term;
-    if (!follows) {
-      continue;
-    }
-    replica.log = aPrimary.log;
-    replica.term = aPrimary.term;
-    isConfirmed = true;
-    size_t end = replica.log.size();
-    this->queue.After(replica.lag, [this, i, end] {
-      FakeUpstream& late = this->upstreams[i];
-      late.applied = std::max(late.applied, std::min(end, late.log.size()));
-    });
-  }
-  return isConfirmed;
-}
-
 /** The request's writes are the last entries of the upstream's log. */
 void
 ProxySimulation::NoteCommit(FakeRequest& aRequest, size_t aUpstream) const
@@ -318,27 +287,6 @@
   }
 }
 
-/** The replica has received the log of the primary, and confirms it. */
-void
-ProxySimulation::ConfirmCommits(size_t aPrimary, const FakeUpstream& aReplica)
-{
-  auto isConfirmed = [&](const UnconfirmedCommit& aCommit) {
-    return aCommit.upstream == aPrimary &&
-           aCommit.logSize <= aReplica.log.size();
-  };
-  for (const UnconfirmedCommit& commit : this->unconfirmedCommits) {
-    if (isConfirmed(commit)) {
-      this->SendReply(commit.link,
-                      LinkAnswered{ commit.link.second, commit.reply });
-    }
-  }
-  this->unconfirmedCommits.erase(
-    std::remove_if(this->unconfirmedCommits.begin(),
-                   this->unconfirmedCommits.end(),
-                   isConfirmed),
-    this->unconfirmedCommits.end());
-}
-
 /** Returns a line for each acknowledged commit that the log lacks. */
 std::string
 ProxySimulation::LostCommits(const FakeUpstream& aPrimary) const
@@ -388,7 +336,8 @@
   this->lost += this->LostCommits(leader);
   for (FakeUpstream& other : this->upstreams) {
     // Without replication an upstream does not learn of the new term either.
-    if (!other.isReplicationBlocked) {
+    if (!other.isReplicationBlocked &&
+        this->AreConnected(this->IndexOf(other), aUpstream)) {
       other.held = 0;
     }
     this->Follow(other);
@@ -396,60 +345,6 @@
   this->StepDownLater();
 }
 
-/** Copies the primary's term and log, if the replica may follow it. */
-void
-ProxySimulation::Follow(FakeUpstream& aReplica)
-{
-  const FakeUpstream& leader = this->upstreams[this->PrimaryIndex()];
-  bool follows = leader.role == Role::Primary && leader.isAlive &&
-                 aReplica.role == Role::Replica && aReplica.isAlive &&
-                 !aReplica.isReplicationBlocked &&
-                 aReplica.held <= leader.term && aReplica.term <= leader.term;
-  if (follows) {
-    aReplica.term = leader.term;
-    aReplica.log = leader.log;
-    aReplica.applied = leader.log.size();
-    this->ConfirmCommits(this->PrimaryIndex(), aReplica);
-  }
-}
-
-/** Makes a replaced primary a replica of its successor, if it reaches it. */
-void
-ProxySimulation::StepDown(FakeUpstream& aPrimary)
-{
-  const FakeUpstream& leader = this->upstreams[this->PrimaryIndex()];
-  bool mayFollow = leader.isAlive && aPrimary.isAlive &&
-                   !aPrimary.isReplicationBlocked &&
-                   aPrimary.role == Role::Primary;
-  if (mayFollow && leader.term > aPrimary.term) {
-    aPrimary.role = Role::Replica;
-    this->Follow(aPrimary);
-  }
-}
-
-/** Schedules `StepDown` for each replaced primary. */
-void
-ProxySimulation::StepDownLater()
-{
-  if (!this->options.stepsDownAfter) {
-    return;
-  }
-  for (size_t i = 0; i < this->upstreams.size(); ++i) {
-    if (this->upstreams[i].role == Role::Primary && this->PrimaryIndex() != i) {
-      this->queue.After(*this->options.stepsDownAfter,
-                        [this, i] { this->StepDown(this->upstreams[i]); });
-    }
-  }
-}
-
-void
-ProxySimulation::SetReplicationBlocked(size_t aUpstream, bool aIsBlocked)
-{
-  this->upstreams[aUpstream].isReplicationBlocked = aIsBlocked;
-  this->Follow(this->upstreams[aUpstream]);
-  this->StepDownLater();
-}
-
 void
 ProxySimulation::Kill(size_t aUpstream)
 {
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -5,6 +5,7 @@
 
 #include "marigoldpitch/coordination/proxy/proxy-engine.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -211,6 +212,15 @@
   /** Pairs of hosts, from and to, between which no messages arrive. */
   std::set<std::pair<size_t, size_t>> severedHosts;
 
+  /** The two upstreams do not reach each other any more. */
+  void Sever(size_t aOne, size_t aOther)
+  {
+    this->severedUpstreams.insert(std::minmax(aOne, aOther));
+  }
+
+  /** All upstreams reach each other again. */
+  void EndSevering();
+
   /** Calls `SubmitStatement` and runs until the answer, for at most 3 s. */
   std::shared_ptr<FakeRequest> SubmitAndWait(
     size_t aHost,
@@ -403,6 +413,12 @@
   void Record(const GroupRecord& aRecord);
   void SendGroups(size_t aHost);
   void BecomePrimary(size_t aUpstream);
+  size_t IndexOf(const FakeUpstream& aUpstream) const
+  {
+    return static_cast<size_t>(&aUpstream - this->upstreams.data());
+  }
+  bool AreConnected(size_t aOne, size_t aOther) const;
+  size_t LeaderOf(size_t aUpstream) const;
   void Follow(FakeUpstream& aReplica);
   void StepDown(FakeUpstream& aPrimary);
   void StepDownLater();
@@ -425,6 +441,7 @@
   uint64_t storeEra = 0;
   GroupRecord group{ "service", {}, {} };
   std::vector<FakeUpstream> upstreams;
+  std::set<std::pair<size_t, size_t>> severedUpstreams; // the lower index first
   std::map<LinkKey, FakeLink> links;
   std::map<RelayLinkId, RelayLink> relayLinks;
   RelayLinkId lastRelayLink = 0;
