Announce the term while a member has not reported it

Hosts were told once, for 500 ms, that a promotion had taken effect. A host's new process, or one whose fence had expired because the promoter's process was replaced at the effect, did not know of the term if it did not reach the new primary, and acknowledged what the old primary and a replica went on confirming.

The lease holder now announces the primary's term to all hosts twice a second while a member has not reported that term. An announcement does not open a fence that is closed for a later term. With a member down for long this costs a datagram and a reply per host and service in 500 ms; not measured.

--- a/include/marigoldpitch/coordination/proxy/fencing-round.h
+++ b/include/marigoldpitch/coordination/proxy/fencing-round.h
@@ -50,6 +50,9 @@
   /** Tells the hosts how the round has ended, for `kFenceEndTime`. */
   void End(FenceCommand aCommand, Time aNow);
 
+  /** Tells all hosts, in a round of its own, that the term has begun. */
+  void Announce(Term aTerm, Time aNow);
+
   /** Sends nothing more, so that the fences expire. */
   void Drop() { this->isActive = false; }
 
@@ -85,6 +88,8 @@
   size_t Missing(const HostRoster& aRoster) const;
 
 private:
+  void StartRound(Term aTerm, FenceCommand aCommand, Time aNow);
+
   bool isActive = false;
   FenceRequest request;
   Time since = kInfinitePast; // when the present command was first sent
--- a/include/marigoldpitch/coordination/proxy/promotion.h
+++ b/include/marigoldpitch/coordination/proxy/promotion.h
@@ -223,6 +223,7 @@
   void StartVerifying(Time aNow);
   void StartFencing(Time aNow);
   void DropFences(bool aMayPromote, Time aNow);
+  void AnnounceTerm(const ServiceView& aView, bool aMayPromote, Time aNow);
   void RequestFences(const HostRoster& aHosts,
                      PromotionActions& aActions,
                      Time aNow);
--- a/src/coordination/proxy/commit-fence.cc
+++ b/src/coordination/proxy/commit-fence.cc
@@ -4,10 +4,18 @@
 
 namespace marigoldpitch {
 
-/** Messages may overtake each other; a round ends with another command. */
+/**
+ * Messages may overtake each other; a round ends with another command. That a
+ * term has begun says nothing of a fence that is closed for a later one.
+ */
 bool
 CommitFence::IsOutdated(const Fence& aFence, const FenceRequest& aRequest)
 {
+  if (aRequest.command == FenceCommand::TermBegan &&
+      aFence.request.command == FenceCommand::Close &&
+      aRequest.term < aFence.request.term) {
+    return true;
+  }
   if (aRequest.round != aFence.request.round) {
     return aRequest.round < aFence.request.round;
   }
--- a/src/coordination/proxy/fencing-round.cc
+++ b/src/coordination/proxy/fencing-round.cc
@@ -30,13 +30,26 @@
 
 void
 FencingRound::Close(Term aTerm, bool aAwaitsOpenCommits, Time aNow)
+{
+  this->StartRound(aTerm, FenceCommand::Close, aNow);
+  this->request.awaitsOpenCommits = aAwaitsOpenCommits;
+}
+
+void
+FencingRound::Announce(Term aTerm, Time aNow)
+{
+  this->StartRound(aTerm, FenceCommand::TermBegan, aNow);
+}
+
+void
+FencingRound::StartRound(Term aTerm, FenceCommand aCommand, Time aNow)
 {
   // Rounds of an earlier process of this host have lower numbers.
   auto clock = static_cast<uint64_t>(std::max<int64_t>(aNow.ms, 0));
   this->request.round = std::max(this->request.round + 1, clock);
   this->request.term = aTerm;
-  this->request.command = FenceCommand::Close;
-  this->request.awaitsOpenCommits = aAwaitsOpenCommits;
+  this->request.command = aCommand;
+  this->request.awaitsOpenCommits = false;
   this->isActive = true;
   this->since = aNow;
   this->lastSent.clear();
--- a/src/coordination/proxy/promotion-holds.cc
+++ b/src/coordination/proxy/promotion-holds.cc
@@ -8,6 +8,7 @@
 namespace detail {
 
 constexpr Duration kHoldRetryInterval = Millis(150);
+constexpr Duration kAnnouncementInterval = Millis(500);
 
 } // namespace detail
 
@@ -145,6 +146,27 @@
   }
 }
 
+/**
+ * While a member, such as the old primary, has not reported the primary's term,
+ * hosts that do not know it could acknowledge commits of a lower one: a new
+ * process, or one whose fence has expired. So all are told of it repeatedly.
+ */
+void
+Promotion::AnnounceTerm(const ServiceView& aView, bool aMayPromote, Time aNow)
+{
+  bool isDue = aMayPromote && !this->IsRunning() &&
+               !this->fencing.IsClosing() && aView.Primary() &&
+               aNow - this->fencing.Since() >= detail::kAnnouncementInterval;
+  for (UpstreamIndex i = 0; isDue && i < aView.Size(); ++i) {
+    const auto& report = aView.At(i).report;
+    bool isBehind = !report || report->term < aView.CurrentTerm();
+    if (isBehind && aView.Members().MayConfirm(i, aNow)) {
+      this->fencing.Announce(aView.CurrentTerm(), aNow);
+      return;
+    }
+  }
+}
+
 void
 Promotion::RequestFences(const HostRoster& aHosts,
                          PromotionActions& aActions,
--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -106,6 +106,7 @@
 {
   PromotionActions actions;
   this->DropFences(aMayPromote, aNow);
+  this->AnnounceTerm(aView, aMayPromote, aNow);
   this->RequestFences(aHosts, actions, aNow);
   if (aView.Primary()) {
     this->primaryUnknownSince = kInfiniteFuture;
--- a/test/commit-fence-test.cc
+++ b/test/commit-fence-test.cc
@@ -217,3 +217,17 @@
   host.TakeReplies();
   cr_assert(host.Hides());
 }
+
+// Guards against an announcement of the present term that opens a fence whose
+// promotion may still take effect.
+Test(commit_fence, announcement_of_a_lower_term_leaves_the_fence_closed)
+{
+  FencedHost host;
+  host.Reply(Request(1, FenceCommand::Close));
+  FenceRequest announcement = Request(2, FenceCommand::TermBegan);
+  announcement.term = kOldTerm;
+  host.Reply(announcement);
+  cr_assert(host.Hides());
+  host.Reply(Request(3, FenceCommand::TermBegan));
+  cr_assert_not(host.IsClosed());
+}
--- a/test/fencing-round-test.cc
+++ b/test/fencing-round-test.cc
@@ -264,3 +264,20 @@
   restarted.TakeReplies(false, {}, run.now);
   cr_assert(restarted.HidesCommitsOf(1, run.now));
 }
+
+Test(fencing_round, announcement_tells_all_hosts_of_the_term)
+{
+  ClosingRound run;
+  run.Asked();
+  uint64_t closing = run.last.round;
+  run.round.End(FenceCommand::TermBegan, run.now);
+  run.Asked();
+  run.Pass(kEndTime);
+  cr_assert_str_eq(run.Asked().c_str(), "");
+  run.round.Announce(kNewTerm, run.now);
+  cr_assert_str_eq(run.Asked().c_str(), "ab");
+  cr_assert_eq(run.last.command, FenceCommand::TermBegan);
+  cr_assert_eq(run.last.term, kNewTerm);
+  cr_assert_gt(run.last.round, closing);
+  cr_assert_not(run.IsComplete());
+}
