Acknowledge nothing in a new process while a replica is held

A host that is replaced loses its fence. The promoter's renewals close it again, unless the promoter is the host that was replaced: its new process acknowledged commits while the order of the old one was still to take effect.

For the 5 s that a fence would have lasted, a new process acknowledges no commit while the last report of an upstream shows a hold for a later term. It can't help if the process sees no held upstream, because each was resumed or can't be reached.

--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -124,6 +124,7 @@
   {
     this->departures.Confirm(aAsOf);
     this->storeSeenAt = std::max(this->storeSeenAt, aAsOf);
+    this->storeFirstSeenAt = std::min(this->storeFirstSeenAt, aAsOf);
   }
 
   /** Applies all registrations. */
@@ -206,7 +207,9 @@
    * acknowledged to its caller: no promotion to a higher term can have been
    * ordered, as far as this host can tell. Requires that no fence hides it, and
    * either contact with the store within `kCommitLease`, or a recent report of
-   * a recorded replica that is not held.
+   * a recorded replica that is not held. A new process may have lost its fence,
+   * so it acknowledges none while a held replica shows that an order may still
+   * take effect.
    */
   bool MayAcknowledge(Term aTerm, Time aNow) const;
 
@@ -384,6 +387,7 @@
   /** Whether the upstream is unlisted or failing, each for any time. */
   bool IsUnlistedOrFailing(UpstreamIndex aUpstream) const;
   void StartTerm(Term aTerm);
+  bool MayHaveLostFence(Time aNow) const;
   void ApplyProof(Time aAsked);
   void PublishProvedSamples();
   void NoteLogEnd(const LogPoint& aEnd, Time aAsked);
@@ -400,6 +404,7 @@
   Departures departures;
   CommitFence fence;
   Time storeSeenAt = kInfinitePast; // the store was read then or later
+  Time storeFirstSeenAt = kInfiniteFuture;
   // When the newest report of a recorded replica that is not held was
   // requested.
   Time memberProofAsked = kInfinitePast;
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -274,13 +274,27 @@
   this->RequestAllReports();
 }
 
+/** Whether this process is new, and an upstream is held for a later term. */
+bool
+ServiceView::MayHaveLostFence(Time aNow) const
+{
+  bool isNew = aNow - this->storeFirstSeenAt < kFenceValidity;
+  return isNew && std::any_of(this->upstreams.begin(),
+                              this->upstreams.end(),
+                              [this](const ProxyUpstream& aOne) {
+                                return aOne.report &&
+                                       aOne.report->held > this->term;
+                              });
+}
+
 bool
 ServiceView::MayAcknowledge(Term aTerm, Time aNow) const
 {
   if (!this->requiresReplicaConfirmation) {
     return true;
   }
-  if (aTerm < this->term || this->fence.HidesCommitsOf(aTerm, aNow)) {
+  if (aTerm < this->term || this->fence.HidesCommitsOf(aTerm, aNow) ||
+      this->MayHaveLostFence(aNow)) {
     return false;
   }
   return aNow - this->storeSeenAt < kCommitLease ||
