--- a/include/marigoldpitch/coordination/proxy/fencing-round.h
+++ b/include/marigoldpitch/coordination/proxy/fencing-round.h
@@ -53,6 +53,9 @@
   /** The term has begun: tells the hosts so, for a while. */
   void NoteTermBegan(Term aTerm, const HostRoster& aRoster, Time aNow);
 
+  /** Tells all hosts, in a round of its own, that the term has begun. */
+  void Announce(Term aTerm, Time aNow);
+
   /** Sends nothing more, so that the fences expire. */
   void Drop() { this->isActive = false; }
 
@@ -89,6 +92,7 @@
 
 private:
   void End(FenceCommand aCommand, Time aNow);
+  void StartRound(Term aTerm, FenceCommand aCommand, Time aNow);
 
   bool isActive = false;
   FenceRequest request;
--- a/src/coordination/proxy/commit-fence.cc
+++ b/src/coordination/proxy/commit-fence.cc
@@ -4,10 +4,18 @@
 
 namespace marigoldpitch {
 
-/** Messages may overtake each other; a round ends with another command. */
+/**
+ * Messages may overtake each other; a round ends with another command. That a
+ * term has begun says nothing of a fence that is closed for a later one.
+ */
 bool
 CommitFence::IsOutdated(const Fence& aFence, const FenceRequest& aRequest)
 {
+  if (aRequest.command == FenceCommand::TermBegan &&
+      aFence.request.command == FenceCommand::Close &&
+      aRequest.term < aFence.request.term) {
+    return true;
+  }
   if (aRequest.round != aFence.request.round) {
     return aRequest.round < aFence.request.round;
   }
@@ -39,10 +47,15 @@
                    found->second.request.command == aRequest.command;
   Fence& fence = this->fences[aPromoter];
   if (!isRenewal) {
+    // An order of the promoter's last round may still take effect.
     bool isClosing = aRequest.command == FenceCommand::Close;
-    bool awaits = isClosing && aRequest.awaitsOpenCommits;
+    bool wasHiding = fence.repliedAt != kInfiniteFuture &&
+                     fence.request.term >= aRequest.term &&
+                     fence.request.command == FenceCommand::Close;
+    bool awaits = isClosing && aRequest.awaitsOpenCommits && !wasHiding;
     fence.openUntil = awaits ? aNow + kOpenCommitGrace : aNow;
-    fence.repliedAt = kInfiniteFuture;
+    fence.repliedAt =
+      isClosing && wasHiding ? fence.repliedAt : kInfiniteFuture;
   }
   fence.request = aRequest;
   fence.received = aNow;
