Let only hosts that promoters know of acknowledge by contact with the store

Cause: a host's right to acknowledge came from contact with the store, also second-hand, while a promoter fences and waits for the hosts that are registered. A live host whose registration had lapsed, or was so new that the promoter hadn't read it, was neither fenced nor waited for. And a host that reaches the store but not the promoter kept its right for as long as it liked, while the promoter went on after 2.5 s; what that host had acknowledged meanwhile no log had to contain.

Change: the right needs a registration that is sure to last and is at least 2.5 s old; else a recent report of a replica that is not held, as without the store. A host is fenced for 30 s after its registration. The promoter waits for a silent host as long as that is registered (2 s after its last renewal in fleets of up to eight hosts), and for one that is not until such reports have expired (500 ms).

In the simulation a paused or severed host's registration lapses after 2 s.

--- a/include/marigoldpitch/coordination/proxy/fencing-round.h
+++ b/include/marigoldpitch/coordination/proxy/fencing-round.h
@@ -18,14 +18,21 @@
 class HostRoster
 {
 public:
-  /** Sets the names of all registered hosts. */
-  void SetRegistered(const std::vector<std::string>& aHosts, Time aNow);
+  /**
+   * Sets the names of all registered hosts. `aAreShort`: the registration of
+   * one that is lost ends soon.
+   */
+  void SetRegistered(const std::vector<std::string>& aHosts,
+                     bool aAreShort,
+                     Time aNow);
+  bool AreRegistrationsShort() const { return this->areRegistrationsShort; }
 
   /** By name: since when a host is not registered; `kInfiniteFuture`: it is. */
   const std::map<std::string, Time>& Hosts() const { return this->hosts; }
 
 private:
   std::map<std::string, Time> hosts;
+  bool areRegistrationsShort = true;
 };
 
 /** A request for one host; the sender adds the service. */
@@ -74,8 +81,10 @@
   void Replied(const std::string& aHost, const FenceReply& aReply);
 
   /**
-   * Whether each host has replied, or cannot acknowledge commits any more since
-   * its lease has expired.
+   * Whether each host has replied, or cannot acknowledge commits any more. One
+   * that is not registered cannot once its last report of a replica that is not
+   * held has expired. One that is registered is waited for; if registrations
+   * last long, only until its contact with the store must have expired.
    */
   bool IsComplete(const HostRoster& aRoster, Time aNow) const;
 
--- a/include/marigoldpitch/coordination/proxy/host-registration.h
+++ b/include/marigoldpitch/coordination/proxy/host-registration.h
@@ -15,6 +15,22 @@
   Duration renewInterval;
 };
 
+/**
+ * Since when this host is registered without a break, and until when it is so
+ * for sure: the store may remove the registration after that.
+ */
+struct RegistrationSpan
+{
+  Time since = kInfiniteFuture;
+  Time until = kInfinitePast;
+};
+
+/**
+ * Within this time after a host has registered, each promoter has read that it
+ * is there.
+ */
+constexpr Duration kRegistrationSpread = Millis(2500);
+
 /** How many hosts may take the promoter lease when it becomes free. */
 constexpr size_t kPromoterCandidates = 8;
 
--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -370,12 +370,16 @@
 
   // proxy-fencing.cc: which commits are acknowledged to callers while a
   // promotion may be ordered.
+  void On(const RegistrationRenewed& aEvent)
+  {
+    this->registration = aEvent.span;
+  }
   void On(const FenceRequestArrived& aEvent);
   void On(const FenceReplyArrived& aEvent);
   void SendFenceReplies(ProxyService& aService);
   void SendFenceReplyTo(const std::string& aHost, const FenceReply& aReply);
   void SendFence(const ProxyService& aService, const FenceHost& aFence);
-  void UpdateRoster(const std::vector<std::string>& aNames);
+  void UpdateRoster(const HostsCounted& aCounted);
   void AbortFenced(CallerSession& aSession);
   void HideCommit(ProxyService& aService,
                   CallerSession& aSession,
@@ -411,7 +415,8 @@
   bool hasRegistry = false;
   size_t hosts = 0; // 0: not counted yet
   std::vector<HostPlace> places;
-  HostRoster roster; // the hosts that a promoter has to fence
+  HostRoster roster;             // the hosts that a promoter has to fence
+  RegistrationSpan registration; // of this host
   Time configuredSince = kInfiniteFuture;
   // Hosts to which a link is up, and since when.
   std::map<std::string, Time> relayHosts;
--- a/include/marigoldpitch/coordination/proxy/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-io.h
@@ -3,6 +3,7 @@
 
 #include "marigoldpitch/coordination/proxy/customer-limits.h"
 #include "marigoldpitch/coordination/proxy/fence-io.h"
+#include "marigoldpitch/coordination/proxy/host-registration.h"
 #include "marigoldpitch/coordination/proxy/relay-io.h"
 #include "marigoldpitch/coordination/proxy/service-placement.h"
 #include "marigoldpitch/coordination/proxy/statement.h"
@@ -116,6 +117,8 @@
   size_t hosts = 1;
   std::vector<HostPlace> places;
   std::vector<std::string> names = {}; // of all registered hosts
+  // Whether the registration of each host that is lost ends soon.
+  bool areRegistrationsShort = true;
 };
 
 /** A link to a host to which statements may be relayed has come up or down. */
@@ -186,6 +189,12 @@
   LimitReply reply;
 };
 
+/** This host has registered in the store, renewed its registration or ended. */
+struct RegistrationRenewed
+{
+  RegistrationSpan span;
+};
+
 /** A promoter asks this host to fence a term. */
 struct FenceRequestArrived
 {
@@ -230,6 +239,7 @@
                                 RelayedReplyArrived,
                                 LimitRequestArrived,
                                 LimitReplyArrived,
+                                RegistrationRenewed,
                                 FenceRequestArrived,
                                 FenceReplyArrived,
                                 ProxyTick>;
--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -4,6 +4,7 @@
 #include "marigoldpitch/coordination/proxy/commit-fence.h"
 #include "marigoldpitch/coordination/proxy/departures.h"
 #include "marigoldpitch/coordination/proxy/group-membership.h"
+#include "marigoldpitch/coordination/proxy/host-registration.h"
 #include "marigoldpitch/coordination/proxy/opening-pace.h"
 #include "marigoldpitch/coordination/proxy/statement.h"
 #include "marigoldpitch/state/connection-table.h"
@@ -206,18 +207,21 @@
    * Whether a commit of the term that the primary has acknowledged may be
    * acknowledged to its caller: no promotion to a higher term can have been
    * ordered, as far as this host can tell. Requires that no fence hides it, and
-   * either contact with the store within `kCommitLease`, or a recent report of
-   * a recorded replica that is not held. A new process may have lost its fence,
-   * so it acknowledges none while a held replica shows that an order may still
-   * take effect.
+   * either contact with the store within `kCommitLease` and a registration that
+   * promoters know of, so that they fence this host or wait for it; or a recent
+   * report of a recorded replica that is not held. A new process may have lost
+   * its fence, so it acknowledges none while a held replica shows that an order
+   * may still take effect.
    */
-  bool MayAcknowledge(Term aTerm, Time aNow) const;
+  bool MayAcknowledge(Term aTerm,
+                      const RegistrationSpan& aRegistration,
+                      Time aNow) const;
 
   /**
    * Whether a commit that is sent to the primary now may be acknowledged, if it
    * is answered soon and nothing happens meanwhile.
    */
-  bool MaySendCommits(Time aNow) const;
+  bool MaySendCommits(const RegistrationSpan& aRegistration, Time aNow) const;
 
   /** Whether the fence below the present term's successor is closed. */
   bool IsFenced(Time aNow) const
--- a/src/coordination/proxy/fencing-round.cc
+++ b/src/coordination/proxy/fencing-round.cc
@@ -6,6 +6,11 @@
 
 namespace detail {
 
+// For how long a host that is not registered any more is still fenced. It may
+// have lost only its way to the store.
+constexpr Duration kUnregisteredHostTime = Seconds(30);
+// How long a report of a replica that is not held lets a host acknowledge.
+constexpr Duration kReportValidity = Millis(500);
 constexpr Duration kFenceRetryInterval = Millis(30);
 constexpr Duration kFenceRenewInterval = Millis(300);
 // For how long hosts are told that a round has ended.
@@ -14,8 +19,11 @@
 } // namespace detail
 
 void
-HostRoster::SetRegistered(const std::vector<std::string>& aHosts, Time aNow)
+HostRoster::SetRegistered(const std::vector<std::string>& aHosts,
+                          bool aAreShort,
+                          Time aNow)
 {
+  this->areRegistrationsShort = aAreShort;
   for (auto& [name, unregisteredSince] : this->hosts) {
     unregisteredSince = std::min(unregisteredSince, aNow);
   }
@@ -23,7 +31,7 @@
     this->hosts[name] = kInfiniteFuture;
   }
   for (auto it = this->hosts.begin(); it != this->hosts.end();) {
-    bool isGone = aNow - it->second >= kFenceValidity;
+    bool isGone = aNow - it->second >= detail::kUnregisteredHostTime;
     it = isGone ? this->hosts.erase(it) : std::next(it);
   }
 }
@@ -131,9 +139,13 @@
   if (!this->IsClosing()) {
     return false;
   }
+  Duration waited = aNow - this->since;
+  bool isContactOver =
+    !aRoster.AreRegistrationsShort() && waited >= kCommitLease;
   for (const auto& [host, unregisteredSince] : aRoster.Hosts()) {
-    Time silentSince = std::min(this->since, unregisteredSince);
-    bool hasExpired = aNow - silentSince >= kCommitLease;
+    bool isRegistered = unregisteredSince == kInfiniteFuture;
+    bool hasExpired =
+      isRegistered ? isContactOver : waited >= detail::kReportValidity;
     if (!hasExpired && this->replied.count(host) == 0) {
       return false;
     }
--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -230,7 +230,8 @@
       this->AbortFenced(aSession);
       return false;
     }
-    if (IsCommit(aSession) && !aService.view.MaySendCommits(this->now)) {
+    if (IsCommit(aSession) &&
+        !aService.view.MaySendCommits(this->registration, this->now)) {
       aService.proofWanted = true;
       return false;
     }
@@ -319,7 +320,8 @@
     if (!view.IsPrimaryUsable(this->now) || isStalled) {
       return false;
     }
-    if (IsCommit(aSession) && !view.MaySendCommits(this->now)) {
+    if (IsCommit(aSession) &&
+        !view.MaySendCommits(this->registration, this->now)) {
       aService.proofWanted = true;
       return false;
     }
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -291,7 +291,7 @@
 void
 ProxyEngine::On(const HostsCounted& aEvent)
 {
-  this->UpdateRoster(aEvent.names);
+  this->UpdateRoster(aEvent);
   size_t counted = std::max<size_t>(aEvent.hosts, 1);
   if (counted >= this->hosts) {
     this->fewerHostsSince = kInfiniteFuture;
--- a/src/coordination/proxy/proxy-fencing.cc
+++ b/src/coordination/proxy/proxy-fencing.cc
@@ -91,11 +91,11 @@
 
 /** This host is always on the roster, whether it is registered or not. */
 void
-ProxyEngine::UpdateRoster(const std::vector<std::string>& aNames)
+ProxyEngine::UpdateRoster(const HostsCounted& aCounted)
 {
-  std::vector<std::string> names = aNames;
+  std::vector<std::string> names = aCounted.names;
   names.push_back(this->options.host);
-  this->roster.SetRegistered(names, this->now);
+  this->roster.SetRegistered(names, aCounted.areRegistrationsShort, this->now);
 }
 
 /** Rolls back a transaction whose COMMIT must not be sent any more. */
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -297,7 +297,9 @@
 }
 
 bool
-ServiceView::MayAcknowledge(Term aTerm, Time aNow) const
+ServiceView::MayAcknowledge(Term aTerm,
+                            const RegistrationSpan& aRegistration,
+                            Time aNow) const
 {
   if (!this->requiresReplicaConfirmation) {
     return true;
@@ -306,15 +308,19 @@
       this->MayHaveLostFence(aNow)) {
     return false;
   }
-  return aNow - this->storeSeenAt < kCommitLease ||
+  bool isRegistered = aNow < aRegistration.until &&
+                      aNow - aRegistration.since >= kRegistrationSpread;
+  return (isRegistered && aNow - this->storeSeenAt < kCommitLease) ||
          aNow - this->memberProofAsked < kPrimaryProofValidity;
 }
 
 bool
-ServiceView::MaySendCommits(Time aNow) const
+ServiceView::MaySendCommits(const RegistrationSpan& aRegistration,
+                            Time aNow) const
 {
   return !this->IsFenced(aNow) &&
-         this->MayAcknowledge(this->term, aNow + detail::kCommitTime);
+         this->MayAcknowledge(
+           this->term, aRegistration, aNow + detail::kCommitTime);
 }
 
 void
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -10,6 +10,7 @@
 
 constexpr Duration kNetworkDelay = Millis(1);
 constexpr Duration kTickInterval = Millis(20);
+constexpr Duration kRegistrationLifetime = Seconds(2);
 constexpr char kService[] = "service";
 
 } // namespace
@@ -124,6 +125,7 @@
 ProxySimulation::Tick()
 {
   for (size_t i = 0; i < this->hosts.size(); ++i) {
+    this->RenewRegistration(i);
     if (this->paused.count(i) != 0) {
       continue;
     }
@@ -136,6 +138,38 @@
   this->queue.After(kTickInterval, [this] { this->Tick(); });
 }
 
+/** The host's registration lasts for a while after it was renewed. */
+void
+ProxySimulation::RenewRegistration(size_t aHost)
+{
+  Time& until = this->registeredUntil[aHost];
+  bool wasRegistered = this->Now() < until;
+  if (this->withoutRegistry.count(aHost) != 0 ||
+      this->paused.count(aHost) != 0) {
+    if (!wasRegistered && until != kInfinitePast) {
+      until = kInfinitePast;
+      this->SendHostsCounted();
+    }
+    return;
+  }
+  until = this->Now() + kRegistrationLifetime;
+  this->Send(aHost, RegistrationRenewed{ { kInfinitePast, until } });
+  if (!wasRegistered) {
+    this->SendHostsCounted();
+  }
+}
+
+/** The hosts that reach the store learn which hosts are registered. */
+void
+ProxySimulation::SendHostsCounted()
+{
+  for (size_t i = 0; i < this->hosts.size(); ++i) {
+    if (this->withoutRegistry.count(i) == 0) {
+      this->Send(i, this->MakeHostsCounted());
+    }
+  }
+}
+
 /** Schedules a call, skipped if the host's process was replaced by then. */
 void
 ProxySimulation::After(size_t aHost,
--- a/test/fenced-successor-test.cc
+++ b/test/fenced-successor-test.cc
@@ -109,6 +109,7 @@
   for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
     PlannedChange run(seed);
     run.simulation.severedHosts = { { 0, 2 } };
+    run.simulation.withoutRegistry = { 2 };
     run.simulation.AnnounceDeparture(0);
     run.AwaitPromotion();
     run.WriteFor(kPrimaryProofValidity - Millis(50));
