--- a/test/fakes/promotion-run.cc
+++ b/test/fakes/promotion-run.cc
@@ -22,6 +22,7 @@
   options.connections = 120;
   options.stepsDownAfter = kStepsDownAfter;
   options.registryInterval = Millis(1000);
+  options.refusesEnded = true;
   return options;
 }
 
--- a/test/fakes/proxy-simulation-upstreams.cc
+++ b/test/fakes/proxy-simulation-upstreams.cc
@@ -305,15 +305,17 @@
 void
 ProxySimulation::Promote(const RequestPromotion& aAction, size_t aHost)
 {
+  bool isAccepted = true;
   for (size_t i = 0; i < this->upstreams.size(); ++i) {
     if (this->upstreams[i].entry.id == aAction.upstream) {
+      isAccepted = this->upstreams[i].isAlive || !this->options.refusesEnded;
       this->queue.After(this->options.promotionTime,
                         [this, i] { this->BecomePrimary(i); });
     }
   }
   std::string service = aAction.service;
-  this->After(aHost, kPromotionRequestDelay, [this, aHost, service] {
-    this->Send(aHost, PromotionOrdered{ service, true });
+  this->After(aHost, kPromotionRequestDelay, [=] {
+    this->Send(aHost, PromotionOrdered{ service, isAccepted });
   });
 }
 
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -141,6 +141,8 @@
   std::optional<Duration> registryInterval;
   // How long after its order a promotion takes effect.
   Duration promotionTime = Millis(300);
+  // Whether an order for an upstream that is not running is refused.
+  bool refusesEnded = false;
   // How many zones the hosts are spread over; 0: each has a zone of its own,
   // and no host relays statements.
   size_t zones = 0;
