End sessions of a draining host after an answer, and answer all that was read

Cause: DrainSessions ended a session only if it was idle at a tick, each 20 ms. A session whose caller sends its next statement sooner was never ended, was served until the process stopped 600 ms before the end of the grace, and lost what was open then. Sessions that were idle all ended in one tick.

Change: DrainSchedule divides the grace into stages. From 2.2 s on sessions outside transactions are ended at an even rate until 3.6 s (of 6 s): a session whose turn it is ends together with an answer, when its caller can't have sent the next statement yet, or after 100 ms of silence. From then on each ends with its next answer, from 4.3 s on inside a transaction too, and no session opens. Nothing more is read from a session that ends; a caller that pipelines is answered what was read first (StopReading, isFollowed). A second before the kill all that is open is given up with the answer that is true of it, by the same rule as at its deadline, and all sessions end; the process waits for their connections to close. Sessions that serve other hosts' callers follow the same stages for transactions.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -3,6 +3,7 @@
 
 #include "marigoldpitch/coordination/common/admission.h"
 #include "marigoldpitch/coordination/proxy/connection-budget.h"
+#include "marigoldpitch/coordination/proxy/drain-schedule.h"
 #include "marigoldpitch/coordination/proxy/group-recorder.h"
 #include "marigoldpitch/coordination/proxy/promotion.h"
 #include "marigoldpitch/coordination/proxy/proxy-session.h"
@@ -103,7 +104,7 @@
   {
     return this->IsDraining() && this->sessions.empty();
   }
-  bool IsDraining() const { return this->drainSince != kInfiniteFuture; }
+  bool IsDraining() const { return this->drain.IsDraining(); }
   size_t Sessions() const { return this->sessions.size(); }
 
   /** What the session of the caller keeps, in bytes. */
@@ -129,13 +130,29 @@
   void On(const RegistryRead& aEvent);
   void On(const RegistryConfirmed& aEvent);
   void On(const HostsCounted& aEvent);
-  void On(const ProxyDrainRequested& aEvent);
   void On(const ProxyTick& aEvent);
   ProxyService& ServiceOf(const std::string& aName);
   void ShareConnections(ProxyService& aService);
   uint32_t ConnectionLimit(const ProxyService& aService,
                            UpstreamIndex aUpstream) const;
+
+  // proxy-drain.cc: the end of sessions while the host is drained.
+  void On(const ProxyDrainRequested& aEvent);
+  DrainStage CurrentDrainStage() const
+  {
+    return this->drain.StageAt(this->now);
+  }
+  size_t OwnSessions() const
+  {
+    return this->sessions.size() - this->relayedSessions.size();
+  }
+  bool MayEndSession(const CallerSession& aSession) const;
+  void EndAnsweredSessions();
   void DrainSessions();
+  void DrainSession(CallerSession& aSession);
+  void LeaveAfterAnswers(CallerSession& aSession);
+  void EndDrainedSession(CallerId aCaller);
+  void EndAllSessions();
 
   // proxy-sessions.cc: statements that the proxy answers itself, replies to
   // callers, and the end of transactions.
@@ -343,6 +360,7 @@
   Time DeadlineOf(const CallerSession& aSession) const;
   bool NeedsPrimaryThatHasLeft(const PendingStatement& aPending) const;
   void Expire(CallerSession& aSession);
+  void GiveUp(CallerSession& aSession, const std::string& aWhy);
   void LogUnprovedRead(const CallerSession& aSession);
 
   // proxy-watch.cc: status reports of upstreams, proofs that the primary is
@@ -426,6 +444,7 @@
   size_t relayedBytes = 0; // that `relayedSessions` keep
   CallerId lastRelayedCaller = 0;
   std::vector<CallerId> finishedSessions;
+  std::vector<CallerId> answeredSessions; // while an event was handled
   Time fewerHostsSince = kInfiniteFuture;
   // Sessions that wait for the first configuration.
   std::vector<SessionOpened> sessionsAwaitingConfig;
@@ -439,8 +458,8 @@
   std::unordered_map<CallerId, CallerSession> sessions;
   std::unordered_map<ConnectionId, ProxyLink> links;
   Time now;
-  Time drainSince = kInfiniteFuture;
-  Duration grace;
+  DrainSchedule drain;
+  size_t endedSessions = 0; // that the drain has ended, or is about to
   ProxyActions actions;
 };
 
--- a/include/marigoldpitch/coordination/proxy/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-io.h
@@ -40,6 +40,8 @@
   std::string requestId;
   SessionStatement statement;
   Duration spent = {}; // since it arrived at the host that relayed it
+  // Whether more of the caller's messages were read together with it.
+  bool isFollowed = false;
 };
 
 /** A caller sent a message that is not a valid statement. */
@@ -49,6 +51,7 @@
   std::string requestId;
   std::string why;
   FailureCode code = FailureCode::Invalid;
+  bool isFollowed = false; // as for statements
 };
 
 /** The upstream accepted the connection. */
@@ -248,7 +251,19 @@
   StatementReply reply;
 };
 
-/** Sends the reason and closes once the caller had time to read it. */
+/**
+ * Reads nothing more from the caller. What was read together with its last
+ * message still arrives.
+ */
+struct StopReading
+{
+  CallerId caller = 0;
+};
+
+/**
+ * Sends the reason, reads nothing more, and closes once the caller had time to
+ * read it.
+ */
 struct EndSession
 {
   CallerId caller = 0;
@@ -377,6 +392,7 @@
 
 using ProxyAction = std::variant<ConfirmSession,
                                  AnswerCaller,
+                                 StopReading,
                                  EndSession,
                                  OpenLink,
                                  CloseLink,
--- a/include/marigoldpitch/coordination/proxy/proxy-session.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-session.h
@@ -108,6 +108,8 @@
   std::optional<PendingStatement> pending;
   std::deque<StatementArrived> inbox; // pipelined behind `pending`
   size_t inboxBytes = 0;              // of their ids and texts
+  bool isFollowed = false; // more was read together with its last statement
+  bool isLeaving = false;  // it ends once all that was read is answered
   Time lastActive;
 };
 
--- a/include/marigoldpitch/protocol/line-splitter.h
+++ b/include/marigoldpitch/protocol/line-splitter.h
@@ -29,6 +29,9 @@
    */
   Result<std::optional<std::string_view>> Next();
 
+  /** Whether `Next` has another line. */
+  bool HasLine() const;
+
   /** Frees the buffer of a long line that was taken. Ends the validity of the
    * lines that `Next` has returned. */
   void ReleaseUnused();
--- a/include/marigoldpitch/transport/line-link.h
+++ b/include/marigoldpitch/transport/line-link.h
@@ -51,6 +51,8 @@
 
   /** The bytes of lines that are not complete. */
   size_t ReceivedBytes() const { return this->splitter.HeldBytes(); }
+  /** Whether another line was received together with the last one. */
+  bool HasFurtherLine() const { return this->splitter.HasLine(); }
   bool HasPartialLine() const { return this->splitter.HasPartialLine(); }
 
 private:
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -7,9 +7,6 @@
 
 namespace detail {
 
-// The load balancer needs two failed health checks, a second apart, to stop
-// sending new callers.
-constexpr Duration kBalancerReactionTime = Millis(2200);
 constexpr size_t kMaxInbox = 32; // statements
 constexpr Duration kHostDecreaseDelay = Seconds(4);
 // How long links to serving hosts take to come up after a start.
@@ -33,6 +30,7 @@
   } while (!limitActions.outcomes.empty());
   this->PerformLimits(std::move(limitActions));
   this->RemoveFinishedSessions();
+  this->EndAnsweredSessions();
   return std::exchange(this->actions, {});
 }
 
@@ -71,6 +69,10 @@
 void
 ProxyEngine::On(const SessionOpened& aEvent)
 {
+  if (this->CurrentDrainStage() >= DrainStage::EndingTransactions) {
+    this->EndDrainedSession(aEvent.caller);
+    return;
+  }
   if (this->config.version == 0) {
     // The databases are not known yet.
     this->sessionsAwaitingConfig.push_back(aEvent);
@@ -153,6 +155,7 @@
   }
   CallerSession& session = found->second;
   session.lastActive = this->now;
+  session.isFollowed = aEvent.isFollowed;
   if (session.pending || !session.inbox.empty()) {
     size_t bytes = session.inboxBytes + SizeOf(aEvent);
     if (session.inbox.size() < detail::kMaxInbox && bytes <= kMaxInboxBytes) {
@@ -186,6 +189,7 @@
     this->On(SessionClosed{ aEvent.caller });
     return;
   }
+  found->second.isFollowed = aEvent.isFollowed;
   bool isRefused = aEvent.code != FailureCode::Invalid;
   if (isRefused && found->second.state == SessionState::InTransaction) {
     this->FailTransaction(found->second);
@@ -365,46 +369,6 @@
                   this->now);
 }
 
-void
-ProxyEngine::On(const ProxyDrainRequested& aEvent)
-{
-  if (this->IsDraining()) {
-    return;
-  }
-  this->drainSince = this->now;
-  this->grace = aEvent.grace;
-  this->AddDecision(LogEvent::DrainStarted,
-                    "",
-                    { { "sessions", std::to_string(this->sessions.size()) } });
-}
-
-/**
- * Ends sessions that are idle, once the load balancer has noticed the drain. In
- * the second half of the grace period it also ends sessions that are idle
- * inside a transaction.
- */
-void
-ProxyEngine::DrainSessions()
-{
-  Duration spent = this->now - this->drainSince;
-  if (spent < detail::kBalancerReactionTime) {
-    return;
-  }
-  bool isLate = spent >= Duration{ this->grace.ms / 2 };
-  std::vector<CallerId> leaving;
-  for (auto& [id, session] : this->sessions) {
-    bool isIdle = !session.pending && session.inbox.empty();
-    if (isIdle && (session.state == SessionState::Idle || isLate)) {
-      leaving.push_back(id);
-    }
-  }
-  for (CallerId id : leaving) {
-    this->Emit(
-      EndSession{ id, { FailureCode::Aborted, "this host is shutting down" } });
-    this->On(SessionClosed{ id });
-  }
-}
-
 void
 ProxyEngine::On(const ProxyTick&)
 {
--- a/src/coordination/proxy/proxy-losses.cc
+++ b/src/coordination/proxy/proxy-losses.cc
@@ -177,14 +177,31 @@
   return pending.arrived + maxQueueTime;
 }
 
+/** Gives up a statement that has reached its limit. */
+void
+ProxyEngine::Expire(CallerSession& aSession)
+{
+  const PendingStatement& pending = *aSession.pending;
+  bool isUnsent = pending.phase != StatementPhase::Running &&
+                  pending.phase != StatementPhase::Relayed &&
+                  !pending.mayHaveRun;
+  bool hasLeft = aSession.state != SessionState::InTransaction && isUnsent &&
+                 this->NeedsPrimaryThatHasLeft(pending);
+  this->GiveUp(aSession,
+               hasLeft
+                 ? "the primary has left; retry after " +
+                     std::to_string(detail::kSuccessorRetryTime.ms) + " ms"
+                 : "no answer in time");
+}
+
 /**
- * Gives up a statement that has reached its limit. The failure code tells
- * whether it may have taken effect: `OutcomeUnknown` for a commit or write that
- * was sent, `Aborted` if its transaction is rolled back, `Timeout` for a read
- * that was sent, and `Busy` if nothing was sent.
+ * Gives up the session's open statement. The failure code tells whether it may
+ * have taken effect: `OutcomeUnknown` for a commit or write that was sent,
+ * `Aborted` if its transaction is rolled back, `Timeout` for a read that was
+ * sent, and `Busy` if nothing was sent.
  */
 void
-ProxyEngine::Expire(CallerSession& aSession)
+ProxyEngine::GiveUp(CallerSession& aSession, const std::string& aWhy)
 {
   PendingStatement& pending = *aSession.pending;
   bool isCommit = pending.statement.kind == StatementKind::Commit;
@@ -216,12 +233,7 @@
   } else if (wasSent || pending.mayHaveRun) {
     code = pending.writes ? FailureCode::OutcomeUnknown : FailureCode::Timeout;
   }
-  std::string why = "no answer in time";
-  if (code == FailureCode::Busy && this->NeedsPrimaryThatHasLeft(pending)) {
-    why = "the primary has left; retry after " +
-          std::to_string(detail::kSuccessorRetryTime.ms) + " ms";
-  }
-  this->AnswerFailure(aSession, code, why);
+  this->AnswerFailure(aSession, code, aWhy);
 }
 
 bool
--- a/src/coordination/proxy/proxy-sessions.cc
+++ b/src/coordination/proxy/proxy-sessions.cc
@@ -240,6 +240,9 @@
     return;
   }
   this->Emit(AnswerCaller{ aSession.id, std::move(aReply) });
+  if (this->IsDraining()) {
+    this->answeredSessions.push_back(aSession.id);
+  }
   this->HandleNextStatement(aSession);
 }
 
--- a/src/protocol/line-splitter.cc
+++ b/src/protocol/line-splitter.cc
@@ -35,6 +35,13 @@
   }
 }
 
+bool
+LineSplitter::HasLine() const
+{
+  return this->buffer.find(detail::kLineEnd, this->searched) !=
+         std::string::npos;
+}
+
 Result<std::optional<std::string_view>>
 LineSplitter::Next()
 {
--- a/test/fakes/proxy-simulation-store.cc
+++ b/test/fakes/proxy-simulation-store.cc
@@ -146,7 +146,7 @@
     route.service = this->group.service;
     route.freshness = this->options.freshness;
     route.maxAge = this->options.maxAge;
-    route.timeout = Millis(1000);
+    route.timeout = this->options.timeout;
     route.latencyObjective = Millis(300);
     event.config.routes[database] = route;
   }
--- a/test/fakes/proxy-simulation.cc
+++ b/test/fakes/proxy-simulation.cc
@@ -254,17 +254,20 @@
   request->id = "r" + std::to_string(this->requests.size());
   this->requests.push_back(request);
   this->byId[request->id] = request;
-  this->openRequests[{ aHost, aCaller }] = request;
+  this->openRequests[{ aHost, aCaller }].push_back(request);
   return request;
 }
 
 std::shared_ptr<FakeRequest>
 ProxySimulation::SubmitStatement(size_t aHost,
                                  CallerId aCaller,
-                                 const SessionStatement& aStatement)
+                                 const SessionStatement& aStatement,
+                                 bool aIsFollowed)
 {
   auto request = this->AddRequest(aHost, aCaller, aStatement);
-  this->Send(aHost, StatementArrived{ aCaller, request->id, aStatement });
+  this->Send(
+    aHost,
+    StatementArrived{ aCaller, request->id, aStatement, {}, aIsFollowed });
   return request;
 }
 
@@ -337,10 +340,13 @@
 {
   if (const auto* answer = std::get_if<AnswerCaller>(&aAction)) {
     auto found = this->openRequests.find({ aHost, answer->caller });
-    if (found != this->openRequests.end()) {
-      this->NoteReply(*found->second, answer->reply);
-      this->openRequests.erase(found);
+    if (found != this->openRequests.end() && !found->second.empty()) {
+      auto request = found->second.front();
+      found->second.pop_front();
+      this->NoteReply(*request, answer->reply);
     }
+  } else if (const auto* stop = std::get_if<StopReading>(&aAction)) {
+    this->unreadSessions.insert(stop->caller);
   } else if (const auto* end = std::get_if<EndSession>(&aAction)) {
     this->endedSessions[end->caller] = end->reason;
   } else if (const auto* opened = std::get_if<OpenLink>(&aAction)) {
--- a/test/fakes/proxy-simulation.h
+++ b/test/fakes/proxy-simulation.h
@@ -5,6 +5,7 @@
 
 #include "marigoldpitch/coordination/proxy/proxy-engine.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -125,6 +126,7 @@
   size_t upstreams = 3; // the first is the primary
   Freshness freshness = Freshness::Newest;
   Duration maxAge = Millis(300);
+  Duration timeout = Millis(1000); // of each statement
   uint32_t connections = 12;
   Duration jitter = Millis(0); // largest random addition to a message's delay
   // Time after which a replaced primary that reaches its successor steps down;
@@ -192,11 +194,15 @@
                  std::optional<size_t> aHost = {}) const;
   void CloseSession(size_t aHost, CallerId aCaller);
 
-  /** Sends a statement; the returned request has a `reply` once answered. */
+  /**
+   * Sends a statement; the returned request has a `reply` once answered.
+   * `aIsFollowed`: the host reads more of the caller together with it.
+   */
   std::shared_ptr<FakeRequest> SubmitStatement(
     size_t aHost,
     CallerId aCaller,
-    const SessionStatement& aStatement);
+    const SessionStatement& aStatement,
+    bool aIsFollowed = false);
 
   /**
    * Sends a text over `options.path`. `aMeaning` is what the text says by the
@@ -319,7 +325,8 @@
   /** Returns how many statements were sent to a "primary" or "replica". */
   size_t Placed(const std::string& aRole) const;
   std::map<CallerId, std::optional<StatementFailure>>
-    endedSessions; // of all hosts
+    endedSessions;                   // of all hosts
+  std::set<CallerId> unreadSessions; // nothing more is read from their callers
 
   /** Returns a line for each violated guarantee; empty if all hold. */
   std::string Violations() const;
@@ -431,8 +438,9 @@
   std::vector<std::pair<size_t, Time>> lingering; // upstream, until
   std::vector<std::shared_ptr<FakeRequest>> requests;
   std::map<std::string, std::shared_ptr<FakeRequest>> byId;
-  // By host and caller: the request without an answer, and the settings.
-  std::map<std::pair<size_t, CallerId>, std::shared_ptr<FakeRequest>>
+  // By host and caller: the requests without an answer, and the settings.
+  std::map<std::pair<size_t, CallerId>,
+           std::deque<std::shared_ptr<FakeRequest>>>
     openRequests;
   std::map<std::pair<size_t, CallerId>, std::map<std::string, std::string>>
     settings;
