Close the connection of a session that has ended once its answers are sent

Cause: the connection was to close after its writes, but its last owner let go of it in the same call, and the destructor closed it at once.

caller-server-test/caller_that_reads_late_gets_its_whole_answer_at_the_end fails if the connection closes after 300 ms whatever is unsent, and passes now.

--- a/include/marigoldpitch/transport/stream-link.h
+++ b/include/marigoldpitch/transport/stream-link.h
@@ -22,8 +22,6 @@
   /** Closes without calling the listener. */
   void Close();
 
-  /** Closes once all queued bytes have been written. */
-  void CloseAfterWrites();
   bool IsOpen() const { return this->socket != nullptr; }
 
   /** Leaves further bytes to the kernel, which slows the peer down. */
@@ -77,7 +75,6 @@
   h2o_socket_t* socket = nullptr;
   bool connected = false;
   bool isPaused = false;
-  bool closing = false;
   std::string inFlight; // passed to the socket, write not completed
   std::string queued;   // written next
 };
--- a/src/transport/stream-link.cc
+++ b/src/transport/stream-link.cc
@@ -84,7 +84,7 @@
 void
 StreamLink::Write(std::string_view aBytes)
 {
-  if (!this->IsOpen() || this->closing) {
+  if (!this->IsOpen()) {
     return;
   }
   this->queued += aBytes;
@@ -127,9 +127,6 @@
     std::string().swap(self->inFlight); // frees it; an assignment would not
   }
   self->WriteQueued();
-  if (self->closing && self->inFlight.empty()) {
-    self->Close();
-  }
   if (self->IsOpen()) {
     self->OnSent();
   }
@@ -152,15 +149,6 @@
   }
 }
 
-void
-StreamLink::CloseAfterWrites()
-{
-  this->closing = true;
-  if (this->inFlight.empty() && this->queued.empty()) {
-    this->Close();
-  }
-}
-
 void
 StreamLink::Close()
 {
--- a/test/caller-server-test.cc
+++ b/test/caller-server-test.cc
@@ -158,3 +158,28 @@
   cr_assert(caller.lines == expected);
   cr_assert(caller.isDown);
 }
+
+Test(caller_server, caller_that_reads_late_gets_its_whole_answer_at_the_end)
+{
+  ServerPlay play;
+  FakeCaller caller(*play.loop);
+  caller.reads = false;
+  StatementReply reply;
+  reply.rows.assign(6, std::string(kMebibyte / 2, 'r'));
+  play.onStatement = [&](const StatementArrived& aArrived) {
+    play.server->Perform(AnswerCaller{ aArrived.caller, reply });
+    if (!aArrived.isFollowed) {
+      play.server->Perform(
+        EndSession{ aArrived.caller, { FailureCode::Aborted, "it ends" } });
+    }
+  };
+  play.RunFor(Millis(50));
+  caller.link->Send("QUERY a READ i\r\nQUERY b READ i\r\n");
+  play.RunFor(Millis(600));
+  cr_assert(play.server->IsClosing());
+  caller.link->ResumeReading();
+  play.RunFor(Millis(600));
+  cr_assert_geq(caller.bytes, 6 * kMebibyte);
+  cr_assert_eq(caller.lines.back(), "ERR");
+  cr_assert_not(play.server->IsClosing());
+}
