Let statements wait for a primary that may be used in a moment

A host that serves a read itself, after the host that it was relayed to has declined it, sees the primary a few milliseconds later and may use it 500 ms after that. The read was refused after 450 ms in the queue (0.45 of a timeout of 1,000 ms).

Cause: the limit on time in the queue does not look at when the primary may be used, which is known once it has been seen. It is right for a primary that nobody knows yet; here it refused what could be served 50 ms later with half of the timeout left.

Change: a statement that needs the primary waits until 50 ms after the primary becomes usable, if that is within 0.7 of its timeout.

--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -325,6 +325,12 @@
    */
   bool HasPrimaryLeft(Time aNow) const;
 
+  /** From when on the known primary may be used, as far as its term goes. */
+  Time PrimaryUsableFrom() const
+  {
+    return this->primary ? this->primaryUsableFrom : kInfiniteFuture;
+  }
+
   /**
    * Whether it is proved that the primary was still the primary at `aTime`: no
    * newer primary had acknowledged anything before then.
--- a/src/coordination/proxy/proxy-losses.cc
+++ b/src/coordination/proxy/proxy-losses.cc
@@ -13,6 +13,20 @@
 // likely to be refused again.
 constexpr Duration kSuccessorRetryTime = Millis(500);
 
+// Share of the timeout after which a statement is not queued any longer even
+// for a primary that is about to be usable.
+constexpr double kMaxPrimaryWaitShare = 0.7;
+// The statements that waited for a primary are placed within this time.
+constexpr Duration kPlacingTime = Millis(50);
+
+/** The share of the statement's timeout. */
+Duration
+ShareOfTimeout(const PendingStatement& aPending, double aShare)
+{
+  return Duration{ static_cast<int64_t>(
+    static_cast<double>(aPending.route.timeout.ms) * aShare) };
+}
+
 } // namespace detail
 
 /**
@@ -153,7 +167,8 @@
  * knows when its successor comes; otherwise after `kMaxQueueTimeShare` of its
  * timeout or, if it does not wait for a primary, after its latency objective. A
  * statement that has not started by then would only delay others, and the
- * caller still has time to react.
+ * caller still has time to react. It waits longer for a primary that is known
+ * and may be used soon.
  */
 Time
 ProxyEngine::DeadlineOf(const CallerSession& aSession) const
@@ -162,9 +177,8 @@
   if (pending.phase != StatementPhase::Queued || aSession.pinned != 0) {
     return pending.deadline;
   }
-  auto share =
-    static_cast<double>(pending.route.timeout.ms) * detail::kMaxQueueTimeShare;
-  Duration maxQueueTime{ static_cast<int64_t>(share) };
+  Duration maxQueueTime =
+    detail::ShareOfTimeout(pending, detail::kMaxQueueTimeShare);
   const ProxyService& service = this->services.at(pending.route.service);
   if (this->NeedsPrimaryThatHasLeft(pending)) {
     return pending.arrived;
@@ -174,6 +188,14 @@
   if (!waitsForPrimary) {
     maxQueueTime = std::min(maxQueueTime, pending.route.latencyObjective);
   }
+  Time usable = service.view.PrimaryUsableFrom();
+  Duration untilPlaced = usable - pending.arrived + detail::kPlacingTime;
+  bool mayWait = pending.needsPrimary && usable > pending.arrived &&
+                 untilPlaced <= detail::ShareOfTimeout(
+                                  pending, detail::kMaxPrimaryWaitShare);
+  if (mayWait) {
+    maxQueueTime = std::max(maxQueueTime, untilPlaced);
+  }
   return pending.arrived + maxQueueTime;
 }
 
--- a/test/proxy-test.cc
+++ b/test/proxy-test.cc
@@ -322,6 +322,19 @@
   cr_assert_leq(simulation.ReportCount() - before, 100);
 }
 
+Test(proxy, read_is_not_refused_just_before_the_primary_may_serve_it)
+{
+  ProxySimulation simulation(Options(Freshness::Newest));
+  WarmUp(simulation);
+  simulation.ReplaceHost(1);
+  CallerId caller = simulation.OpenSession(1);
+  auto read = simulation.SubmitAndWait(1, caller, ReadStatement("a"));
+  cr_assert(IsOk(read));
+  Duration waited = read->answered - read->sent;
+  cr_assert(waited >= Millis(500) && waited <= Millis(560));
+  cr_assert_eq(simulation.Violations(), "");
+}
+
 Test(proxy, write_without_a_primary_is_refused_early_and_not_run)
 {
   ProxySimulation simulation(Options(Freshness::Newest));
