Answer what is open at an entry before its drain ends

An entry that gets SIGTERM finishes its requests, and after limits.drain_ms it ended with those that were still open: their callers got a closed connection, and the log how many there were (E103).

Change: 200 ms before that limit the entry answers all that is open, by the rule for expired requests: not-run for reads, begins and first attempts that were never sent, unknown for the rest. What still comes is answered not-run or unknown at once and is not sent to an owner.

entry-test/a_closing_entry_answers_all_requests_with_what_is_true: fails if closing expires nothing, and if late requests are forwarded.

--- a/include/marigoldpitch/coordination/owner/entry-engine.h
+++ b/include/marigoldpitch/coordination/owner/entry-engine.h
@@ -73,6 +73,10 @@
 struct EntryTick
 {};
 
+/** The process is about to end: what is open, or still comes, is answered. */
+struct EntryClosing
+{};
+
 using EntryEvent = std::variant<CallerRequested,
                                 CallerCancelled,
                                 OwnerAnswered,
@@ -82,7 +86,8 @@
                                 OwnerDraining,
                                 HostsChanged,
                                 ConfigurationChanged,
-                                EntryTick>;
+                                EntryTick,
+                                EntryClosing>;
 
 // Actions.
 
@@ -211,6 +216,7 @@
   void On(const HostsChanged& aEvent);
   void On(const ConfigurationChanged& aEvent);
   void On(const EntryTick& aEvent);
+  void On(const EntryClosing& aEvent);
 
   /**
    * Applies the settings of the request's service: its priority, its limit on
@@ -248,7 +254,8 @@
   /**
    * Answers requests whose deadline and grace time have passed: `Stale` for a
    * read with a maximum age, `NotRun` for any other read, for a begin and for a
-   * first attempt that was never sent, `Unknown` for the rest.
+   * first attempt that was never sent, `Unknown` for the rest. While the
+   * process closes, all requests are answered so at once.
    */
   void Expire();
   void Finish(uint64_t aNumber, Answer aAnswer);
@@ -264,6 +271,7 @@
   std::unordered_map<RequestHandle, uint64_t> byHandle;
   std::map<std::string, Owner> owners;
   uint64_t lastNumber = 0;
+  bool isClosing = false;
   Time now;
   EntryActions actions;
 };
--- a/include/marigoldpitch/transport/daemon-core.h
+++ b/include/marigoldpitch/transport/daemon-core.h
@@ -80,6 +80,9 @@
                           bool aOutbound) = 0;
   virtual void FillStatus(v1::StatusResponse& aStatus) const = 0;
   virtual void OnDrain() = 0;
+
+  /** The process ends a moment later; called once, if anything is open. */
+  virtual void OnLastAnswers() {}
   virtual size_t Unfinished() const = 0;
   virtual bool IsReady() const = 0;
 
@@ -106,6 +109,7 @@
   bool storeReachable = true;
   Time drainDeadline = kInfiniteFuture;
   Time earliestDrainEnd = kInfinitePast;
+  bool areLastAnswersDue = true;
 };
 
 using DaemonFactory =
--- a/include/marigoldpitch/transport/entry-daemon.h
+++ b/include/marigoldpitch/transport/entry-daemon.h
@@ -33,6 +33,7 @@
                   bool aOutbound) override;
   void FillStatus(v1::StatusResponse& aStatus) const override;
   void OnDrain() override;
+  void OnLastAnswers() override;
   size_t Unfinished() const override;
   bool IsReady() const override;
 
--- a/src/coordination/owner/entry-engine.cc
+++ b/src/coordination/owner/entry-engine.cc
@@ -124,6 +124,10 @@
   pending.deadline = this->now + request.timeout;
   pending.request = std::move(request);
   this->byHandle[aEvent.handle] = number;
+  if (this->isClosing) {
+    this->Expire();
+    return;
+  }
   this->AssignRequest(number);
 }
 
@@ -441,12 +445,20 @@
   }
 }
 
+void
+EntryEngine::On(const EntryClosing&)
+{
+  this->isClosing = true;
+  this->Expire();
+}
+
 void
 EntryEngine::Expire()
 {
   std::vector<uint64_t> expired;
   for (const auto& [number, pending] : this->pending) {
-    if (pending.deadline + detail::kAnswerGrace <= this->now) {
+    if (this->isClosing ||
+        pending.deadline + detail::kAnswerGrace <= this->now) {
       expired.push_back(number);
     }
   }
@@ -466,7 +478,10 @@
       this->actions.emplace_back(ForwardCancel{ pending.host, number });
       this->owners[pending.host].unanswered.erase(number);
     }
-    this->Finish(number, MakeAnswer(outcome, "no owner answered in time"));
+    this->Finish(number,
+                 MakeAnswer(outcome,
+                            this->isClosing ? "this host is shutting down"
+                                            : "no owner answered in time"));
   }
 }
 
--- a/src/transport/daemon-core.cc
+++ b/src/transport/daemon-core.cc
@@ -15,6 +15,8 @@
 constexpr Duration kDrainCheckInterval = Millis(10);
 // Gives the load balancer and the peers time to notice that the daemon drains.
 constexpr Duration kMinDrainTime = Millis(500);
+// Before the end of a drain, for the last answers to reach their callers.
+constexpr Duration kLastAnswersTime = Millis(200);
 constexpr Duration kWatchWait = Seconds(20);
 
 GossipOptions
@@ -303,6 +305,10 @@
 {
   Time now = ReadMonotonicClock();
   bool isDone = this->Unfinished() == 0 && now >= this->earliestDrainEnd;
+  bool isNearEnd = now >= this->drainDeadline - detail::kLastAnswersTime;
+  if (!isDone && isNearEnd && std::exchange(this->areLastAnswersDue, false)) {
+    this->OnLastAnswers();
+  }
   if (isDone || now >= this->drainDeadline) {
     Log(LogEvent::DrainFinished,
         std::to_string(this->Unfinished()) + " open requests");
--- a/src/transport/entry-daemon.cc
+++ b/src/transport/entry-daemon.cc
@@ -270,6 +270,12 @@
   this->callers->Drain();
 }
 
+void
+EntryDaemon::OnLastAnswers()
+{
+  this->HandleEvent(EntryClosing{});
+}
+
 size_t
 EntryDaemon::Unfinished() const
 {
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -261,6 +261,29 @@
   cr_assert_eq(next->host, entry.rankedOwners[1]);
 }
 
+Test(entry, a_closing_entry_answers_all_requests_with_what_is_true)
+{
+  EntryFixture entry;
+  ForwardRequest sent = entry.Forward(EntryFixture::Write());
+  entry.Step(OwnerLost{ entry.rankedOwners[0] });
+  Request unsent = EntryFixture::Write();
+  unsent.requestId = "unsent";
+  entry.Step(CallerRequested{ 2, unsent });
+  std::map<RequestHandle, Outcome> outcomes;
+  for (const EntryAction& action : entry.Step(EntryClosing{})) {
+    if (const auto* answer = std::get_if<AnswerCaller>(&action)) {
+      outcomes[answer->handle] = answer->answer.outcome;
+    }
+  }
+  cr_assert_eq(outcomes.size(), 2);
+  cr_assert_eq(entry.engine.Unfinished(), 0);
+  cr_assert(outcomes.at(1) == Outcome::Unknown);
+  cr_assert(outcomes.at(2) == Outcome::NotRun);
+  auto late = EntryFixture::FindAction<AnswerCaller>(
+    entry.Step(CallerRequested{ 3, EntryFixture::Write() }));
+  cr_assert(late->answer.outcome == Outcome::NotRun);
+}
+
 Test(entry, maximum_age_is_limited_by_the_service)
 {
   for (int64_t asked : { 1000, 5000, 60000 }) {
