--- a/include/marigoldpitch/coordination/proxy/proxy-io.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-io.h
@@ -41,6 +41,8 @@
   std::string requestId;
   SessionStatement statement;
   Duration spent = {}; // since it arrived at the host that relayed it
+  // Whether more of the caller's messages were read together with it.
+  bool isFollowed = false;
 };
 
 /** A caller sent a message that is not a valid statement. */
@@ -50,6 +52,7 @@
   std::string requestId;
   std::string why;
   FailureCode code = FailureCode::Invalid;
+  bool isFollowed = false; // as for statements
 };
 
 /** The upstream accepted the connection. */
@@ -258,7 +261,19 @@
   StatementReply reply;
 };
 
-/** Sends the reason and closes once the caller had time to read it. */
+/**
+ * Reads nothing more from the caller. What was read together with its last
+ * message still arrives.
+ */
+struct StopReading
+{
+  CallerId caller = 0;
+};
+
+/**
+ * Sends the reason, reads nothing more, and closes once the caller had time to
+ * read it.
+ */
 struct EndSession
 {
   CallerId caller = 0;
@@ -387,6 +402,7 @@
 
 using ProxyAction = std::variant<ConfirmSession,
                                  AnswerCaller,
+                                 StopReading,
                                  EndSession,
                                  OpenLink,
                                  CloseLink,
