Let an unrecorded replica prove the primary only with contact

What callers would see: a read on a `primary` route that runs on the replaced primary and lacks commits acknowledged by the new one.

Cause: the report of any replica that is not held proves that the known primary still leads. That holds if a promoter holds every replica before it orders. It can't hold one that it does not know: an upstream that one host has read from the registry, that the record does not name, and whose entry has expired. A host that is cut off from the store and the promoter, but reaches the old primary and that replica, went on reading there. The fence is no help: the promoter waits until such a host may acknowledge no commits, and reads were not tied to that.

Change: a replica that the record does not name proves the primary only while this host may acknowledge commits, which shows that no promotion was ordered.

group-record-test: ReportHealthyGroup now also says that the registry was read, as a host that has applied registrations knows; without a record nothing else can prove a primary. No assertion changed.

--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -90,9 +90,10 @@
  *
  * A commit of a group with `requiresReplicaConfirmation` is acknowledged only
  * after a replica has confirmed it. A replica that is held for a term accepts
- * no log from a primary of a lower term, so the report of one replica that is
- * not held above the current term proves that no newer primary had acknowledged
- * anything when the report was requested. The proof is valid for
+ * no log from a primary of a lower term, so the report of one recorded replica
+ * that is not held above the current term proves that no newer primary had
+ * acknowledged anything when the report was requested; that of another replica
+ * does so only while this host may acknowledge commits. The proof is valid for
  * `kPrimaryProofValidity` longer, because every proxy waits that long before
  * it uses a new primary. While such a proof is valid, the primary is called
  * proved.
@@ -387,6 +388,7 @@
   /** Whether the upstream is unlisted or failing, each for any time. */
   bool IsUnlistedOrFailing(UpstreamIndex aUpstream) const;
   void StartTerm(Term aTerm);
+  void NoteNotHeld(UpstreamIndex aUpstream, Time aAsked, Time aNow);
   void ApplyProof(Time aAsked);
   void PublishProvedSamples();
   void NoteLogEnd(const LogPoint& aEnd, Time aAsked);
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -54,10 +54,7 @@
     this->RequestAllReports();
   }
   if (aReport.held <= this->term) {
-    this->ApplyProof(aAsked);
-    if (this->members.IsRecorded(aUpstream)) {
-      this->memberProofAsked = std::max(this->memberProofAsked, aAsked);
-    }
+    this->NoteNotHeld(aUpstream, aAsked, aNow);
   }
   bool isConfirmed = this->unconfirmedLogEnd &&
                      !aReport.logEnd.IsBehind(this->unconfirmedLogEnd->point);
@@ -66,6 +63,23 @@
   }
 }
 
+/**
+ * The replica is not held for a higher term. A promoter may not know one that
+ * is not recorded, and orders a promotion without holding it. Then its report
+ * proves nothing, unless this host may acknowledge commits itself, which shows
+ * that no promotion was ordered.
+ */
+void
+ServiceView::NoteNotHeld(UpstreamIndex aUpstream, Time aAsked, Time aNow)
+{
+  if (this->members.IsRecorded(aUpstream)) {
+    this->memberProofAsked = std::max(this->memberProofAsked, aAsked);
+    this->ApplyProof(aAsked);
+  } else if (this->MayAcknowledge(this->term, aNow)) {
+    this->ApplyProof(aAsked);
+  }
+}
+
 /**
  * The log end at which the term began shows no commit, so only a later one can
  * be missing elsewhere.
--- a/test/group-record-test.cc
+++ b/test/group-record-test.cc
@@ -53,6 +53,7 @@
 void
 ReportHealthyGroup(ServiceView& aView, Time aNow)
 {
+  aView.ConfirmRegistrations(aNow);
   aView.ApplyReport(0, Report(Role::Primary, 1, { 1, 10 }), aNow, aNow);
   aView.ApplyReport(1, Report(Role::Replica, 1, { 1, 10 }), aNow, aNow);
   aView.ApplyReport(2, Report(Role::Replica, 1, { 1, 10 }), aNow, aNow);
--- a/test/unlisted-readers-test.cc
+++ b/test/unlisted-readers-test.cc
@@ -50,7 +50,7 @@
 
 /** Sends writes to host 0 and reads to host 1; returns the reads. */
 Requests
-RunFor(ProxySimulation& aSimulation, Duration aSpan)
+WriteAndReadFor(ProxySimulation& aSimulation, Duration aSpan)
 {
   Requests reads;
   Time end = aSimulation.Now() + aSpan;
@@ -114,13 +114,13 @@
       simulation.SetPromoterLease(0, true);
       simulation.RunFor(Millis(1500));
       simulation.SetPromoterLease(0, false);
-      RunFor(simulation, Seconds(1));
+      WriteAndReadFor(simulation, Seconds(1));
       Partition(simulation);
-      RunFor(simulation, Millis(300) + Millis(30) * seed);
+      WriteAndReadFor(simulation, Millis(300) + Millis(30) * seed);
       size_t added = StartUnlisted(simulation);
-      RunFor(simulation, Millis(400) + Millis(17) * seed);
+      WriteAndReadFor(simulation, Millis(400) + Millis(17) * seed);
       simulation.Upstream(added).isListed = true;
-      RunFor(simulation, Seconds(4));
+      WriteAndReadFor(simulation, Seconds(4));
       CheckNoViolation(simulation, seed);
     }
   }
@@ -136,16 +136,16 @@
       simulation.SetPromoterLease(0, true);
       simulation.RunFor(Millis(1500));
       simulation.SetPromoterLease(0, false);
-      RunFor(simulation, Seconds(1));
+      WriteAndReadFor(simulation, Seconds(1));
       Partition(simulation);
       simulation.withoutRegistry.insert(kReader);
-      RunFor(simulation, Millis(2500) + Millis(30) * seed);
+      WriteAndReadFor(simulation, Millis(2500) + Millis(30) * seed);
       size_t added = StartUnlisted(simulation);
-      RunFor(simulation, Millis(40) * seed);
+      WriteAndReadFor(simulation, Millis(40) * seed);
       simulation.withoutRegistry.erase(kReader);
-      RunFor(simulation, Millis(1000) + Millis(30) * seed);
+      WriteAndReadFor(simulation, Millis(1000) + Millis(30) * seed);
       simulation.Upstream(added).isListed = true;
-      RunFor(simulation, Seconds(4));
+      WriteAndReadFor(simulation, Seconds(4));
       CheckNoViolation(simulation, seed);
     }
   }
@@ -160,10 +160,10 @@
     simulation.SetPromoterLease(0, true);
     simulation.RunFor(Millis(1500));
     simulation.SetPromoterLease(0, false);
-    RunFor(simulation, Seconds(1));
+    WriteAndReadFor(simulation, Seconds(1));
     Partition(simulation);
-    RunFor(simulation, Seconds(4));
-    Requests reads = RunFor(simulation, Seconds(2));
+    WriteAndReadFor(simulation, Seconds(4));
+    Requests reads = WriteAndReadFor(simulation, Seconds(2));
     simulation.RunFor(Seconds(1));
     cr_assert_eq(CountServed(reads),
                  reads.size(),
@@ -184,16 +184,16 @@
     simulation.SetPromoterLease(0, true);
     simulation.RunFor(Millis(1500));
     simulation.SetPromoterLease(0, false);
-    RunFor(simulation, Seconds(1));
+    WriteAndReadFor(simulation, Seconds(1));
     Partition(simulation);
-    RunFor(simulation, Seconds(4));
+    WriteAndReadFor(simulation, Seconds(4));
     size_t added = StartUnlisted(simulation);
     // Commits that the reads must show are still missing from none of them.
-    RunFor(simulation, Millis(2400));
+    WriteAndReadFor(simulation, Millis(2400));
     CheckNoViolation(simulation, seed);
     simulation.Upstream(added).isListed = true;
     simulation.SendRegistryToAll();
-    RunFor(simulation, Seconds(3));
+    WriteAndReadFor(simulation, Seconds(3));
     CheckNoViolation(simulation, seed);
   }
 }
@@ -232,3 +232,32 @@
   cr_assert(samples.Settle(back + Millis(2499)).empty());
   cr_assert_eq(samples.Settle(back + Millis(2500)).size(), 1);
 }
+
+// u3 is listed to host 1 alone, which is then cut off from all but u0 and u3.
+// The promoter does not know u3, so it cannot hold it.
+Test(unlisted_readers, replica_unknown_to_the_promoter_proves_no_primary)
+{
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    ProxySimulation simulation(Options(seed, { Freshness::Newest, {} }));
+    simulation.SetPromoterLease(0, true);
+    simulation.RunFor(Millis(1500));
+    WriteAndReadFor(simulation, Millis(500));
+    simulation.isGroupStoreDown = true; // the record goes on without u3
+    size_t added = simulation.AddUpstream();
+    simulation.RunFor(Millis(50));
+    simulation.SendPartialRegistry(kReader, { 0, 1, 2, added });
+    simulation.Upstream(added).isListed = false;
+    simulation.withoutRegistry.insert(kReader);
+    simulation.severedHosts = { { 0, kReader }, { kReader, 0 } };
+    for (size_t upstream : { size_t{ 0 }, added }) {
+      simulation.SetReplicationBlocked(upstream, true);
+      simulation.Upstream(upstream).unreachableFrom.insert(0);
+    }
+    for (size_t replica : { 1, 2 }) {
+      simulation.Upstream(replica).unreachableFrom.insert(kReader);
+    }
+    WriteAndReadFor(simulation, Seconds(8));
+    cr_assert_eq(simulation.Promotions(), 1, "seed %u", seed);
+    CheckNoViolation(simulation, seed);
+  }
+}
