--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -388,10 +388,7 @@
 
   // proxy-fencing.cc: which commits are acknowledged to callers while a
   // promotion may be ordered.
-  void On(const RegistrationRenewed& aEvent)
-  {
-    this->registration = aEvent.span;
-  }
+  void On(const RegistrationRenewed& aEvent);
   void On(const FenceRequestArrived& aEvent);
   void On(const FenceReplyArrived& aEvent);
   void SendFenceReplies(ProxyService& aService);
--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -7,6 +7,7 @@
 #include "marigoldpitch/coordination/proxy/host-registration.h"
 #include "marigoldpitch/coordination/proxy/opening-pace.h"
 #include "marigoldpitch/coordination/proxy/statement.h"
+#include "marigoldpitch/coordination/proxy/unsettled-samples.h"
 #include "marigoldpitch/state/connection-table.h"
 #include "marigoldpitch/state/freshness.h"
 #include "marigoldpitch/state/proxy-config.h"
@@ -90,9 +91,10 @@
  *
  * A commit of a group with `requiresReplicaConfirmation` is acknowledged only
  * after a replica has confirmed it. A replica that is held for a term accepts
- * no log from a primary of a lower term, so the report of one replica that is
- * not held above the current term proves that no newer primary had acknowledged
- * anything when the report was requested. The proof is valid for
+ * no log from a primary of a lower term, so the report of one recorded replica
+ * that is not held above the current term proves that no newer primary had
+ * acknowledged anything when the report was requested; that of another replica
+ * does so only while this host may acknowledge commits. The proof is valid for
  * `kPrimaryProofValidity` longer, because every proxy waits that long before
  * it uses a new primary. While such a proof is valid, the primary is called
  * proved.
@@ -121,12 +123,7 @@
   }
 
   /** The store had no newer registrations than the last ones at `aAsOf`. */
-  void ConfirmRegistrations(Time aAsOf)
-  {
-    this->departures.Confirm(aAsOf);
-    this->storeSeenAt = std::max(this->storeSeenAt, aAsOf);
-    this->storeFirstSeenAt = std::min(this->storeFirstSeenAt, aAsOf);
-  }
+  void ConfirmRegistrations(Time aAsOf);
 
   /** Applies all registrations. */
   RegistryChanges ApplyRegistrations(
@@ -142,6 +139,11 @@
     this->members.NoteMissingRecord(aEra);
   }
 
+  void SetRegistration(const RegistrationSpan& aRegistration)
+  {
+    this->registration = aRegistration;
+  }
+
   /** Whether a commit is acknowledged only once a replica has confirmed it. */
   void SetRequiresReplicaConfirmation(bool aIsRequired)
   {
@@ -213,15 +215,13 @@
    * its fence, so it acknowledges none while a held replica shows that an order
    * may still take effect.
    */
-  bool MayAcknowledge(Term aTerm,
-                      const RegistrationSpan& aRegistration,
-                      Time aNow) const;
+  bool MayAcknowledge(Term aTerm, Time aNow) const;
 
   /**
    * Whether a commit that is sent to the primary now may be acknowledged, if it
    * is answered soon and nothing happens meanwhile.
    */
-  bool MaySendCommits(const RegistrationSpan& aRegistration, Time aNow) const;
+  bool MaySendCommits(Time aNow) const;
 
   /** Whether the fence below the present term's successor is closed. */
   bool IsFenced(Time aNow) const
@@ -379,6 +379,12 @@
     return this->samples.OldestSince(aTime);
   }
 
+  /** Whether a sample of that time is known, but not settled yet. */
+  bool HasUnsettledSince(Time aTime) const
+  {
+    return this->unsettledSamples.HasSince(aTime);
+  }
+
   /** Requests a report of every upstream: the primary may have changed. */
   void RequestAllReports();
 
@@ -406,10 +412,13 @@
   bool IsUnlistedOrFailing(UpstreamIndex aUpstream) const;
   void StartTerm(Term aTerm);
   bool MayHaveLostFence(Time aNow) const;
+  void NoteNotHeld(UpstreamIndex aUpstream, Time aAsked, Time aNow);
   void ApplyProof(Time aAsked);
   void PublishProvedSamples();
   void NoteLogEnd(const LogPoint& aEnd, Time aAsked);
   void SampleAllButOne(Time aNow);
+  std::vector<bool> MembersAt(Time aNow) const;
+  void TakeBackSamplesIfAdded(const std::vector<bool>& aBefore, Time aNow);
   void NoteCompleteLogs();
   void RequestReportIfUnverified(UpstreamIndex aUpstream);
   std::optional<UpstreamIndex> Find(const std::string& aId) const;
@@ -421,6 +430,7 @@
   GroupMembership members;
   Departures departures;
   CommitFence fence;
+  RegistrationSpan registration;    // of this host
   Time storeSeenAt = kInfinitePast; // the store was read then or later
   Time storeFirstSeenAt = kInfiniteFuture;
   // When the newest report of a recorded replica that is not held was
@@ -449,6 +459,7 @@
   // Samples of the current term, oldest first, for which it is not proved yet
   // that `primary` was the primary at that time.
   std::deque<Sample> unprovedSamples;
+  UnsettledSamples unsettledSamples;
   FreshnessTracker samples;
 };
 
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -210,6 +210,7 @@
       .emplace(aName, ProxyService(firstId, this->options.upstreamDrainTime))
       .first->second;
   service.name = aName;
+  service.view.SetRegistration(this->registration);
   return service;
 }
 
--- a/src/coordination/proxy/proxy-fencing.cc
+++ b/src/coordination/proxy/proxy-fencing.cc
@@ -5,6 +5,15 @@
 
 namespace marigoldpitch {
 
+void
+ProxyEngine::On(const RegistrationRenewed& aEvent)
+{
+  this->registration = aEvent.span;
+  for (auto& [name, service] : this->services) {
+    service.view.SetRegistration(this->registration);
+  }
+}
+
 void
 ProxyEngine::On(const FenceRequestArrived& aEvent)
 {
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -56,10 +56,7 @@
     this->RequestAllReports();
   }
   if (aReport.held <= this->term) {
-    this->ApplyProof(aAsked);
-    if (this->members.IsRecorded(aUpstream)) {
-      this->memberProofAsked = std::max(this->memberProofAsked, aAsked);
-    }
+    this->NoteNotHeld(aUpstream, aAsked, aNow);
   }
   bool isConfirmed = this->unconfirmedLogEnd &&
                      !aReport.logEnd.IsBehind(this->unconfirmedLogEnd->point);
@@ -68,6 +65,23 @@
   }
 }
 
+/**
+ * The replica is not held for a higher term. A promoter may not know one that
+ * is not recorded, and orders a promotion without holding it. Then its report
+ * proves nothing, unless this host may acknowledge commits itself, which shows
+ * that no promotion was ordered.
+ */
+void
+ServiceView::NoteNotHeld(UpstreamIndex aUpstream, Time aAsked, Time aNow)
+{
+  if (this->members.IsRecorded(aUpstream)) {
+    this->memberProofAsked = std::max(this->memberProofAsked, aAsked);
+    this->ApplyProof(aAsked);
+  } else if (this->MayAcknowledge(this->term, aNow)) {
+    this->ApplyProof(aAsked);
+  }
+}
+
 /**
  * The log end at which the term began shows no commit, so only a later one can
  * be missing elsewhere.
@@ -95,6 +109,9 @@
  * n - 1 of them; the n - 1 newest reports are used. `asked` lists the members
  * that have reported. The report of a member that may have lost its log says
  * nothing of what it has confirmed, so it does not count.
+ *
+ * An upstream that is not known yet may be another member, so the sample is
+ * used only once it is settled.
  */
 void
 ServiceView::SampleAllButOne(Time aNow)
@@ -131,11 +148,10 @@
     // yet.
     return;
   }
-  // Reports do not say where the term began, so its start is taken to be the
-  // sampled position.
-  this->samples.Sample(asked.back()->reportAsked,
-                       { highest.term, highest.position, highest.position },
-                       { SampleSource::Quorum, asked.size(), memberCount });
+  this->unsettledSamples.Add(
+    { highest,
+      asked.back()->reportAsked,
+      { SampleSource::Quorum, asked.size(), memberCount } });
 }
 
 bool
@@ -297,9 +313,7 @@
 }
 
 bool
-ServiceView::MayAcknowledge(Term aTerm,
-                            const RegistrationSpan& aRegistration,
-                            Time aNow) const
+ServiceView::MayAcknowledge(Term aTerm, Time aNow) const
 {
   if (!this->requiresReplicaConfirmation) {
     return true;
@@ -308,19 +322,17 @@
       this->MayHaveLostFence(aNow)) {
     return false;
   }
-  bool isRegistered = aNow < aRegistration.until &&
-                      aNow - aRegistration.since >= kRegistrationSpread;
+  bool isRegistered = aNow < this->registration.until &&
+                      aNow - this->registration.since >= kRegistrationSpread;
   return (isRegistered && aNow - this->storeSeenAt < kCommitLease) ||
          aNow - this->memberProofAsked < kPrimaryProofValidity;
 }
 
 bool
-ServiceView::MaySendCommits(const RegistrationSpan& aRegistration,
-                            Time aNow) const
+ServiceView::MaySendCommits(Time aNow) const
 {
   return !this->IsFenced(aNow) &&
-         this->MayAcknowledge(
-           this->term, aRegistration, aNow + detail::kCommitTime);
+         this->MayAcknowledge(this->term, aNow + detail::kCommitTime);
 }
 
 void
@@ -373,7 +385,8 @@
   while (!this->unprovedSamples.empty() &&
          this->IsPrimaryProvedAt(this->unprovedSamples.front().asked)) {
     const Sample& sample = this->unprovedSamples.front();
-    // The start of the term is not known; see `SampleAllButOne`.
+    // Reports do not say where the term began, so its start is taken to be the
+    // sampled position.
     this->samples.Sample(
       sample.asked,
       { sample.point.term, sample.point.position, sample.point.position });
