--- a/test/group-record-test.cc
+++ b/test/group-record-test.cc
@@ -46,6 +46,7 @@
 {
   ServiceView view{ Millis(0) };
   view.SetRequiresReplicaConfirmation(true);
+  view.SetRegistration({ kInfinitePast, kInfiniteFuture });
   return view;
 }
 
