--- a/include/marigoldpitch/coordination/proxy/commit-fence.h
+++ b/include/marigoldpitch/coordination/proxy/commit-fence.h
@@ -11,6 +11,13 @@
 /** Which terms' commits a host must not acknowledge to callers any more. */
 namespace marigoldpitch {
 
+/**
+ * How long a replica's report that it is not held for a higher term proves that
+ * the known primary is still the primary, counted from when the report was
+ * requested.
+ */
+constexpr Duration kPrimaryProofValidity = Millis(500);
+
 /** How long a closed fence lasts after the promoter's last request. */
 constexpr Duration kFenceValidity = Seconds(8);
 
--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -395,7 +395,7 @@
   void SendFenceReplyTo(const std::string& aHost, const FenceReply& aReply);
   void SendFence(const ProxyService& aService, const FenceHost& aFence);
   void UpdateRoster(const HostsCounted& aCounted);
-  void AbortFenced(CallerSession& aSession);
+  bool MayCommit(ProxyService& aService, CallerSession& aSession);
   void HideCommit(ProxyService& aService,
                   CallerSession& aSession,
                   const LogPoint& aEnd);
--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -21,13 +21,6 @@
 /** One proxy's knowledge of a service's upstreams. */
 namespace marigoldpitch {
 
-/**
- * How long a replica's report that it is not held for a higher term proves that
- * the known primary is still the primary, counted from when the report was
- * requested.
- */
-constexpr Duration kPrimaryProofValidity = Millis(500);
-
 /**
  * How long attempts to reach an upstream must have failed, with no answer in
  * between, before `IsFailingLong` is true. `IsSilent` requires it as well.
--- a/src/coordination/proxy/fencing-round.cc
+++ b/src/coordination/proxy/fencing-round.cc
@@ -9,8 +9,6 @@
 // For how long a host that is not registered any more is still fenced. It may
 // have lost only its way to the store.
 constexpr Duration kUnregisteredHostTime = Seconds(30);
-// How long a report of a replica that is not held lets a host acknowledge.
-constexpr Duration kReportValidity = Millis(500);
 constexpr Duration kFenceRetryInterval = Millis(30);
 constexpr Duration kFenceRenewInterval = Millis(300);
 // For how long hosts are told that a round has ended.
@@ -145,7 +143,7 @@
   for (const auto& [host, unregisteredSince] : aRoster.Hosts()) {
     bool isRegistered = unregisteredSince == kInfiniteFuture;
     bool hasExpired =
-      isRegistered ? isContactOver : waited >= detail::kReportValidity;
+      isRegistered ? isContactOver : waited >= kPrimaryProofValidity;
     if (!hasExpired && this->replied.count(host) == 0) {
       return false;
     }
--- a/src/coordination/proxy/proxy-dispatch.cc
+++ b/src/coordination/proxy/proxy-dispatch.cc
@@ -226,12 +226,7 @@
 ProxyEngine::Place(ProxyService& aService, CallerSession& aSession)
 {
   if (aSession.pinned != 0) {
-    if (IsCommit(aSession) && aService.view.IsFenced(this->now)) {
-      this->AbortFenced(aSession);
-      return false;
-    }
-    if (IsCommit(aSession) && !aService.view.MaySendCommits(this->now)) {
-      aService.proofWanted = true;
+    if (IsCommit(aSession) && !this->MayCommit(aService, aSession)) {
       return false;
     }
     UpstreamIndex upstream = this->links.at(aSession.pinned).upstream;
--- a/src/coordination/proxy/proxy-fencing.cc
+++ b/src/coordination/proxy/proxy-fencing.cc
@@ -107,14 +107,26 @@
   this->roster.SetRegistered(names, aCounted.areRegistrationsShort, this->now);
 }
 
-/** Rolls back a transaction whose COMMIT must not be sent any more. */
-void
-ProxyEngine::AbortFenced(CallerSession& aSession)
+/**
+ * Whether the session's COMMIT may be sent now. It waits for a proof that a
+ * host may acknowledge it; if the host is fenced, the transaction is rolled
+ * back.
+ */
+bool
+ProxyEngine::MayCommit(ProxyService& aService, CallerSession& aSession)
 {
+  if (aService.view.MaySendCommits(this->now)) {
+    return true;
+  }
+  if (!aService.view.IsFenced(this->now)) {
+    aService.proofWanted = true;
+    return false;
+  }
   this->Dequeue(aSession);
   this->LeaveTransaction(aSession);
   this->AnswerFailure(
     aSession, FailureCode::Aborted, "the primary is being replaced");
+  return false;
 }
 
 /**
--- a/test/fakes/proxy-simulation-store.cc
+++ b/test/fakes/proxy-simulation-store.cc
@@ -2,17 +2,50 @@
 
 #include <algorithm>
 
-// The store of `ProxySimulation`: the configuration, the registry and the
-// group's record.
+// The store of `ProxySimulation`: the configuration, the registry, the hosts'
+// registrations and the group's record.
 
 namespace marigoldpitch::fakes {
 
 namespace {
 
 constexpr Duration kRecordDelay = Millis(1);
+constexpr Duration kRegistrationLifetime = Seconds(2);
 
 } // namespace
 
+/** The host's registration lasts for a while after it was renewed. */
+void
+ProxySimulation::RenewRegistration(size_t aHost)
+{
+  Time& until = this->registeredUntil[aHost];
+  bool wasRegistered = this->Now() < until;
+  if (this->withoutRegistry.count(aHost) != 0 ||
+      this->paused.count(aHost) != 0) {
+    if (!wasRegistered && until != kInfinitePast) {
+      until = kInfinitePast;
+      this->SendHostsCounted();
+    }
+    return;
+  }
+  until = this->Now() + kRegistrationLifetime;
+  this->Send(aHost, RegistrationRenewed{ { kInfinitePast, until } });
+  if (!wasRegistered) {
+    this->SendHostsCounted();
+  }
+}
+
+/** The hosts that reach the store learn which hosts are registered. */
+void
+ProxySimulation::SendHostsCounted()
+{
+  for (size_t i = 0; i < this->hosts.size(); ++i) {
+    if (this->withoutRegistry.count(i) == 0) {
+      this->Send(i, this->MakeHostsCounted());
+    }
+  }
+}
+
 RegistryRead
 ProxySimulation::MakeRegistryRead()
 {
