--- a/include/marigoldpitch/coordination/proxy/group-membership.h
+++ b/include/marigoldpitch/coordination/proxy/group-membership.h
@@ -120,6 +120,12 @@
   /** The store has no record of the group in this era. */
   void NoteMissingRecord(uint64_t aEra);
 
+  /** Whether the store was read, and has never had a record of the group. */
+  bool HasNoRecord() const
+  {
+    return this->isRecordMissing && !this->hasRecord;
+  }
+
   /**
    * Whether a record of the group has been read that is sure to name all
    * members which nothing else shows.
@@ -199,6 +205,7 @@
   StorePosition position;        // of the store's record
   RecordOrder order;             // of the applied record
   bool hasRecord = false;        // whether a record was applied
+  bool isRecordMissing = false;  // from a read of the store
   bool isStoredOutdated = false; // the store's record knows less than this
   Time completeFrom = kInfinitePast;
 };
--- a/include/marigoldpitch/coordination/proxy/service-view.h
+++ b/include/marigoldpitch/coordination/proxy/service-view.h
@@ -203,10 +203,11 @@
    * acknowledged to its caller: no promotion to a higher term can have been
    * ordered, as far as this host can tell. Requires that no fence hides it, and
    * either contact with the store within `kCommitLease` and a registration that
-   * promoters know of, so that they fence this host or wait for it; or a recent
-   * report of a recorded replica that is not held. A new process may have lost
-   * its fence, so it acknowledges none while a held replica shows that an order
-   * may still take effect.
+   * promoters know of, so that they fence this host or wait for it (or no
+   * record of the group, without which none promotes); or a recent report of a
+   * recorded replica that is not held. A new process may have lost its fence,
+   * so it acknowledges none while a held replica shows that an order may still
+   * take effect.
    */
   bool MayAcknowledge(Term aTerm, Time aNow) const;
 
--- a/src/coordination/proxy/group-membership.cc
+++ b/src/coordination/proxy/group-membership.cc
@@ -114,6 +114,7 @@
 void
 GroupMembership::NoteMissingRecord(uint64_t aEra)
 {
+  this->isRecordMissing = true;
   if (this->position.era < aEra) {
     this->position = { aEra, 0 };
   }
--- a/src/coordination/proxy/proxy-engine.cc
+++ b/src/coordination/proxy/proxy-engine.cc
@@ -280,6 +280,15 @@
     service.connections.AddUpstreams(added);
   }
   this->groupsEra = aEvent.era;
+  std::set<std::string> recorded;
+  for (const GroupRecord& record : aEvent.groups) {
+    recorded.insert(record.service);
+  }
+  for (auto& [name, service] : this->services) {
+    if (recorded.count(name) == 0) {
+      service.view.NoteMissingRecord(aEvent.era);
+    }
+  }
 }
 
 void
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -324,14 +324,16 @@
   }
   bool isRegistered = aNow < this->registration.until &&
                       aNow - this->registration.since >= kRegistrationSpread;
-  return (isRegistered && aNow - this->storeSeenAt < kCommitLease) ||
+  // Without a record of the group nobody promotes.
+  bool isRightSafe = isRegistered || this->members.HasNoRecord();
+  return (isRightSafe && aNow - this->storeSeenAt < kCommitLease) ||
          aNow - this->memberProofAsked < kPrimaryProofValidity;
 }
 
 bool
 ServiceView::MaySendCommits(Time aNow) const
 {
-  return !this->IsFenced(aNow) &&
+  return !this->IsFenced(aNow) && this->MayAcknowledge(this->term, aNow) &&
          this->MayAcknowledge(this->term, aNow + detail::kCommitTime);
 }
 
--- /dev/null
+++ b/test/commit-right-test.cc
@@ -0,0 +1,106 @@
+#include "marigoldpitch/coordination/proxy/service-view.h"
+
+#include <criterion/criterion.h>
+
+// Whether a host may acknowledge commits: `ServiceView` by itself.
+
+using namespace marigoldpitch;
+
+namespace {
+
+constexpr Time kNow{ 100000 };
+constexpr RegistrationSpan kLasting{ kInfinitePast, kInfiniteFuture };
+
+RegisteredUpstream
+Registration(size_t aIndex)
+{
+  RegisteredUpstream registration;
+  registration.id = "u" + std::to_string(aIndex);
+  registration.service = "service";
+  registration.endpoint = { "10.0.0.1", static_cast<uint16_t>(1 + aIndex) };
+  registration.incarnation = 1;
+  return registration;
+}
+
+/** u0 is the primary of term 1, u1 and u2 follow; all are recorded. */
+ServiceView
+RecordedView()
+{
+  ServiceView view{ Millis(0) };
+  view.SetRequiresReplicaConfirmation(true);
+  std::vector<RegisteredUpstream> registry = { Registration(0),
+                                               Registration(1),
+                                               Registration(2) };
+  view.ApplyRegistrations(registry, kNow);
+  GroupRecord record{ "service", {}, { 0, 1 } };
+  for (const RegisteredUpstream& one : registry) {
+    record.members.push_back({ one.id, one.endpoint, one.zone, 1 });
+  }
+  view.ApplyRecord(record, kNow);
+  view.ApplyReport(0, { Role::Primary, 1, { 1, 5 } }, kNow, kNow);
+  return view;
+}
+
+} // namespace
+
+Test(commit_right, needs_a_registration_that_promoters_know_of)
+{
+  ServiceView view = RecordedView();
+  view.ConfirmRegistrations(kNow);
+  cr_assert_not(view.MayAcknowledge(1, kNow));
+  view.SetRegistration(
+    { kNow - kRegistrationSpread + Millis(1), kInfiniteFuture });
+  cr_assert_not(view.MayAcknowledge(1, kNow));
+  view.SetRegistration({ kNow - kRegistrationSpread, kInfiniteFuture });
+  cr_assert(view.MayAcknowledge(1, kNow));
+  view.SetRegistration({ kInfinitePast, kNow });
+  cr_assert_not(view.MayAcknowledge(1, kNow));
+}
+
+Test(commit_right, ends_with_the_contact_with_the_store)
+{
+  ServiceView view = RecordedView();
+  view.SetRegistration(kLasting);
+  view.ConfirmRegistrations(kNow);
+  cr_assert(view.MayAcknowledge(1, kNow + kCommitLease - Millis(1)));
+  cr_assert_not(view.MayAcknowledge(1, kNow + kCommitLease));
+}
+
+Test(commit_right, follows_from_a_recorded_replica_that_is_not_held)
+{
+  ServiceView view = RecordedView();
+  UpstreamReport report{ Role::Replica, 1, { 1, 5 } };
+  report.held = 2;
+  view.ApplyReport(1, report, kNow, kNow);
+  cr_assert_not(view.MayAcknowledge(1, kNow));
+  report.held = 0;
+  view.ApplyReport(1, report, kNow, kNow);
+  cr_assert(view.MayAcknowledge(1, kNow + kPrimaryProofValidity - Millis(1)));
+  cr_assert_not(view.MayAcknowledge(1, kNow + kPrimaryProofValidity));
+}
+
+// Guards against commits that a new host sends and answers as unknown.
+Test(commit_right, sends_no_commit_before_it_begins_or_just_before_it_ends)
+{
+  ServiceView view = RecordedView();
+  view.ConfirmRegistrations(kNow);
+  view.SetRegistration(
+    { kNow - kRegistrationSpread + Millis(50), kInfiniteFuture });
+  cr_assert_not(view.MaySendCommits(kNow));
+  cr_assert(view.MaySendCommits(kNow + Millis(50)));
+  cr_assert_not(view.MaySendCommits(kNow + kCommitLease - Millis(10)));
+}
+
+// Guards against a new site that commits nothing until hosts are known.
+Test(commit_right, needs_no_registration_while_the_group_has_no_record)
+{
+  ServiceView view{ Millis(0) };
+  view.SetRequiresReplicaConfirmation(true);
+  view.ApplyRegistrations({ Registration(0), Registration(1) }, kNow);
+  view.ApplyReport(0, { Role::Primary, 1, { 1, 5 } }, kNow, kNow);
+  view.ConfirmRegistrations(kNow);
+  cr_assert_not(view.MayAcknowledge(1, kNow));
+  view.NoteMissingRecord(0);
+  cr_assert(view.MayAcknowledge(1, kNow));
+  cr_assert_not(view.MayAcknowledge(1, kNow + kCommitLease));
+}
