Resume what a promotion left held, also while reports are wanted

The command that resumes a held replica was due only if no status request had just been sent to it; while reports are wanted all the time, one always has, each 100 ms in the same tick. The command's own time counts now.

--- a/include/marigoldpitch/coordination/proxy/proxy-engine.h
+++ b/include/marigoldpitch/coordination/proxy/proxy-engine.h
@@ -38,8 +38,9 @@
 struct StaleState
 {
   UpstreamCommand command;
-  Term held = 0;              // the term that the replica is held for
-  Time since = kInfinitePast; // when this state was first reported
+  Term held = 0;                    // the term that the replica is held for
+  Time since = kInfinitePast;       // when this state was first reported
+  Time lastCommand = kInfinitePast; // when `command` was last queued
 };
 
 /** All that the proxy keeps for one service. */
--- a/src/coordination/proxy/proxy-watch.cc
+++ b/src/coordination/proxy/proxy-watch.cc
@@ -344,12 +344,11 @@
   if (!this->MayPromote() || aService.promotion.IsRunning()) {
     return;
   }
-  for (const auto& [upstream, staleState] : aService.staleStates) {
-    const ProxyUpstream& target = aService.view.At(upstream);
+  for (auto& [upstream, staleState] : aService.staleStates) {
     bool isDue = aService.view.Members().MayConfirm(upstream, this->now) &&
-                 !target.reportRequestOpen &&
-                 this->now - target.lastAsked >= detail::kReportInterval;
+                 this->now - staleState.lastCommand >= detail::kReportInterval;
     if (isDue && this->MayCleanUp(aService, staleState)) {
+      staleState.lastCommand = this->now;
       this->QueueCommand(aService, staleState.command);
     }
   }
