Go on with a promotion that has begun when the lease is lost

Found by the review (its trial: an attempt stayed in the phase fencing for 10 s after the loss of the lease, and would have gone on with an order by old holds when the lease came back): a host that doesn't serve the service followed it only while it held the lease, so nobody ended the attempt.

--- a/src/coordination/proxy/proxy-relay.cc
+++ b/src/coordination/proxy/proxy-relay.cc
@@ -62,7 +62,7 @@
 ProxyEngine::IsFollowed(const ProxyService& aService) const
 {
   return aService.isServedHere || aService.isStandbyHere ||
-         this->MayPromote() ||
+         this->MayPromote() || aService.promotion.IsRunning() ||
          this->now - aService.lastLocalUse < detail::kFollowTime;
 }
 
