--- a/include/marigoldpitch/coordination/proxy/fencing-round.h
+++ b/include/marigoldpitch/coordination/proxy/fencing-round.h
@@ -2,6 +2,7 @@
 #define MARIGOLDPITCH_COORDINATION_PROXY_FENCING_ROUND_H
 
 #include "marigoldpitch/coordination/proxy/commit-fence.h"
+#include "marigoldpitch/coordination/proxy/unsettled-samples.h"
 
 #include <map>
 #include <set>
@@ -64,7 +65,7 @@
   void Announce(Term aTerm, Time aNow);
 
   /** Sends nothing more, so that the fences expire. */
-  void Drop() { this->isActive = false; }
+  void Drop();
 
   /** When the present command was first sent. */
   Time Since() const { return this->since; }
@@ -83,11 +84,15 @@
   /**
    * Whether each host has replied, or cannot acknowledge commits any more. One
    * that is not registered cannot once its last report of a replica that is not
-   * held has expired. One that is registered is waited for; if registrations
-   * last long, only until its contact with the store must have expired.
+   * held has expired; an upstream that has confirmed its last commits is listed
+   * `kListingTime` later. One that is registered is waited for; if
+   * registrations last long, only until its contact with the store must have
+   * expired.
    */
   bool IsComplete(const HostRoster& aRoster, Time aNow) const;
 
+  size_t Replies() const { return this->replied.size(); }
+
   /** Whether each host has replied. */
   bool HaveAllReplied(const HostRoster& aRoster) const;
 
--- a/include/marigoldpitch/coordination/proxy/group-membership.h
+++ b/include/marigoldpitch/coordination/proxy/group-membership.h
@@ -121,10 +121,7 @@
   void NoteMissingRecord(uint64_t aEra);
 
   /** Whether the store was read, and has never had a record of the group. */
-  bool HasNoRecord() const
-  {
-    return this->isRecordMissing && !this->hasRecord;
-  }
+  bool HasNoRecord() const { return this->isRecordMissing && !this->hasRecord; }
 
   /**
    * Whether a record of the group has been read that is sure to name all
--- a/src/coordination/proxy/fencing-round.cc
+++ b/src/coordination/proxy/fencing-round.cc
@@ -97,7 +97,9 @@
   std::vector<FenceHost> requests;
   bool hasEnded =
     !this->IsClosing() && aNow - this->since >= detail::kFenceEndTime;
-  this->isActive = this->isActive && !hasEnded;
+  if (hasEnded) {
+    this->Drop();
+  }
   if (!this->isActive) {
     return requests;
   }
@@ -117,6 +119,14 @@
   return requests;
 }
 
+void
+FencingRound::Drop()
+{
+  this->isActive = false;
+  this->lastSent.clear();
+  this->replied.clear();
+}
+
 void
 FencingRound::Replied(const std::string& aHost, const FenceReply& aReply)
 {
@@ -142,8 +152,10 @@
     !aRoster.AreRegistrationsShort() && waited >= kCommitLease;
   for (const auto& [host, unregisteredSince] : aRoster.Hosts()) {
     bool isRegistered = unregisteredSince == kInfiniteFuture;
-    bool hasExpired =
-      isRegistered ? isContactOver : waited >= kPrimaryProofValidity;
+    Duration silent = aNow - std::max(this->since, unregisteredSince);
+    bool hasExpired = isRegistered
+                        ? isContactOver
+                        : silent >= kPrimaryProofValidity + kListingTime;
     if (!hasExpired && this->replied.count(host) == 0) {
       return false;
     }
--- a/src/coordination/proxy/promotion.cc
+++ b/src/coordination/proxy/promotion.cc
@@ -415,7 +415,9 @@
 {
   PromotionActions actions;
   this->fencing.Replied(aHost, aReply);
-  if (this->phase == PromotionPhase::Fencing) {
+  // Without all replies, the next update looks whether they are needed.
+  if (this->phase == PromotionPhase::Fencing &&
+      this->fencing.Replies() >= aHosts.Hosts().size()) {
     this->Advance(aView, aHosts, actions, aNow);
   }
   return actions;
@@ -455,8 +457,11 @@
       aActions.push_back(UpstreamCommand{ upstream, StatementKind::Resume });
     }
   }
-  // A host that has lost the lease leaves the fences to its successor.
-  if (mayResume && aOutcome != PromotionOutcome::LeaseLost) {
+  // A host that has lost the lease leaves the fences to its successor, and an
+  // order of an earlier attempt may still take effect.
+  bool mayReopen = mayResume && aOutcome != PromotionOutcome::LeaseLost &&
+                   aNow - this->lastOrder >= kFenceValidity;
+  if (mayReopen) {
     this->fencing.Reopen(aNow);
   }
   this->phase = PromotionPhase::Idle;
--- a/src/coordination/proxy/proxy-answers.cc
+++ b/src/coordination/proxy/proxy-answers.cc
@@ -206,8 +206,8 @@
     isCommit ? aSession.transactionWrote : pending.writes && !inTransaction;
   LogPoint committed =
     aReply.position.value_or(LogPoint{ service.view.CurrentTerm(), 0 });
-  bool isHidden = isCommitted && service.config.confirmedByReplica &&
-                  !service.view.MayAcknowledge(committed.term, this->now);
+  bool isHidden =
+    isCommitted && !service.view.MayAcknowledge(committed.term, this->now);
   if (isCommitted && !isHidden && aReply.position) {
     aSession.lastCommit = *aReply.position;
     if (service.config.confirmedByReplica) {
--- a/src/coordination/proxy/service-view.cc
+++ b/src/coordination/proxy/service-view.cc
@@ -315,13 +315,13 @@
 bool
 ServiceView::MayAcknowledge(Term aTerm, Time aNow) const
 {
-  if (!this->requiresReplicaConfirmation) {
-    return true;
-  }
   if (aTerm < this->term || this->fence.HidesCommitsOf(aTerm, aNow) ||
       this->MayHaveLostFence(aNow)) {
     return false;
   }
+  if (!this->requiresReplicaConfirmation) {
+    return true;
+  }
   bool isRegistered = aNow < this->registration.until &&
                       aNow - this->registration.since >= kRegistrationSpread;
   // Without a record of the group nobody promotes.
