--- a/test/late-effects-test.cc
+++ b/test/late-effects-test.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr uint32_t kSeeds = 30;
-// Fences expire 5 s after the promoter's last request.
+// Fences expire `kFenceValidity` after the promoter's last request.
 constexpr Duration kAfterwards = Seconds(8);
 // Another host gets the lease once its holder's has expired.
 constexpr Duration kLeaseMoveDelay = Millis(6500);
