Review: a killed promoter's order arrives after its successor's (case 8)

Claim: an order that is held up by a cut of the way to the promotion call is still delivered when its sender is killed; the platform then sees a lower fencing token than before (ONE).

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -9,7 +9,7 @@
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
 cd "$root" || exit 2 # the programs start in the root of the repository
-RECORD="$root/review/7/record.txt" timeout -k 2 100 "$stage" "$proxy" "$work"
+RECORD="$root/review/7/record.txt" timeout -k 2 100 "$stage" "$proxy" "$work" young-host
 status=$?
 [ $status -le 1 ] || exit 2
 exit $status
--- a/review/standin-2/loop.cc
+++ b/review/standin-2/loop.cc
@@ -4,9 +4,11 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdarg>
 #include <cstdio>
@@ -192,8 +194,9 @@
     }
     for (const auto& [fd, one] : this->sockets) {
       bool writes = one->isConnecting || !one->out.empty();
+      int reads = one->isPaused ? 0 : POLLIN;
       polled.push_back(
-        { fd, static_cast<short>(POLLIN | (writes ? POLLOUT : 0)), 0 });
+        { fd, static_cast<short>(reads | (writes ? POLLOUT : 0)), 0 });
     }
     double wait =
       this->timers.empty() ? 20 : this->timers.begin()->first - Now();
@@ -213,6 +216,12 @@
         continue;
       }
       SocketRef socket = found->second;
+      if (socket->isPaused) {
+        if ((one.revents & POLLERR) != 0) {
+          this->Lose(socket); // its sender has reset it
+        }
+        continue;
+      }
       if ((one.revents & POLLOUT) != 0) {
         socket->isConnecting = false;
         this->Flush(socket);
@@ -225,6 +234,106 @@
   }
 }
 
+size_t
+Loop::Waiting(const SocketRef& aSocket)
+{
+  int count = 0;
+  ioctl(aSocket->fd, FIONREAD, &count);
+  return static_cast<size_t>(count);
+}
+
+Path::Path(Loop& aLoop, uint16_t aTarget)
+  : loop(aLoop)
+  , target(aTarget)
+{
+  this->loop.Listen(this->port,
+                    [this](SocketRef aSocket) { this->Accept(aSocket); });
+}
+
+void
+Path::Accept(const SocketRef& aSocket)
+{
+  auto pair = std::make_shared<Pair>();
+  pair->near = aSocket;
+  pair->isDoomed = this->isCut;
+  pair->near->isPaused = this->isCut;
+  if (!pair->isDoomed) {
+    pair->far = this->loop.Connect(this->target);
+    std::weak_ptr<Pair> weak = pair;
+    pair->near->onData = [this, weak](Socket& aOne) {
+      if (auto one = weak.lock()) {
+        this->loop.Send(one->far, std::exchange(aOne.in, {}));
+      }
+    };
+    pair->far->onData = [this, weak](Socket& aOne) {
+      if (auto one = weak.lock()) {
+        this->loop.Send(one->near, std::exchange(aOne.in, {}));
+      }
+    };
+    pair->far->onClosed = [this, weak] {
+      if (auto one = weak.lock()) {
+        this->End(one);
+      }
+    };
+  }
+  std::weak_ptr<Pair> weak = pair;
+  pair->near->onClosed = [this, weak] {
+    if (auto one = weak.lock()) {
+      // What was passed on before is still answered, to nobody.
+      this->loop.After(100, [this, one] { this->End(one); });
+    }
+  };
+  this->pairs.push_back(pair);
+}
+
+void
+Path::End(const std::shared_ptr<Pair>& aPair)
+{
+  this->loop.Close(aPair->near);
+  if (aPair->far) {
+    this->loop.Close(aPair->far);
+  }
+  auto found = std::find(this->pairs.begin(), this->pairs.end(), aPair);
+  if (found != this->pairs.end()) {
+    this->pairs.erase(found);
+  }
+}
+
+void
+Path::Cut()
+{
+  this->isCut = true;
+  for (const auto& pair : this->pairs) {
+    pair->near->isPaused = true;
+    pair->far->isPaused = true;
+  }
+}
+
+void
+Path::Heal()
+{
+  this->isCut = false;
+  auto all = this->pairs;
+  for (const auto& pair : all) {
+    if (pair->isDoomed) {
+      this->End(pair);
+      continue;
+    }
+    this->loop.Resume(pair->near);
+    this->loop.Resume(pair->far);
+  }
+}
+
+bool
+Path::HoldsBytes() const
+{
+  return std::any_of(
+    this->pairs.begin(), this->pairs.end(), [](const auto& aPair) {
+      return !aPair->isDoomed && aPair->near->fd >= 0 &&
+             Loop::Waiting(aPair->near) > 0;
+    });
+}
+
 static bool
 IsFree(uint16_t aPort, int aType)
 {
--- a/review/standin-2/stage.cc
+++ b/review/standin-2/stage.cc
@@ -10,11 +10,16 @@
 #include <cstdlib>
 #include <fstream>
 
-// A primary is cut off from its replicas while a host is added and the release
-// of a backend begins. Exits with 1 if a write that a client was told of is not
-// in the log of the backend that is promoted.
+// Plays a case of the review:
 //
-//     review-stage PROXY DIRECTORY young-host
+// - young-host: a primary is cut off from its replicas while a host is added
+// and
+//   the release of a backend begins;
+// - late-order: the promoter is killed while its order is held up by a cut.
+//
+// Exits with 1 if a write that a client was told of is not in the log of the
+// last primary, or if the platform gets an order with a lower token than one
+// before.
 
 namespace {
 
@@ -24,6 +29,8 @@
   std::string zone;
   uint16_t callers = 0;
   uint16_t health = 0;
+  std::string settings;           // the path of its file
+  std::unique_ptr<Path> platform; // its way to the promotion call
   pid_t pid = 0;
 };
 
@@ -37,9 +44,13 @@
 class Stage
 {
 public:
-  Stage(std::string aProxy, std::string aDirectory, bool aHasTrouble)
+  Stage(std::string aProxy,
+        std::string aDirectory,
+        std::string aPlay,
+        bool aHasTrouble)
     : proxy(std::move(aProxy))
     , directory(std::move(aDirectory))
+    , play(std::move(aPlay))
     , hasTrouble(aHasTrouble)
     , store(this->loop)
     , backends(this->loop, this->store)
@@ -49,16 +60,22 @@
 
 private:
   void StartHost(const std::string& aName, const std::string& aZone);
+  void Execute(Host& aHost);
   void ProbeUntilReady(const std::string& aName);
   void OpenClients(const std::string& aName);
   void OpenClient(const std::string& aName, bool aWrites);
   void Sweep();
   void Begin();
+  void BeginLateOrder();
+  void Release(const std::string& aOld, const std::string& aNew);
+  void CutOff(const std::string& aName);
+  void KillOnceOrdered(const std::string& aName);
   int Judge();
   void EndHosts();
 
   std::string proxy;
   std::string directory;
+  std::string play;
   bool hasTrouble;
   Loop loop;
   Store store;
@@ -66,6 +83,8 @@
   std::map<std::string, Host> hosts;
   std::map<std::string, Write> writes;
   std::string promoter;
+  uint64_t highestToken = 0;
+  size_t lowerTokens = 0;
   std::map<std::string, double> lastHostsRead;
   bool hasBegun = false;
   bool hasJoined = false;
@@ -74,6 +93,8 @@
 
 constexpr double kLeadMs = 12000;
 constexpr double kCutMs = 3500;
+constexpr double kLateCutMs = 5500;
+constexpr double kDownMs = 2600;
 constexpr int kClientsAHost = 6;
 constexpr int kWritersAHost = 2; // the others read
 
@@ -87,7 +108,10 @@
   host.health = FreePort();
   uint16_t peers = FreePort();
   std::string at = "127.0.0.1:";
-  std::string storeAt = at + std::to_string(this->store.Open(aName));
+  uint16_t storePort = this->store.Open(aName);
+  std::string storeAt = at + std::to_string(storePort);
+  host.platform = std::make_unique<Path>(this->loop, storePort);
+  std::string platformAt = at + std::to_string(host.platform->Port());
   Json settings{ { "host", aName },
                  { "zone", aZone },
                  { "callers", at + std::to_string(host.callers) },
@@ -96,7 +120,7 @@
                  { "peers", at + std::to_string(peers) },
                  { "relay", true },
                  { "store", storeAt },
-                 { "duties", storeAt },
+                 { "duties", platformAt },
                  { "grace_seconds", 6 },
                  { "memory_mb", 520 },
                  { "descriptors", 8400 },
@@ -104,23 +128,29 @@
                  { "cpu_share", 0.5 },
                  { "cores", 1 },
                  { "link_mbps", 2000 } };
-  std::string path = this->directory + "/" + aName + ".json";
-  std::ofstream(path) << settings.dump();
-  std::string output = this->directory + "/" + aName + ".log";
-  host.pid = fork();
-  if (host.pid == 0) {
-    int log = open(output.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+  host.settings = this->directory + "/" + aName + ".json";
+  std::ofstream(host.settings) << settings.dump();
+  this->Execute(host);
+}
+
+void
+Stage::Execute(Host& aHost)
+{
+  std::string output = this->directory + "/" + aHost.name + ".log";
+  aHost.pid = fork();
+  if (aHost.pid == 0) {
+    int log = open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log, 1);
     dup2(log, 2);
     execl(this->proxy.c_str(),
           this->proxy.c_str(),
           "--settings",
-          path.c_str(),
+          aHost.settings.c_str(),
           static_cast<char*>(nullptr));
     _exit(127);
   }
-  Record("host %s is started", aName.c_str());
-  this->ProbeUntilReady(aName);
+  Record("host %s is started", aHost.name.c_str());
+  this->ProbeUntilReady(aHost.name);
 }
 
 /** The platform asks each host; one that answers 200 gets clients. */
@@ -215,11 +245,76 @@
   this->loop.Send(socket, "START ledger key\r\n");
 }
 
+/** A release: the new backend starts first, then the old one drains. */
+void
+Stage::Release(const std::string& aOld, const std::string& aNew)
+{
+  this->backends.Register(this->backends.Add(aNew, "zone-2"));
+  this->backends.Replicate();
+  this->loop.After(500, [this, aOld] {
+    this->backends.At(aOld).isDraining = true;
+    this->backends.Register(this->backends.At(aOld));
+    Record("%s announces that it leaves", aOld.c_str());
+  });
+}
+
+/**
+ * Two primaries are released one after the other. The way from the promoter to
+ * the platform's call is cut between them, and its process is killed while its
+ * second order is held up. The platform starts it again.
+ */
+void
+Stage::BeginLateOrder()
+{
+  std::string name = this->promoter;
+  Record("the promoter is %s", name.c_str());
+  this->Release(this->backends.Primary()->id, "i-d");
+  this->loop.After(3000, [this, name] {
+    this->Release(this->backends.Primary()->id, "i-e");
+    if (this->hasTrouble) {
+      this->loop.After(1000, [this, name] { this->CutOff(name); });
+    }
+  });
+}
+
+/** Cuts the way from the host to the platform's call. */
+void
+Stage::CutOff(const std::string& aName)
+{
+  Record("the way from %s to the promotion call is cut", aName.c_str());
+  this->hosts[aName].platform->Cut();
+  this->KillOnceOrdered(aName);
+  this->loop.After(kLateCutMs, [this, aName] {
+    Record("the cut heals");
+    this->hosts[aName].platform->Heal();
+  });
+}
+
+void
+Stage::KillOnceOrdered(const std::string& aName)
+{
+  if (!this->hosts[aName].platform->HoldsBytes()) {
+    this->loop.After(5, [this, aName] { this->KillOnceOrdered(aName); });
+    return;
+  }
+  Record("an order of %s is held up", aName.c_str());
+  this->loop.After(100, [this, aName] {
+    Record("%s is killed", aName.c_str());
+    kill(this->hosts[aName].pid, SIGKILL);
+    this->loop.After(kDownMs,
+                     [this, aName] { this->Execute(this->hosts[aName]); });
+  });
+}
+
 /** The cut, and the start of the host that is added. */
 void
 Stage::Begin()
 {
   this->hasBegun = true;
+  if (this->play == "late-order") {
+    this->BeginLateOrder();
+    return;
+  }
   Backend& primary = *this->backends.Primary();
   Record("the promoter is %s, the primary %s",
          this->promoter.c_str(),
@@ -308,11 +403,12 @@
          answered,
          lost);
   printf("%zu writes acknowledged, %zu of them lost\n", answered, lost);
+  printf("%zu orders with a lower token than one before\n", this->lowerTokens);
   bool wasPromoted = primary.term > 1;
   if (answered < 200 || (this->hasTrouble && !wasPromoted)) {
     return 2;
   }
-  return lost == 0 ? 0 : 1;
+  return lost == 0 && this->lowerTokens == 0 ? 0 : 1;
 }
 
 void
@@ -369,14 +465,20 @@
              aHost.c_str(),
              id.c_str(),
              static_cast<unsigned long long>(aToken));
+      if (aToken < this->highestToken) {
+        ++this->lowerTokens;
+        Record("ONE: the platform has seen token %llu before",
+               static_cast<unsigned long long>(this->highestToken));
+      }
+      this->highestToken = std::max(this->highestToken, aToken);
       return this->backends.Promote(id, 600) ? 200 : 409;
     };
-  for (int i = 1; i <= 3; ++i) {
-    std::string number = std::to_string(i);
-    this->StartHost("host-" + number, "zone-" + number);
+  for (const char* number : { "1", "2", "3" }) {
+    this->StartHost(std::string("host-") + number,
+                    std::string("zone-") + number);
   }
   this->Sweep();
-  this->loop.After(kLeadMs + 12000, [this] { this->loop.Stop(); });
+  this->loop.After(kLeadMs + 13000, [this] { this->loop.Stop(); });
   this->loop.Run();
   int result = this->Judge();
   this->EndHosts();
@@ -388,8 +490,8 @@
 int
 main(int aCount, char** aArguments)
 {
-  if (aCount != 3) {
-    fprintf(stderr, "use: review-stage PROXY DIRECTORY\n");
+  if (aCount != 4) {
+    fprintf(stderr, "use: review-stage PROXY DIRECTORY PLAY\n");
     return 2;
   }
   signal(SIGPIPE, SIG_IGN);
@@ -399,6 +501,6 @@
   }
   const char* trouble = getenv("TROUBLE");
   bool hasTrouble = trouble == nullptr || std::string(trouble) != "0";
-  Stage stage(aArguments[1], aArguments[2], hasTrouble);
+  Stage stage(aArguments[1], aArguments[2], aArguments[3], hasTrouble);
   return stage.Play();
 }
--- a/review/standin-2/stage.h
+++ b/review/standin-2/stage.h
@@ -31,6 +31,7 @@
   std::string in;
   std::string out;
   bool isConnecting = false;
+  bool isPaused = false; // is not read; only a reset shows
   std::function<void(Socket&)> onData;
   std::function<void()> onClosed;
 };
@@ -45,6 +46,10 @@
   SocketRef Connect(uint16_t aPort);
   void Send(const SocketRef& aSocket, const std::string& aBytes);
   void Close(const SocketRef& aSocket);
+  /** Reads on from a socket that was paused. */
+  void Resume(const SocketRef& aSocket) { aSocket->isPaused = false; }
+  /** How many bytes wait to be read. */
+  static size_t Waiting(const SocketRef& aSocket);
   void After(double aDelayMs, std::function<void()> aCall);
   void Run();
   void Stop() { this->isStopping = true; }
@@ -65,6 +70,40 @@
 uint16_t
 FreePort();
 
+/**
+ * The network between a host and the platform. While it is cut, what was sent
+ * on an open connection is held up: it arrives when the cut heals, unless its
+ * sender has reset the connection. Connections that are opened meanwhile come
+ * to nothing.
+ */
+class Path
+{
+public:
+  Path(Loop& aLoop, uint16_t aTarget);
+  uint16_t Port() const { return this->port; }
+  void Cut();
+  void Heal();
+  /** Whether anything is held up. */
+  bool HoldsBytes() const;
+
+private:
+  struct Pair
+  {
+    SocketRef near;
+    SocketRef far;
+    bool isDoomed = false; // was opened during the cut
+  };
+
+  void Accept(const SocketRef& aSocket);
+  void End(const std::shared_ptr<Pair>& aPair);
+
+  Loop& loop;
+  uint16_t target;
+  uint16_t port = 0;
+  bool isCut = false;
+  std::vector<std::shared_ptr<Pair>> pairs;
+};
+
 /** The platform's metadata store; each host has a port of its own. */
 class Store
 {
