Review: a host whose registration lapsed is unknown to a new promoter (case 9)

A promoter's new process does not fence a live host whose registration lapsed before it started; that host acknowledges commits that the promoted backend lacks (LOST). In case 7 the new backend now joins 120 ms after the order instead of at a fixed time.

--- a/review/standin-2/stage.cc
+++ b/review/standin-2/stage.cc
@@ -15,7 +15,9 @@
 // - young-host: a primary is cut off from its replicas while a host is added
 // and
 //   the release of a backend begins;
-// - late-order: the promoter is killed while its order is held up by a cut.
+// - late-order: the promoter is killed while its order is held up by a cut;
+// - lapsed-host: a host whose registration has lapsed is unknown to a promoter
+//   that starts then, and the primary is cut off from its replicas.
 //
 // Exits with 1 if a write that a client was told of is not in the log of the
 // last primary, or if the platform gets an order with a lower token than one
@@ -32,6 +34,9 @@
   std::string settings;           // the path of its file
   std::unique_ptr<Path> platform; // its way to the promotion call
   pid_t pid = 0;
+  bool isReady = false;
+  bool hasClients = false;
+  bool mustRestart = false; // once its process has ended
 };
 
 struct Write
@@ -68,6 +73,11 @@
   void Begin();
   void BeginLateOrder();
   void Release(const std::string& aOld, const std::string& aNew);
+  bool Rests(const std::string& aName) const;
+  void BeginLapsedHost();
+  void AwaitRestarts();
+  void CutPrimary();
+  void Join();
   void CutOff(const std::string& aName);
   void KillOnceOrdered(const std::string& aName);
   int Judge();
@@ -83,11 +93,13 @@
   std::map<std::string, Host> hosts;
   std::map<std::string, Write> writes;
   std::string promoter;
+  std::string lapsed; // the host that the store turns away
   uint64_t highestToken = 0;
   size_t lowerTokens = 0;
   std::map<std::string, double> lastHostsRead;
   bool hasBegun = false;
   bool hasJoined = false;
+  double cutAt = 1e18; // of the primary, where it is known before
   size_t requests = 0;
 };
 
@@ -95,6 +107,10 @@
 constexpr double kCutMs = 3500;
 constexpr double kLateCutMs = 5500;
 constexpr double kDownMs = 2600;
+constexpr double kRestMs = 650;
+constexpr double kTurnedAwayMs = 9000;
+constexpr double kJoinMs = 120;            // after an order
+constexpr double kJoinUntroubledMs = 1080; // without one
 constexpr int kClientsAHost = 6;
 constexpr int kWritersAHost = 2; // the others read
 
@@ -171,7 +187,11 @@
     }
     if (isReady) {
       Record("host %s is ready", aName.c_str());
-      this->OpenClients(aName);
+      Host& host = this->hosts[aName];
+      host.isReady = true;
+      if (!std::exchange(host.hasClients, true)) {
+        this->OpenClients(aName);
+      }
     } else {
       this->loop.After(100, [this, aName] { this->ProbeUntilReady(aName); });
     }
@@ -195,10 +215,24 @@
   }
 }
 
+/** Whether the writers of the host are idle now, as the lapsed one's are. */
+bool
+Stage::Rests(const std::string& aName) const
+{
+  return aName == this->lapsed && Now() >= this->cutAt - kRestMs / 4 &&
+         Now() < this->cutAt + kRestMs;
+}
+
 /** A client that writes or reads, waits for the answer, and does it again. */
 void
 Stage::OpenClient(const std::string& aName, bool aWrites)
 {
+  // A host that isn't ready gets no new connections.
+  if (!this->hosts[aName].isReady) {
+    this->loop.After(
+      50, [this, aName, aWrites] { this->OpenClient(aName, aWrites); });
+    return;
+  }
   SocketRef socket = this->loop.Connect(this->hosts[aName].callers);
   std::weak_ptr<Socket> weak = socket;
   auto request = std::make_shared<std::string>();
@@ -227,11 +261,16 @@
       bool isRefused = reply->rfind("ERR", 0) == 0;
       *request = "";
       *reply = "";
-      this->loop.After(isRefused ? 60 : 25, [=] {
+      auto again = std::make_shared<std::function<void()>>();
+      *again = [=] {
         auto one = weak.lock();
         if (!one || one->fd < 0) {
           return;
         }
+        if (aWrites && this->Rests(aName)) {
+          this->loop.After(50, *again);
+          return;
+        }
         *request = (aWrites ? "w" : "r") + std::to_string(++this->requests);
         if (aWrites) {
           this->writes[*request] = { aName, Now(), 0 };
@@ -239,7 +278,8 @@
         }
         std::string text = aWrites ? " WRITE item data" : " READ item";
         this->loop.Send(one, "QUERY " + *request + text + "\r\n");
-      });
+      };
+      this->loop.After(isRefused ? 60 : 25, *again);
     }
   };
   this->loop.Send(socket, "START ledger key\r\n");
@@ -306,6 +346,94 @@
   });
 }
 
+/** Partitions the primary from its replicas for a while. */
+void
+Stage::CutPrimary()
+{
+  Backend& primary = *this->backends.Primary();
+  for (const char* id : { "i-a", "i-b", "i-c" }) {
+    if (primary.id != id) {
+      primary.cutFrom.insert(id);
+      this->backends.At(id).cutFrom.insert(primary.id);
+    }
+  }
+  Record("%s is cut off from its replicas", primary.id.c_str());
+  this->loop.After(kCutMs, [this, &primary] {
+    for (const char* id : { "i-a", "i-b", "i-c" }) {
+      primary.cutFrom.erase(id);
+      this->backends.At(id).cutFrom.erase(primary.id);
+    }
+    Record("the cut heals");
+    Backend* next = this->backends.Primary();
+    this->loop.After(1000, [this, &primary, next] {
+      if (primary.isPrimary && next != &primary) {
+        primary.isPrimary = false;
+        this->backends.Register(primary);
+      }
+      this->backends.Replicate();
+    });
+    this->backends.Replicate();
+  });
+}
+
+/**
+ * The store turns one host away, so that its registration lapses. Meanwhile the
+ * others are stopped and started in turn, and then the primary is cut off from
+ * its replicas.
+ */
+void
+Stage::BeginLapsedHost()
+{
+  for (auto& [name, host] : this->hosts) {
+    bool isLast = name != this->promoter; // the last of those that follow
+    this->lapsed = isLast ? name : this->lapsed;
+  }
+  Record("the promoter is %s", this->promoter.c_str());
+  this->promoter = "";
+  if (this->hasTrouble) {
+    this->store.TurnAway(this->lapsed);
+    Record("the store turns %s away", this->lapsed.c_str());
+    this->loop.After(kTurnedAwayMs, [this] {
+      this->store.ServeAgain(this->lapsed);
+      Record("the store serves %s again", this->lapsed.c_str());
+    });
+  }
+  double delay = 100;
+  for (auto& [name, host] : this->hosts) {
+    if (name == this->lapsed) {
+      continue;
+    }
+    std::string stopped = name;
+    this->loop.After(delay, [this, stopped] {
+      Record("host %s gets SIGTERM", stopped.c_str());
+      Host& host = this->hosts[stopped];
+      host.isReady = false;
+      host.mustRestart = true;
+      kill(host.pid, SIGTERM);
+    });
+    delay += 300;
+  }
+  this->AwaitRestarts();
+}
+
+/** Cuts the primary off once the restarted hosts serve and one may promote. */
+void
+Stage::AwaitRestarts()
+{
+  bool areBack = !this->promoter.empty();
+  for (const auto& [name, host] : this->hosts) {
+    areBack = areBack && host.isReady && !host.mustRestart && host.pid != 0;
+  }
+  if (!areBack) {
+    this->loop.After(20, [this] { this->AwaitRestarts(); });
+  } else if (!this->hasTrouble) {
+    this->loop.After(kJoinUntroubledMs, [this] { this->Join(); });
+  } else {
+    this->cutAt = Now() + 600;
+    this->loop.After(600, [this] { this->CutPrimary(); });
+  }
+}
+
 /** The cut, and the start of the host that is added. */
 void
 Stage::Begin()
@@ -315,50 +443,37 @@
     this->BeginLateOrder();
     return;
   }
+  if (this->play == "lapsed-host") {
+    this->BeginLapsedHost();
+    return;
+  }
   Backend& primary = *this->backends.Primary();
   Record("the promoter is %s, the primary %s",
          this->promoter.c_str(),
          primary.id.c_str());
   if (this->hasTrouble) {
-    for (const char* id : { "i-a", "i-b", "i-c" }) {
-      if (primary.id != id) {
-        primary.cutFrom.insert(id);
-        this->backends.At(id).cutFrom.insert(primary.id);
-      }
-    }
-    Record("%s is cut off from its replicas", primary.id.c_str());
-    this->loop.After(kCutMs, [this, &primary] {
-      for (const char* id : { "i-a", "i-b", "i-c" }) {
-        primary.cutFrom.erase(id);
-        this->backends.At(id).cutFrom.erase(primary.id);
-      }
-      Record("the cut heals");
-      Backend* next = this->backends.Primary();
-      this->loop.After(1000, [this, &primary, next] {
-        if (primary.isPrimary && next != &primary) {
-          primary.isPrimary = false;
-          this->backends.Register(primary);
-        }
-        this->backends.Replicate();
-      });
-      this->backends.Replicate();
-    });
+    this->CutPrimary();
   }
   this->loop.After(190, [this] { this->StartHost("host-4", "zone-1"); });
-  // A release: the new backend starts first, then the old one drains.
-  this->loop.After(1080, [this] {
-    if (!this->hasJoined) {
-      this->hasJoined = true;
-      Backend& joined = this->backends.Add("i-d", "zone-2");
-      this->backends.Register(joined);
-      Record("i-d joins");
-      this->backends.Replicate();
-      this->loop.After(500, [this] {
-        this->backends.At("i-b").isDraining = true;
-        this->backends.Register(this->backends.At("i-b"));
-      });
-    }
-  });
+  if (!this->hasTrouble) {
+    this->loop.After(kJoinUntroubledMs, [this] { this->Join(); });
+  }
+}
+
+/** The first step of a release: the new backend starts. */
+void
+Stage::Join()
+{
+  if (!std::exchange(this->hasJoined, true)) {
+    Backend& joined = this->backends.Add("i-d", "zone-2");
+    this->backends.Register(joined);
+    Record("i-d joins");
+    this->backends.Replicate();
+    this->loop.After(500, [this] {
+      this->backends.At("i-b").isDraining = true;
+      this->backends.Register(this->backends.At("i-b"));
+    });
+  }
 }
 
 void
@@ -370,6 +485,12 @@
     if (host.pid > 0 && waitpid(host.pid, &status, WNOHANG) == host.pid) {
       Record("host %s has ended with status %d", name.c_str(), status);
       host.pid = 0;
+      host.isReady = false;
+      if (std::exchange(host.mustRestart, false)) {
+        std::string ended = name;
+        this->loop.After(200,
+                         [this, ended] { this->Execute(this->hosts[ended]); });
+      }
     }
   }
   this->loop.After(20, [this] { this->Sweep(); });
@@ -471,6 +592,9 @@
                static_cast<unsigned long long>(this->highestToken));
       }
       this->highestToken = std::max(this->highestToken, aToken);
+      if (this->play != "late-order") {
+        this->loop.After(kJoinMs, [this] { this->Join(); });
+      }
       return this->backends.Promote(id, 600) ? 200 : 409;
     };
   for (const char* number : { "1", "2", "3" }) {
@@ -478,7 +602,7 @@
                     std::string("zone-") + number);
   }
   this->Sweep();
-  this->loop.After(kLeadMs + 13000, [this] { this->loop.Stop(); });
+  this->loop.After(kLeadMs + 16000, [this] { this->loop.Stop(); });
   this->loop.Run();
   int result = this->Judge();
   this->EndHosts();
--- a/review/standin-2/stage.h
+++ b/review/standin-2/stage.h
@@ -117,6 +117,10 @@
   void Remove(const std::string& aKey);
   void Expire();
 
+  /** The store answers the host 503 from now on, or serves it again. */
+  void TurnAway(const std::string& aHost) { this->turnedAway.insert(aHost); }
+  void ServeAgain(const std::string& aHost) { this->turnedAway.erase(aHost); }
+
   /** Called with the host and the prefix of each range that is read. */
   std::function<void(const std::string&, const std::string&)> onRange;
   /** Called for each key that a host writes. */
@@ -168,6 +172,7 @@
   Loop& loop;
   std::map<std::string, Item> items;
   std::deque<Event> events;
+  std::set<std::string> turnedAway;
   struct Lease
   {
     double until = 0;
--- a/review/standin-2/store.cc
+++ b/review/standin-2/store.cc
@@ -277,6 +277,8 @@
       token == aRequest.headers.end() ? 0 : std::stoull(token->second),
       aRequest.body);
     this->Reply(aSocket, status, Json::object());
+  } else if (this->turnedAway.count(aHost) != 0) {
+    this->Reply(aSocket, 503, Json::object());
   } else if (path == "/v1/kv-key") {
     auto found = this->items.find(query("key"));
     Json body{ { "currentRev", this->revision } };
