--- a/review/standin-2/stage.cc
+++ b/review/standin-2/stage.cc
@@ -12,12 +12,13 @@
 
 // Plays a case of the review:
 //
-// - young-host: a primary is cut off from its replicas while a host is added
-// and
-//   the release of a backend begins;
-// - late-order: the promoter is killed while its order is held up by a cut;
-// - lapsed-host: a host whose registration has lapsed is unknown to a promoter
-//   that starts then, and the primary is cut off from its replicas.
+// young-host: a primary is cut off from its replicas while a host is added and
+// the release of a backend begins.
+//
+// late-order: the promoter is killed while its order is held up by a cut.
+//
+// lapsed-host: a host whose registration has lapsed is unknown to a promoter
+// that starts then, and the primary is cut off from its replicas.
 //
 // Exits with 1 if a write that a client was told of is not in the log of the
 // last primary, or if the platform gets an order with a lower token than one
